--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+# Commands of the README; the build itself is CMake's.
+BUILD ?= build
+POLICY ?= keepers
+
+.PHONY: all deps build check demo bench capacity format lint clean sanitize
+
+all: build
+
+deps:
+	@scripts/install-deps
+
+build: deps
+	@cmake -S . -B $(BUILD) -G Ninja > /dev/null
+	@cmake --build $(BUILD) > $(BUILD)/build.log 2>&1 \
+	  || { cat $(BUILD)/build.log; exit 1; }
+
+check: build
+	@ctest --test-dir $(BUILD) --output-on-failure -j 4
+
+sanitize: deps
+	@cmake -S . -B build-asan -G Ninja -DGBD_SANITIZE=ON > /dev/null
+	@cmake --build build-asan > build-asan/build.log 2>&1 \
+	  || { cat build-asan/build.log; exit 1; }
+	@ctest --test-dir build-asan --output-on-failure -j 4
+
+demo: build
+	@scripts/demo $(BUILD) $(POLICY)
+
+bench: build
+	@scripts/bench $(BUILD)
+
+capacity: build
+	@scripts/capacity $(BUILD)
+
+format:
+	@scripts/format
+
+lint: build
+	@scripts/lint $(BUILD)
+
+clean:
+	rm -rf build build-asan
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_types.c
@@ -0,0 +1,50 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "gooseberrydrum/types.h"
+
+static void
+address_reads_what_it_writes (void **state)
+{
+  (void)state;
+  static const char *const texts[]
+      = { "127.0.0.1:80", "10.1.2.3:65535", "[::1]:443", "[2001:db8::7]:1" };
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      gbd_address_t address;
+      char text[GBD_ADDRESS_TEXT_MAX];
+      assert_int_equal (gbd_address_parse (texts[i], &address), GBD_OK);
+      gbd_address_format (&address, text);
+      assert_string_equal (text, texts[i]);
+    }
+}
+
+static void
+address_refuses_anything_else (void **state)
+{
+  (void)state;
+  static const char *const texts[]
+      = { "",           "127.0.0.1",   "127.0.0.1:",      "127.0.0.1:0",
+          "host:80",    "127.0.0.1:x", "127.0.0.1:65536", "::1:80",
+          "[::1:80",    "[]:80",       "127.0.0.1:-1",    "1.2.3:80",
+          "[1.2.3.4]:1" };
+  for (size_t i = 0; i < sizeof texts / sizeof texts[0]; i++)
+    {
+      gbd_address_t address;
+      assert_int_equal (gbd_address_parse (texts[i], &address),
+                        GBD_ERROR_FORMAT);
+    }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (address_reads_what_it_writes),
+    cmocka_unit_test (address_refuses_anything_else),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
