--- /dev/null
+++ b/include/gooseberrydrum/membership.h
@@ -0,0 +1,107 @@
+/** @file membership.h
+ *  Failure detection inside a spray group, and how far this instance may
+ *  speak for its group.
+ *
+ *  Each heartbeat names the newest heartbeat heard from every other member.
+ *  An instance trusts its place only from the time at which it sent a
+ *  heartbeat that was acknowledged, never from its arrival, so that delay
+ *  shortens trust.  The touch time-out is shorter than the silence time-out:
+ *  an instance knows that it is out of touch before others go on without it.
+ */
+#ifndef GOOSEBERRYDRUM_MEMBERSHIP_H
+#define GOOSEBERRYDRUM_MEMBERSHIP_H
+
+#include "gooseberrydrum/engine.h"
+
+#ifdef __cplusplus
+extern "C"
+{
+#endif
+
+  typedef struct
+  {
+    gbd_instance_id_t self;
+    gbd_zone_id_t zone;
+    gbd_time_t heartbeat_interval; /**< 200 ms unless set */
+    gbd_time_t touch_timeout;      /**< 700 ms; below silence_timeout */
+    gbd_time_t silence_timeout;    /**< 1000 ms */
+  } gbd_membership_settings_t;
+
+  typedef struct gbd_membership gbd_membership_t;
+
+  gbd_membership_t *gbd_membership_new (const gbd_membership_settings_t *,
+                                        gbd_time_t now);
+  void gbd_membership_delete (gbd_membership_t *membership);
+
+  /** A link said hello. */
+  void gbd_membership_add_peer (gbd_membership_t *membership,
+                                gbd_instance_id_t id, gbd_zone_id_t zone,
+                                const char *name, gbd_time_t now);
+
+  /** A peer's identity has ended: its process exited or was replaced, or it
+   *  has left the platform's list and has been silent since. */
+  void gbd_membership_remove_peer (gbd_membership_t *membership,
+                                   gbd_instance_id_t id);
+
+  /** Take in one heartbeat; older sequences than the newest are ignored. */
+  void gbd_membership_receive (gbd_membership_t *membership,
+                               const gbd_message_t *heartbeat, gbd_time_t now);
+
+  /** This instance itself saw the platform confirm the newest tables, at the
+   *  time at which it had sent the request. */
+  void gbd_membership_confirm_platform (gbd_membership_t *membership,
+                                        gbd_time_t asked_at);
+
+  /** Whether a heartbeat is due. */
+  bool gbd_membership_is_due (const gbd_membership_t *membership,
+                              gbd_time_t now);
+
+  /** Fill in sequence, heard[] and platform_age_ms of the next heartbeat, note
+   *  when it is sent; the node adds the rest. */
+  void gbd_membership_make_heartbeat (gbd_membership_t *membership,
+                                      gbd_time_t now, gbd_message_t *message);
+
+  /** What is known of one peer. */
+  typedef struct
+  {
+    gbd_instance_id_t id;
+    gbd_zone_id_t zone;
+    char name[GBD_NAME_MAX + 1];
+    bool is_heard;  /**< directly, within the silence time-out */
+    bool is_silent; /**< neither directly nor by the word of any heard
+                         peer within the silence time-out */
+    bool is_leaving;
+    bool is_watching;
+    uint64_t generation; /**< accepted configuration in force there */
+    gbd_time_t heard_at; /**< of the newest heartbeat */
+    uint32_t covered_ms;
+  } gbd_peer_info_t;
+
+  uint32_t gbd_membership_get_peer_count (const gbd_membership_t *membership);
+  void gbd_membership_get_peer (const gbd_membership_t *membership,
+                                uint32_t index, gbd_time_t now,
+                                gbd_peer_info_t *info);
+  bool gbd_membership_find_peer (const gbd_membership_t *membership,
+                                 gbd_instance_id_t id, gbd_time_t now,
+                                 gbd_peer_info_t *info);
+
+  /** Age of the newest confirmation by the platform, directly or through
+   *  peers, in microseconds; a very large number when there is none. */
+  gbd_time_t gbd_membership_get_platform_age (const gbd_membership_t *,
+                                              gbd_time_t now);
+
+  /** How far this instance may speak, given the roster in force (and the next
+   *  roster during a change): see gbd_touch_t.  FULL when the platform's
+   *  confirmation is younger than the touch time-out, or when a strict
+   * majority of each roster, this instance included, acknowledged heartbeats
+   * that were sent within it.  ZONE when not FULL, at least one other member
+   * of the roster is heard, and every zone of a heard member is heard whole.
+   */
+  gbd_touch_t gbd_membership_get_touch (const gbd_membership_t *membership,
+                                        const gbd_table_t *table,
+                                        gbd_time_t now);
+
+#ifdef __cplusplus
+}
+#endif
+#endif
--- /dev/null
+++ b/src/gooseberrydrum/platform_client.h
@@ -0,0 +1,95 @@
+/** @file platform_client.h
+ *  The platform's object API over HTTP and JSON, by libwebsockets.
+ *
+ *  Every call has a time-out; retries take jittered exponential backoff and
+ *  a retry budget; a circuit breaker stops calls while most fail.
+ */
+#ifndef PROGRAM_PLATFORM_CLIENT_H
+#define PROGRAM_PLATFORM_CLIENT_H
+
+#include <libwebsockets.h>
+#include <jansson.h>
+
+#include "gooseberrydrum/types.h"
+
+typedef struct
+{
+  gbd_address_t platform;
+  uint32_t call_timeout_ms; /**< 2000 unless set */
+  uint32_t watch_wait_ms;   /**< longest wait of one watch call */
+  uint64_t random_seed;     /**< of the jitter */
+} gbd_platform_settings_t;
+
+typedef struct gbd_platform gbd_platform_t;
+
+gbd_platform_t *gbd_platform_new (struct lws_context *context,
+                                  const gbd_platform_settings_t *settings);
+void gbd_platform_delete (gbd_platform_t *platform);
+
+/** Outcome of one call.
+ *  @param status  GBD_OK; GBD_ERROR_NOT_FOUND; GBD_ERROR_CONFLICT with the
+ *                 present version and value; GBD_ERROR_UNAVAILABLE when it
+ *                 surely had no effect; GBD_ERROR_UNKNOWN when a write may
+ *                 have had one; GBD_ERROR_FORMAT for garbage
+ *  @param version of the object
+ *  @param value   borrowed for the call; NULL if there is none */
+typedef void (*gbd_platform_done_t) (void *data, gbd_status_t status,
+                                     uint64_t version, json_t *value);
+
+/** One attempt to read an object, retried within the budget. */
+void gbd_platform_get (gbd_platform_t *platform, const char *kind,
+                       const char *name, gbd_time_t now,
+                       gbd_platform_done_t done, void *data);
+
+/** One conditional update; never retried here, for its effect may be unknown.
+ *  @param version the version it replaces; 0 if it must not exist */
+void gbd_platform_put (gbd_platform_t *platform, const char *kind,
+                       const char *name, uint64_t version, json_t *value,
+                       gbd_time_t now, gbd_platform_done_t done, void *data);
+
+void gbd_platform_remove (gbd_platform_t *platform, const char *kind,
+                          const char *name, uint64_t version, gbd_time_t now,
+                          gbd_platform_done_t done, void *data);
+
+/** What a watch reports.  First a full listing: `listed` once with all names,
+ *  then `changed` for each; after a cut the watch resumes where it was, or
+ *  lists again if the platform no longer knows. */
+typedef struct
+{
+  void (*reset) (void *data); /**< a full listing starts: forget names */
+  void (*changed) (void *data, const char *name, uint64_t version,
+                   json_t *value); /**< value NULL: deleted */
+  /** The platform answered; everything up to now was reported.
+   *  @param asked_at when the answered request was sent */
+  void (*confirmed) (void *data, gbd_time_t asked_at);
+} gbd_platform_watch_callbacks_t;
+
+typedef struct gbd_platform_watch gbd_platform_watch_t;
+
+/** Watch all objects of a kind whose name starts with a prefix ("" for all;
+ *  the filter is applied here). */
+gbd_platform_watch_t *
+gbd_platform_watch_new (gbd_platform_t *platform, const char *kind,
+                        const char *prefix, gbd_time_t now,
+                        const gbd_platform_watch_callbacks_t *callbacks,
+                        void *data);
+void gbd_platform_watch_delete (gbd_platform_watch_t *watch);
+
+/** Start retries and time-outs that are due; call about ten times a second. */
+void gbd_platform_tick (gbd_platform_t *platform, gbd_time_t now);
+
+typedef struct
+{
+  uint64_t calls;
+  uint64_t failures;
+  uint64_t retries;
+  uint64_t retries_refused; /**< by the budget */
+  uint64_t bytes_sent;
+  uint64_t bytes_received;
+  bool is_open; /**< the circuit breaker stops calls now */
+} gbd_platform_stats_t;
+
+void gbd_platform_get_stats (const gbd_platform_t *platform,
+                             gbd_platform_stats_t *stats);
+
+#endif
