--- /dev/null
+++ b/src/test_libgooseberrydrum/test_retry.c
@@ -0,0 +1,111 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "gooseberrydrum/retry.h"
+
+#define NOW (50 * GBD_SECOND)
+#define PAUSE GBD_SECOND
+#define TRIAL (2 * GBD_SECOND)
+
+/* One event at the breaker and the state it leaves. */
+typedef struct
+{
+  enum
+  {
+    ASK,
+    SUCCEED,
+    FAIL
+  } event;
+  gbd_time_t after; /* since the row before */
+  bool is_allowed;  /* for ASK */
+  gbd_breaker_state_t state;
+} row_t;
+
+static const row_t rows[] = {
+  { ASK, 0, true, GBD_BREAKER_CLOSED },
+  { FAIL, 0, false, GBD_BREAKER_CLOSED },
+  { SUCCEED, 0, false, GBD_BREAKER_CLOSED },
+  { FAIL, 0, false, GBD_BREAKER_CLOSED },
+  { FAIL, 0, false, GBD_BREAKER_CLOSED },
+  { FAIL, 0, false, GBD_BREAKER_OPEN },
+  { ASK, 0, false, GBD_BREAKER_OPEN },
+  { FAIL, 0, false, GBD_BREAKER_OPEN }, /* of a call that began before */
+  { ASK, PAUSE, true, GBD_BREAKER_HALF_OPEN },
+  { ASK, 0, false, GBD_BREAKER_HALF_OPEN },
+  { FAIL, 0, false, GBD_BREAKER_OPEN },
+  { ASK, PAUSE / 2, false, GBD_BREAKER_OPEN },
+  { ASK, 2 * PAUSE, true, GBD_BREAKER_HALF_OPEN },
+  { ASK, TRIAL - 1, false, GBD_BREAKER_HALF_OPEN },
+  { ASK, 1, true, GBD_BREAKER_HALF_OPEN }, /* the trial had no outcome */
+  { SUCCEED, 0, false, GBD_BREAKER_CLOSED },
+  { FAIL, 0, false, GBD_BREAKER_CLOSED },
+  { ASK, 0, true, GBD_BREAKER_CLOSED },
+};
+
+static void
+breaker_follows_the_table (void **state)
+{
+  (void)state;
+  gbd_breaker_t breaker;
+  gbd_time_t now = NOW;
+  gbd_breaker_init (&breaker, 3, PAUSE, 8 * PAUSE, TRIAL, 1);
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      const row_t *row = &rows[i];
+      now += row->after;
+      print_message ("row %zu\n", i);
+      if (row->event == ASK)
+        assert_int_equal (gbd_breaker_allow (&breaker, now), row->is_allowed);
+      else
+        gbd_breaker_report (&breaker, row->event == SUCCEED, now);
+      assert_int_equal (gbd_breaker_get_state (&breaker, now), row->state);
+    }
+}
+
+static void
+bucket_refills_at_its_rate (void **state)
+{
+  (void)state;
+  gbd_token_bucket_t bucket;
+  gbd_token_bucket_init (&bucket, 10, 2, NOW);
+  assert_true (gbd_token_bucket_take (&bucket, NOW));
+  assert_true (gbd_token_bucket_take (&bucket, NOW));
+  assert_false (gbd_token_bucket_take (&bucket, NOW));
+  assert_false (gbd_token_bucket_take (&bucket, NOW + 99999));
+  assert_true (gbd_token_bucket_take (&bucket, NOW + 100000));
+  assert_false (gbd_token_bucket_take (&bucket, NOW + 100000));
+  assert_true (gbd_token_bucket_take (&bucket, INT64_MAX));
+  assert_true (gbd_token_bucket_take (&bucket, INT64_MAX));
+  assert_false (gbd_token_bucket_take (&bucket, 0));
+}
+
+static void
+budget_allows_one_retry_in_ten_calls (void **state)
+{
+  (void)state;
+  gbd_retry_budget_t budget;
+  gbd_retry_budget_init (&budget, GBD_RETRY_COST, 0, NOW);
+  assert_true (gbd_retry_budget_spend (&budget, NOW)); /* the free one */
+  assert_true (gbd_retry_budget_spend (&budget, NOW)); /* the stock */
+  uint32_t retries = 0;
+  for (int i = 0; i < 100; i++)
+    {
+      gbd_retry_budget_earn (&budget);
+      retries += gbd_retry_budget_spend (&budget, NOW);
+    }
+  assert_int_equal (retries, 10);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (breaker_follows_the_table),
+    cmocka_unit_test (bucket_refills_at_its_rate),
+    cmocka_unit_test (budget_allows_one_retry_in_ten_calls),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
