Add the stand-in of the platform's object API

The tests, the demo and the benches need an object store with versions, conditional updates and watches, and a way to bring about its faults. standin-platform keeps objects in memory and serves them over HTTP; its switches take it down, slow it, lose answers after the effect, serve stale reads and cut watches.

--- /dev/null
+++ b/src/standins/platform_server.c
@@ -0,0 +1,332 @@
+#include "standins/platform_server.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#define PATH_PREFIX "/v1/"
+#define HEADER_BYTES 1024
+#define NUMBER_BYTES 64
+#define WAIT_MS_MAX 60000
+/* A body is read at most one byte over the limit, to tell that it is. */
+#define BODY_MAX (PLATFORM_VALUE_MAX + 1)
+
+typedef enum
+{
+  CALL_READING,
+  CALL_WAITING, /* a watch without changes yet */
+  CALL_READY    /* the reply is known, its time may not have come */
+} call_state_t;
+
+/* One request on one connection. */
+typedef struct
+{
+  platform_server_t *server;
+  struct lws *wsi;
+  call_state_t state;
+  platform_request_t request;
+  char *path;
+  bool is_put;
+  bool is_delete;
+  GByteArray *body;
+  gbd_time_t deadline;
+  platform_reply_t reply;
+} call_t;
+
+struct platform_server
+{
+  struct lws_vhost *vhost;
+  platform_store_t *store;
+  gbd_time_t now;
+  GList *calls; /* of call_t that wait for a change or for their time */
+  struct lws_protocols protocols[2];
+};
+
+static int handle_event (struct lws *wsi, enum lws_callback_reasons reason,
+                         void *user, void *in, size_t length);
+static int start_call (platform_server_t *server, call_t *call,
+                       struct lws *wsi);
+static void run_call (call_t *call);
+static void end_call (call_t *call);
+static bool parse_target (call_t *call);
+static uint64_t get_number (struct lws *wsi, const char *name);
+static bool has_argument (struct lws *wsi, const char *name);
+static void switch_faults (call_t *call);
+static void settle (call_t *call);
+static int write_reply (call_t *call);
+static int write_body (struct lws *wsi, const char *text, size_t length);
+
+platform_server_t *
+platform_server_new (struct lws_context *context, const gbd_address_t *listen,
+                     platform_store_t *store, gbd_time_t now)
+{
+  platform_server_t *server = g_new0 (platform_server_t, 1);
+  server->store = store;
+  server->now = now;
+  server->protocols[0] = (struct lws_protocols){
+    .name = "platform",
+    .callback = handle_event,
+    .per_session_data_size = sizeof (call_t),
+    .user = server,
+  };
+
+  char text[GBD_ADDRESS_TEXT_MAX];
+  gbd_address_format (listen, text);
+  *strrchr (text, ':') = '\0';
+  g_strdelimit (text, "[]", ' ');
+
+  struct lws_context_creation_info info = { 0 };
+  info.vhost_name = "platform";
+  info.port = listen->port;
+  info.iface = g_strstrip (text);
+  info.protocols = server->protocols;
+  if (listen->family == 4)
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+  server->vhost = lws_create_vhost (context, &info);
+  if (!server->vhost)
+    {
+      g_free (server);
+      return NULL;
+    }
+  return server;
+}
+
+void
+platform_server_delete (platform_server_t *server)
+{
+  if (!server)
+    return;
+  g_list_free (server->calls);
+  g_free (server);
+}
+
+void
+platform_server_tick (platform_server_t *server, gbd_time_t now)
+{
+  server->now = now;
+  GList *next;
+  for (GList *item = server->calls; item; item = next)
+    {
+      next = item->next;
+      settle (item->data);
+    }
+}
+
+uint16_t
+platform_server_get_port (const platform_server_t *server)
+{
+  return (uint16_t)lws_get_vhost_listen_port (server->vhost);
+}
+
+static int
+handle_event (struct lws *wsi, enum lws_callback_reasons reason, void *user,
+              void *in, size_t length)
+{
+  call_t *call = user;
+  switch (reason)
+    {
+    case LWS_CALLBACK_HTTP:
+      return start_call (lws_get_protocol (wsi)->user, call, wsi);
+    case LWS_CALLBACK_HTTP_BODY:
+      length = MIN (length, BODY_MAX - call->body->len);
+      g_byte_array_append (call->body, in, (guint)length);
+      return 0;
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+      run_call (call);
+      return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+      return write_reply (call);
+    case LWS_CALLBACK_CLOSED_HTTP:
+      if (call && call->server)
+        end_call (call);
+      return 0;
+    default:
+      return lws_callback_http_dummy (wsi, reason, user, in, length);
+    }
+}
+
+static int
+start_call (platform_server_t *server, call_t *call, struct lws *wsi)
+{
+  char *path;
+  int length;
+  int method = lws_http_get_uri_and_method (wsi, &path, &length);
+  if (method != LWSHUMETH_GET && method != LWSHUMETH_PUT
+      && method != LWSHUMETH_DELETE)
+    return -1;
+
+  memset (call, 0, sizeof *call);
+  call->server = server;
+  call->wsi = wsi;
+  call->path = g_strndup (path, (gsize)length);
+  call->is_put = method == LWSHUMETH_PUT;
+  call->is_delete = method == LWSHUMETH_DELETE;
+  call->body = g_byte_array_new ();
+  server->calls = g_list_prepend (server->calls, call);
+
+  bool is_write = call->is_put || call->is_delete;
+  call->request.version = get_number (wsi, is_write ? "version=" : "since=");
+  call->request.wait_ms
+      = (uint32_t)MIN (get_number (wsi, "wait_ms="), WAIT_MS_MAX);
+  if (call->is_put)
+    call->request.verb = PLATFORM_PUT;
+  else if (call->is_delete)
+    call->request.verb = PLATFORM_DELETE;
+  else
+    call->request.verb
+        = has_argument (wsi, "since=") ? PLATFORM_WATCH : PLATFORM_LIST;
+  lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
+  if (!call->is_put)
+    run_call (call);
+  return 0;
+}
+
+static void
+run_call (call_t *call)
+{
+  platform_server_t *server = call->server;
+  call->state = CALL_READY;
+  call->request.body = (const char *)call->body->data;
+  call->request.body_length = call->body->len;
+  call->deadline = server->now + call->request.wait_ms * GBD_MILLISECOND;
+
+  if (strcmp (call->path, "/switch") == 0 && call->is_put)
+    switch_faults (call);
+  else if (strcmp (call->path, "/stats") == 0)
+    {
+      call->reply.status = 200;
+      call->reply.body = platform_store_get_stats (server->store);
+    }
+  else if (!parse_target (call))
+    call->reply.status = 400;
+  else
+    platform_store_handle (server->store, &call->request, server->now,
+                           &call->reply);
+  if (call->reply.flags & PLATFORM_REPLY_WAIT)
+    call->state = CALL_WAITING;
+  /* A change may be what other calls wait for. */
+  platform_server_tick (server, server->now);
+}
+
+static void
+end_call (call_t *call)
+{
+  call->server->calls = g_list_remove (call->server->calls, call);
+  call->server = NULL;
+  g_free (call->path);
+  g_byte_array_free (call->body, TRUE);
+  json_decref (call->reply.body);
+}
+
+static bool
+parse_target (call_t *call)
+{
+  platform_request_t *request = &call->request;
+  if (!g_str_has_prefix (call->path, PATH_PREFIX))
+    return false;
+  const char *kind = call->path + strlen (PATH_PREFIX);
+  const char *slash = strchr (kind, '/');
+  size_t length = slash ? (size_t)(slash - kind) : strlen (kind);
+  if (length == 0 || length >= sizeof request->kind)
+    return false;
+  memcpy (request->kind, kind, length);
+  request->kind[length] = '\0';
+  if (!slash)
+    return !call->is_put && !call->is_delete;
+
+  if (!slash[1] || strlen (slash + 1) >= sizeof request->name)
+    return false;
+  g_strlcpy (request->name, slash + 1, sizeof request->name);
+  if (!call->is_put && !call->is_delete)
+    request->verb = PLATFORM_GET;
+  return true;
+}
+
+static uint64_t
+get_number (struct lws *wsi, const char *name)
+{
+  char text[NUMBER_BYTES];
+  const char *value = lws_get_urlarg_by_name (wsi, name, text, sizeof text);
+  return value ? g_ascii_strtoull (value, NULL, 10) : 0;
+}
+
+static bool
+has_argument (struct lws *wsi, const char *name)
+{
+  char text[NUMBER_BYTES];
+  return lws_get_urlarg_by_name (wsi, name, text, sizeof text) != NULL;
+}
+
+static void
+switch_faults (call_t *call)
+{
+  json_t *switches
+      = json_loadb (call->request.body, call->request.body_length, 0, NULL);
+  gbd_status_t status
+      = platform_store_set_switches (call->server->store, switches);
+  json_decref (switches);
+  call->reply.status = status == GBD_OK ? 200 : 400;
+}
+
+static void
+settle (call_t *call)
+{
+  platform_server_t *server = call->server;
+  if (call->state == CALL_WAITING)
+    {
+      platform_store_poll (server->store, &call->request, call->deadline,
+                           server->now, &call->reply);
+      if (!(call->reply.flags & PLATFORM_REPLY_WAIT))
+        call->state = CALL_READY;
+    }
+  if (call->state != CALL_READY || server->now < call->reply.answer_at)
+    return;
+  if (call->reply.flags & PLATFORM_REPLY_LOST)
+    lws_set_timeout (call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+  else
+    lws_callback_on_writable (call->wsi);
+}
+
+static int
+write_reply (call_t *call)
+{
+  if (!call->server || call->state != CALL_READY
+      || call->server->now < call->reply.answer_at
+      || call->reply.flags & PLATFORM_REPLY_LOST)
+    return 0;
+
+  struct lws *wsi = call->wsi;
+  char *text = call->reply.body ? json_dumps (call->reply.body, JSON_COMPACT)
+                                : g_strdup ("{}");
+  size_t length = strlen (text);
+  int status = call->reply.status;
+  end_call (call);
+
+  unsigned char header[LWS_PRE + HEADER_BYTES];
+  unsigned char *start = header + LWS_PRE;
+  unsigned char *at = start;
+  unsigned char *end = header + sizeof header - 1;
+  int result = -1;
+  if (lws_add_http_common_headers (wsi, (unsigned int)status,
+                                   "application/json", length, &at, end)
+      || lws_finalize_write_http_header (wsi, start, &at, end)
+      || write_body (wsi, text, length))
+    goto out;
+  result = lws_http_transaction_completed (wsi) ? -1 : 0;
+
+out:
+  free (text);
+  return result;
+}
+
+static int
+write_body (struct lws *wsi, const char *text, size_t length)
+{
+  unsigned char *buffer = g_malloc (LWS_PRE + length);
+  memcpy (buffer + LWS_PRE, text, length);
+  int written
+      = lws_write (wsi, buffer + LWS_PRE, length, LWS_WRITE_HTTP_FINAL);
+  g_free (buffer);
+  return written < (int)length;
+}
--- /dev/null
+++ b/src/standins/platform_server.h
@@ -0,0 +1,32 @@
+/** @file platform_server.h
+ *  The stand-in of the platform over HTTP/1.1, by libwebsockets.
+ */
+#ifndef STANDINS_PLATFORM_SERVER_H
+#define STANDINS_PLATFORM_SERVER_H
+
+#include <libwebsockets.h>
+
+#include "standins/platform_store.h"
+
+typedef struct platform_server platform_server_t;
+
+/** Listen on a vhost of its own in the context, which was made with
+ *  LWS_SERVER_OPTION_EXPLICIT_VHOSTS.
+ *  @param listen port 0 takes a free one
+ *  @param store  borrowed
+ *  @return NULL when the address cannot be bound. */
+platform_server_t *platform_server_new (struct lws_context *context,
+                                        const gbd_address_t *listen,
+                                        platform_store_t *store,
+                                        gbd_time_t now);
+
+/** The context is destroyed first, for it closes the connections. */
+void platform_server_delete (platform_server_t *server);
+
+/** Answer what is due; calls that arrive until the next tick count as of this
+ *  time. */
+void platform_server_tick (platform_server_t *server, gbd_time_t now);
+
+uint16_t platform_server_get_port (const platform_server_t *server);
+
+#endif
