--- /dev/null
+++ b/src/libgooseberrydrum/packet.c
@@ -0,0 +1,453 @@
+#include "gooseberrydrum/packet.h"
+
+#include <assert.h>
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define IPV4_HEADER 20
+#define IPV6_HEADER 40
+#define TCP_HEADER 20
+#define ICMP_HEADER 8
+#define QUOTED_TCP 8 /* bytes of TCP that an ICMP error must quote */
+#define IPV6_EXTENSIONS_MAX 4
+#define RESET_HOP_LIMIT 64
+
+#define PROTOCOL_HOP_BY_HOP 0
+#define PROTOCOL_ICMP 1
+#define PROTOCOL_TCP 6
+#define PROTOCOL_FRAGMENT 44
+#define PROTOCOL_ICMPV6 58
+#define PROTOCOL_DESTINATION 60
+
+#define IPV4_MORE_FRAGMENTS 0x2000
+#define IPV4_FRAGMENT_OFFSET 0x1fff
+#define IPV4_OPTION_END 0
+#define IPV4_OPTION_PAD 1
+#define IPV4_OPTION_LOOSE_ROUTE 131
+#define IPV4_OPTION_STRICT_ROUTE 137
+#define TCP_OPTION_END 0
+#define TCP_OPTION_PAD 1
+
+#define TCP_FIN 0x01
+#define TCP_SYN 0x02
+#define TCP_RST 0x04
+#define TCP_ACK 0x10
+
+const char *const gbd_drop_strings[GBD_DROP_COUNT] = {
+  "none",      "truncated", "bad_version", "bad_length", "bad_checksum",
+  "fragment",  "protocol",  "bad_flags",   "no_service", "no_backend",
+  "isolation", "uncertain", "hop_limit",   "limit",      "not_joined",
+  "bad_shim",  "send",
+};
+
+/** An IP header that passed its checks. */
+typedef struct
+{
+  uint8_t family;
+  uint8_t protocol; /* of what follows the header and its extensions */
+  const uint8_t *source;
+  const uint8_t *destination;
+  size_t header; /* bytes up to the segment */
+  size_t length; /* bytes of the packet as its header says */
+} ip_t;
+
+static gbd_drop_t read_ip (const uint8_t *bytes, size_t available,
+                           bool is_quote, ip_t *ip);
+static gbd_drop_t read_ipv4 (const uint8_t *bytes, size_t available,
+                             bool is_quote, ip_t *ip);
+static gbd_drop_t read_ipv6 (const uint8_t *bytes, size_t available, ip_t *ip);
+static gbd_drop_t check_length (size_t available, bool is_quote,
+                                const ip_t *ip);
+static gbd_drop_t check_ipv4_options (const uint8_t *options, size_t length);
+static bool are_tcp_options_sound (const uint8_t *options, size_t length);
+static bool are_tcp_flags_sound (uint8_t flags);
+static gbd_packet_kind_t kind_of_flags (uint8_t flags);
+static gbd_drop_t read_tcp (const uint8_t *segment, size_t length,
+                            const ip_t *ip, gbd_packet_t *packet);
+static gbd_drop_t read_icmp (const uint8_t *message, size_t length,
+                             const ip_t *ip, gbd_packet_t *packet);
+static bool is_icmp_error (uint8_t protocol, uint8_t type);
+static void set_address (gbd_address_t *address, uint8_t family,
+                         const uint8_t *ip, const uint8_t *port);
+static size_t address_length (uint8_t family);
+static uint16_t get16 (const uint8_t *at);
+static uint32_t get32 (const uint8_t *at);
+static void put16 (uint8_t *at, uint16_t value);
+static void put32 (uint8_t *at, uint32_t value);
+static uint32_t add16 (const uint8_t *bytes, size_t length, uint32_t sum);
+
+gbd_drop_t
+gbd_packet_parse (const uint8_t *bytes, size_t length, gbd_packet_t *packet)
+{
+  ip_t ip;
+  gbd_drop_t drop = read_ip (bytes, length, false, &ip);
+  if (drop != GBD_DROP_NONE)
+    return drop;
+
+  const uint8_t *segment = bytes + ip.header;
+  size_t segment_length = ip.length - ip.header;
+  uint8_t icmp = ip.family == 4 ? PROTOCOL_ICMP : PROTOCOL_ICMPV6;
+  if (ip.protocol == PROTOCOL_TCP)
+    return read_tcp (segment, segment_length, &ip, packet);
+  if (ip.protocol == icmp)
+    return read_icmp (segment, segment_length, &ip, packet);
+  return GBD_DROP_PROTOCOL;
+}
+
+size_t
+gbd_packet_build_reset (const gbd_packet_t *packet, uint8_t *bytes)
+{
+  const gbd_address_t *from = &packet->flow.service;
+  const gbd_address_t *to = &packet->flow.caller;
+  size_t address = address_length (from->family);
+  size_t header = from->family == 6 ? IPV6_HEADER : IPV4_HEADER;
+  assert (packet->kind == GBD_PACKET_OPENING);
+  assert (from->family == to->family);
+
+  memset (bytes, 0, header + TCP_HEADER);
+  if (from->family == 6)
+    {
+      bytes[0] = 0x60;
+      put16 (bytes + 4, TCP_HEADER);
+      bytes[6] = PROTOCOL_TCP;
+      bytes[7] = RESET_HOP_LIMIT;
+      memcpy (bytes + 8, from->ip, address);
+      memcpy (bytes + 24, to->ip, address);
+    }
+  else
+    {
+      bytes[0] = 0x45;
+      put16 (bytes + 2, IPV4_HEADER + TCP_HEADER);
+      bytes[8] = RESET_HOP_LIMIT;
+      bytes[9] = PROTOCOL_TCP;
+      memcpy (bytes + 12, from->ip, address);
+      memcpy (bytes + 16, to->ip, address);
+      put16 (bytes + 10, gbd_checksum (bytes, IPV4_HEADER, 0));
+    }
+
+  uint8_t *tcp = bytes + header;
+  put16 (tcp, from->port);
+  put16 (tcp + 2, to->port);
+  put32 (tcp + 8, packet->sequence + 1);
+  tcp[12] = (TCP_HEADER / 4) << 4;
+  tcp[13] = TCP_RST | TCP_ACK;
+  uint32_t pseudo = PROTOCOL_TCP + TCP_HEADER;
+  pseudo = add16 (from->ip, address, pseudo);
+  pseudo = add16 (to->ip, address, pseudo);
+  put16 (tcp + 16, gbd_checksum (tcp, TCP_HEADER, pseudo));
+  return header + TCP_HEADER;
+}
+
+uint16_t
+gbd_checksum (const uint8_t *bytes, size_t length, uint32_t sum)
+{
+  sum = add16 (bytes, length, sum);
+  while (sum >> 16)
+    sum = (sum & 0xffff) + (sum >> 16);
+  return (uint16_t)~sum;
+}
+
+gbd_flow_hash_t
+gbd_flow_hash (const gbd_flow_t *flow, uint64_t key)
+{
+  uint8_t tuple[36];
+  uint16_t ports[2] = { flow->caller.port, flow->service.port };
+
+  /* The two lengths keep IPv4 and IPv6 flows apart. */
+  if (flow->service.family == 4)
+    {
+      memcpy (tuple, flow->caller.ip, 4);
+      memcpy (tuple + 4, flow->service.ip, 4);
+      memcpy (tuple + 8, ports, 4);
+      return XXH3_64bits_withSeed (tuple, 12, key);
+    }
+  memcpy (tuple, flow->caller.ip, 16);
+  memcpy (tuple + 16, flow->service.ip, 16);
+  memcpy (tuple + 32, ports, 4);
+  return XXH3_64bits_withSeed (tuple, 36, key);
+}
+
+static gbd_drop_t
+read_ip (const uint8_t *bytes, size_t available, bool is_quote, ip_t *ip)
+{
+  if (available == 0)
+    return GBD_DROP_TRUNCATED;
+  if (bytes[0] >> 4 != 4 && bytes[0] >> 4 != 6)
+    return GBD_DROP_BAD_VERSION;
+
+  ip->family = bytes[0] >> 4;
+  size_t header = ip->family == 4 ? IPV4_HEADER : IPV6_HEADER;
+  if (available < header)
+    return GBD_DROP_TRUNCATED;
+
+  ip->length = ip->family == 4 ? get16 (bytes + 2)
+                               : (size_t)get16 (bytes + 4) + IPV6_HEADER;
+  gbd_drop_t drop = check_length (available, is_quote, ip);
+  if (drop != GBD_DROP_NONE)
+    return drop;
+  if (ip->family == 4)
+    return read_ipv4 (bytes, available, is_quote, ip);
+  return read_ipv6 (bytes, available, ip);
+}
+
+static gbd_drop_t
+check_length (size_t available, bool is_quote, const ip_t *ip)
+{
+  /* A quote is cut at the quoting router's liking, and padded to a multiple
+     of 8 bytes when extensions follow it (RFC 4884). */
+  if (is_quote)
+    return GBD_DROP_NONE;
+  if (available < ip->length)
+    return GBD_DROP_TRUNCATED;
+  if (available > ip->length)
+    return GBD_DROP_BAD_LENGTH;
+  return GBD_DROP_NONE;
+}
+
+static gbd_drop_t
+read_ipv4 (const uint8_t *bytes, size_t available, bool is_quote, ip_t *ip)
+{
+  ip->header = (size_t)(bytes[0] & 0x0f) * 4;
+  if (ip->header < IPV4_HEADER || ip->length < ip->header)
+    return GBD_DROP_BAD_LENGTH;
+  if (available < ip->header)
+    return GBD_DROP_TRUNCATED;
+  /* Routers on the way change what a quote's checksum covers. */
+  if (!is_quote && gbd_checksum (bytes, ip->header, 0) != 0)
+    return GBD_DROP_BAD_CHECKSUM;
+
+  uint16_t fragment = get16 (bytes + 6);
+  uint16_t refused = IPV4_FRAGMENT_OFFSET;
+  if (!is_quote)
+    refused |= IPV4_MORE_FRAGMENTS;
+  if (fragment & refused)
+    return GBD_DROP_FRAGMENT;
+
+  ip->protocol = bytes[9];
+  ip->source = bytes + 12;
+  ip->destination = bytes + 16;
+  return check_ipv4_options (bytes + IPV4_HEADER, ip->header - IPV4_HEADER);
+}
+
+static gbd_drop_t
+check_ipv4_options (const uint8_t *options, size_t length)
+{
+  size_t at = 0;
+  while (at < length && options[at] != IPV4_OPTION_END)
+    {
+      if (options[at] == IPV4_OPTION_PAD)
+        {
+          at++;
+          continue;
+        }
+      if (at + 1 >= length || options[at + 1] < 2
+          || options[at + 1] > length - at)
+        return GBD_DROP_BAD_LENGTH;
+      /* The true destination of a source-routed packet is elsewhere. */
+      if (options[at] == IPV4_OPTION_LOOSE_ROUTE
+          || options[at] == IPV4_OPTION_STRICT_ROUTE)
+        return GBD_DROP_PROTOCOL;
+      at += options[at + 1];
+    }
+  return GBD_DROP_NONE;
+}
+
+static gbd_drop_t
+read_ipv6 (const uint8_t *bytes, size_t available, ip_t *ip)
+{
+  ip->source = bytes + 8;
+  ip->destination = bytes + 24;
+  ip->header = IPV6_HEADER;
+  ip->protocol = bytes[6];
+
+  for (int i = 0; i < IPV6_EXTENSIONS_MAX; i++)
+    {
+      if (ip->protocol == PROTOCOL_FRAGMENT)
+        return GBD_DROP_FRAGMENT;
+      bool is_skipped = ip->protocol == PROTOCOL_DESTINATION
+                        || (ip->protocol == PROTOCOL_HOP_BY_HOP && i == 0);
+      if (!is_skipped)
+        return GBD_DROP_NONE;
+      size_t end = available < ip->length ? available : ip->length;
+      if (end - ip->header < 8)
+        return GBD_DROP_TRUNCATED;
+
+      const uint8_t *extension = bytes + ip->header;
+      size_t extension_length = ((size_t)extension[1] + 1) * 8;
+      if (extension_length > ip->length - ip->header)
+        return GBD_DROP_BAD_LENGTH;
+      if (extension_length > available - ip->header)
+        return GBD_DROP_TRUNCATED;
+      ip->protocol = extension[0];
+      ip->header += extension_length;
+    }
+  return GBD_DROP_PROTOCOL;
+}
+
+/* The TCP checksum is left to the backend server, which checks it anyway. */
+static gbd_drop_t
+read_tcp (const uint8_t *segment, size_t length, const ip_t *ip,
+          gbd_packet_t *packet)
+{
+  if (length < TCP_HEADER)
+    return GBD_DROP_TRUNCATED;
+  size_t header = (size_t)(segment[12] >> 4) * 4;
+  if (header < TCP_HEADER || header > length)
+    return GBD_DROP_BAD_LENGTH;
+  if (!are_tcp_options_sound (segment + TCP_HEADER, header - TCP_HEADER))
+    return GBD_DROP_BAD_LENGTH;
+  if (!are_tcp_flags_sound (segment[13]))
+    return GBD_DROP_BAD_FLAGS;
+
+  packet->kind = kind_of_flags (segment[13]);
+  set_address (&packet->flow.caller, ip->family, ip->source, segment);
+  set_address (&packet->flow.service, ip->family, ip->destination,
+               segment + 2);
+  packet->sequence = get32 (segment + 4);
+  packet->payload_length = (uint16_t)(length - header);
+  packet->length = (uint16_t)ip->length;
+  return GBD_DROP_NONE;
+}
+
+static bool
+are_tcp_options_sound (const uint8_t *options, size_t length)
+{
+  size_t at = 0;
+  while (at < length && options[at] != TCP_OPTION_END)
+    {
+      if (options[at] == TCP_OPTION_PAD)
+        {
+          at++;
+          continue;
+        }
+      if (at + 1 >= length || options[at + 1] < 2
+          || options[at + 1] > length - at)
+        return false;
+      at += options[at + 1];
+    }
+  return true;
+}
+
+static bool
+are_tcp_flags_sound (uint8_t flags)
+{
+  bool is_syn = flags & TCP_SYN;
+  bool is_fin = flags & TCP_FIN;
+  bool is_rst = flags & TCP_RST;
+  if (is_syn + is_fin + is_rst > 1)
+    return false;
+  /* All but the first packet of a flow and a reset acknowledge something. */
+  return is_syn || is_rst || (flags & TCP_ACK);
+}
+
+static gbd_packet_kind_t
+kind_of_flags (uint8_t flags)
+{
+  if ((flags & (TCP_SYN | TCP_ACK)) == TCP_SYN)
+    return GBD_PACKET_OPENING;
+  if (flags & (TCP_FIN | TCP_RST))
+    return GBD_PACKET_CLOSING;
+  return GBD_PACKET_MIDDLE;
+}
+
+static gbd_drop_t
+read_icmp (const uint8_t *message, size_t length, const ip_t *ip,
+           gbd_packet_t *packet)
+{
+  if (length < ICMP_HEADER)
+    return GBD_DROP_TRUNCATED;
+  if (!is_icmp_error (ip->protocol, message[0]))
+    return GBD_DROP_PROTOCOL;
+
+  ip_t quoted;
+  const uint8_t *quote = message + ICMP_HEADER;
+  size_t quote_length = length - ICMP_HEADER;
+  gbd_drop_t drop = read_ip (quote, quote_length, true, &quoted);
+  if (drop != GBD_DROP_NONE)
+    return drop;
+  if (quoted.family != ip->family || quoted.protocol != PROTOCOL_TCP)
+    return GBD_DROP_PROTOCOL;
+  if (quoted.length - quoted.header < TCP_HEADER)
+    return GBD_DROP_BAD_LENGTH;
+  if (quote_length - quoted.header < QUOTED_TCP)
+    return GBD_DROP_TRUNCATED;
+  size_t compared = address_length (ip->family);
+  /* An error reaches the sender of what it quotes, or it was made up to reach
+     another service's backend servers. */
+  if (memcmp (ip->destination, quoted.source, compared) != 0)
+    return GBD_DROP_PROTOCOL;
+
+  const uint8_t *tcp = quote + quoted.header;
+  packet->kind = GBD_PACKET_ICMP;
+  set_address (&packet->flow.caller, ip->family, quoted.destination, tcp + 2);
+  set_address (&packet->flow.service, ip->family, quoted.source, tcp);
+  packet->sequence = get32 (tcp + 4);
+  packet->payload_length = 0;
+  packet->length = (uint16_t)ip->length;
+  return GBD_DROP_NONE;
+}
+
+static bool
+is_icmp_error (uint8_t protocol, uint8_t type)
+{
+  if (protocol == PROTOCOL_ICMP)
+    return type == 3 || type == 11 || type == 12;
+  return type >= 1 && type <= 4;
+}
+
+static void
+set_address (gbd_address_t *address, uint8_t family, const uint8_t *ip,
+             const uint8_t *port)
+{
+  memset (address, 0, sizeof *address);
+  address->family = family;
+  address->port = get16 (port);
+  if (family == 4)
+    memcpy (address->ip, ip, 4);
+  else
+    memcpy (address->ip, ip, 16);
+}
+
+static size_t
+address_length (uint8_t family)
+{
+  return family == 6 ? 16 : 4;
+}
+
+static uint16_t
+get16 (const uint8_t *at)
+{
+  return (uint16_t)(at[0] << 8 | at[1]);
+}
+
+static uint32_t
+get32 (const uint8_t *at)
+{
+  return (uint32_t)get16 (at) << 16 | get16 (at + 2);
+}
+
+static void
+put16 (uint8_t *at, uint16_t value)
+{
+  at[0] = (uint8_t)(value >> 8);
+  at[1] = (uint8_t)value;
+}
+
+static void
+put32 (uint8_t *at, uint32_t value)
+{
+  put16 (at, (uint16_t)(value >> 16));
+  put16 (at + 2, (uint16_t)value);
+}
+
+static uint32_t
+add16 (const uint8_t *bytes, size_t length, uint32_t sum)
+{
+  for (size_t i = 0; i + 1 < length; i += 2)
+    sum += get16 (bytes + i);
+  if (length & 1)
+    sum += (uint32_t)bytes[length - 1] << 8;
+  return sum;
+}
