Encode and decode the messages between instances

Instances need one compact, bounded format for their links.

The codec allocates what an array header announces before it has seen the entries, so a scan without allocation admits only complete, bounded structures first; maps and extension types are refused. HELLO gains the sender's listening address, by which the receiver knows which peer it is.

--- a/include/gooseberrydrum/message.h
+++ b/include/gooseberrydrum/message.h
@@ -82,6 +82,7 @@
         uint8_t version_max;
         gbd_zone_id_t zone;
         char name[GBD_NAME_MAX + 1];
+        gbd_address_t listen; /**< where the sender accepts links */
       } hello;
       struct
       {
--- /dev/null
+++ b/src/libgooseberrydrum/message_scan.c
@@ -0,0 +1,114 @@
+#include "message_scan.h"
+
+/** What a first byte announces. */
+typedef struct
+{
+  bool is_valid;
+  bool is_array;
+  size_t length_bytes; /**< of a length that follows the first byte */
+  size_t content;      /**< fixed bytes of content, or entries of an array */
+} header_t;
+
+static header_t read_header (uint8_t first);
+static header_t read_long_header (uint8_t first);
+static size_t read_length (const uint8_t *bytes, size_t length_bytes);
+
+bool
+gbd_message_scan (const uint8_t *bytes, size_t length)
+{
+  size_t due[GBD_SCAN_DEPTH_MAX + 1] = { 1 }; /* values due at each depth */
+  size_t depth = 0;
+  size_t values = 0;
+  size_t offset = 0;
+
+  for (;;)
+    {
+      while (depth > 0 && due[depth] == 0)
+        depth--;
+      if (due[depth] == 0)
+        return offset == length;
+      if (offset == length || ++values > GBD_SCAN_VALUES_MAX)
+        return false;
+
+      due[depth]--;
+      header_t header = read_header (bytes[offset++]);
+      if (!header.is_valid || length - offset < header.length_bytes)
+        return false;
+      size_t content = header.content;
+      if (header.length_bytes > 0)
+        content = read_length (&bytes[offset], header.length_bytes);
+      offset += header.length_bytes;
+      /* Each entry of an array takes at least one byte, too. */
+      if (content > length - offset)
+        return false;
+      if (!header.is_array)
+        offset += content;
+      else if (depth == GBD_SCAN_DEPTH_MAX)
+        return false;
+      else
+        due[++depth] = content;
+    }
+}
+
+static header_t
+read_header (uint8_t first)
+{
+  header_t header = { .is_valid = true };
+  if (first <= 0x7f || first >= 0xe0) /* small integers */
+    return header;
+  if (first >= 0x90 && first <= 0x9f) /* short arrays */
+    {
+      header.is_array = true;
+      header.content = first & 0x0fU;
+      return header;
+    }
+  if (first >= 0xa0 && first <= 0xbf) /* short strings */
+    {
+      header.content = first & 0x1fU;
+      return header;
+    }
+  return read_long_header (first);
+}
+
+/* Maps and extension types are refused: no message has them, and an
+   extension of 2^32 - 1 bytes overflows inside the codec. */
+static header_t
+read_long_header (uint8_t first)
+{
+  static const struct
+  {
+    uint8_t first;
+    header_t header;
+  } headers[] = {
+    { 0xc0, { true, false, 0, 0 } }, /* nil */
+    { 0xc2, { true, false, 0, 0 } }, /* false */
+    { 0xc3, { true, false, 0, 0 } }, /* true */
+    { 0xc4, { true, false, 1, 0 } }, /* binary */
+    { 0xc5, { true, false, 2, 0 } }, { 0xc6, { true, false, 4, 0 } },
+    { 0xca, { true, false, 0, 4 } }, /* floats */
+    { 0xcb, { true, false, 0, 8 } }, { 0xcc, { true, false, 0, 1 } },
+    { 0xcd, { true, false, 0, 2 } }, { 0xce, { true, false, 0, 4 } },
+    { 0xcf, { true, false, 0, 8 } }, { 0xd0, { true, false, 0, 1 } },
+    { 0xd1, { true, false, 0, 2 } }, { 0xd2, { true, false, 0, 4 } },
+    { 0xd3, { true, false, 0, 8 } }, { 0xd9, { true, false, 1, 0 } },
+    { 0xda, { true, false, 2, 0 } }, { 0xdb, { true, false, 4, 0 } },
+    { 0xdc, { true, true, 2, 0 } }, /* arrays */
+    { 0xdd, { true, true, 4, 0 } },
+  };
+  static const header_t invalid;
+  for (size_t i = 0; i < sizeof headers / sizeof headers[0]; i++)
+    {
+      if (headers[i].first == first)
+        return headers[i].header;
+    }
+  return invalid;
+}
+
+static size_t
+read_length (const uint8_t *bytes, size_t length_bytes)
+{
+  size_t length = 0;
+  for (size_t i = 0; i < length_bytes; i++)
+    length = length << 8 | bytes[i];
+  return length;
+}
