Plan bucket tables with the fewest moves

The table module makes, copies and reads tables, names the keepers of a bucket and plans targets. A new table spread by rendezvous hash alone is uneven, so that each server takes buckets up to its share and no more: the busiest of 1 to 20 servers holds at most 1.05 times the mean of 1024 buckets (test_table).

A change of roster keeps one keeper that both rosters name, which decides about opening packets, whenever the rosters differ by one member.

--- a/include/gooseberrydrum/table.h
+++ b/include/gooseberrydrum/table.h
@@ -44,7 +44,9 @@
     GBD_BUCKET_INVERTED
   } gbd_bucket_phase_t;
 
-  /** One bucket; stable means from == to. */
+  /** One bucket; stable means from == to.  GBD_SLOT_NONE stands in either
+   *  place when no backend server could take the bucket: such flows are
+   *  dropped (GBD_DROP_NO_BACKEND). */
   typedef struct
   {
     gbd_slot_t from; /**< backend server of unregistered flows */
@@ -123,7 +125,7 @@
   gbd_table_t *gbd_table_copy (const gbd_table_t *table);
   void gbd_table_delete (gbd_table_t *table);
 
-  /** Bucket index of a flow. */
+  /** Bucket index of a flow: the highest bits of its hash. */
   uint32_t gbd_table_bucket_of (const gbd_table_t *table,
                                 gbd_flow_hash_t hash);
 
@@ -157,6 +159,9 @@
    *  @param weights one a slot, 0 to 65535; 0 takes no new flow
    *  @param move_max most buckets to move for balance alone; buckets on a
    *                  backend server of weight 0 always move
+   *                  A table whose backend servers are all within 1/64 of
+   *                  their share is left as it is; only STABLE buckets move
+   *                  for balance.
    *  @param targets set: one slot a bucket (GBD_SLOT_NONE if no weight is
    * left)
    *  @return buckets whose target differs from the present one. */
--- /dev/null
+++ b/src/libgooseberrydrum/table.c
@@ -0,0 +1,271 @@
+#include "gooseberrydrum/table.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "table_private.h"
+
+static gbd_table_t *allocate (uint32_t bucket_count, uint32_t backend_count);
+static uint64_t keeper_key (const gbd_table_t *table, uint32_t bucket);
+static uint8_t choose_keepers (const gbd_member_t *roster, uint8_t count,
+                               uint64_t key, gbd_instance_id_t chosen[2]);
+static int best_member (const gbd_member_t *roster, uint8_t count,
+                        uint64_t key, int taken, bool in_other_zone);
+static void append_keeper (gbd_keepers_t *keepers, gbd_instance_id_t id);
+static bool is_among (const gbd_instance_id_t *ids, uint8_t count,
+                      gbd_instance_id_t id);
+
+gbd_table_t *
+gbd_table_new (gbd_service_id_t service, uint32_t bucket_count,
+               const gbd_backend_t *backends, uint32_t backend_count,
+               const gbd_member_t *roster, uint8_t roster_count)
+{
+  assert (bucket_count >= 1 && bucket_count <= GBD_BUCKETS_MAX);
+  assert ((bucket_count & (bucket_count - 1)) == 0);
+  assert (backend_count <= GBD_BACKENDS_MAX);
+  assert (roster_count <= GBD_ROSTER_MAX);
+
+  gbd_table_t *table = allocate (bucket_count, backend_count);
+  if (!table)
+    return NULL;
+  table->service = service;
+  table->version = 1;
+  table->roster_count = roster_count;
+  if (roster_count)
+    memcpy (table->roster, roster, roster_count * sizeof *roster);
+  if (backend_count)
+    memcpy (table->backends, backends, backend_count * sizeof *backends);
+  for (uint32_t i = 0; i < bucket_count; i++)
+    gbd_bucket_set (&table->buckets[i], GBD_BUCKET_STABLE, GBD_SLOT_NONE,
+                    GBD_SLOT_NONE);
+
+  uint16_t *weights = malloc ((backend_count + 1) * sizeof *weights);
+  gbd_slot_t *targets = malloc (bucket_count * sizeof *targets);
+  if (!weights || !targets)
+    goto failed;
+  bool has_ready = false;
+  for (uint32_t i = 0; i < backend_count; i++)
+    {
+      weights[i] = backends[i].state == GBD_BACKEND_READY;
+      has_ready = has_ready || weights[i];
+    }
+  if (gbd_table_plan (table, weights, 0, targets) == 0 && has_ready)
+    goto failed;
+  for (uint32_t i = 0; i < bucket_count; i++)
+    gbd_bucket_set (&table->buckets[i], GBD_BUCKET_STABLE, targets[i],
+                    targets[i]);
+  free (weights);
+  free (targets);
+  return table;
+
+failed:
+  free (weights);
+  free (targets);
+  gbd_table_delete (table);
+  return NULL;
+}
+
+gbd_table_t *
+gbd_table_copy (const gbd_table_t *table)
+{
+  gbd_table_t *copy = allocate (table->bucket_count, table->backend_count);
+  if (!copy)
+    return NULL;
+  gbd_bucket_t *buckets = copy->buckets;
+  gbd_backend_t *backends = copy->backends;
+  *copy = *table;
+  copy->buckets = buckets;
+  copy->backends = backends;
+  memcpy (buckets, table->buckets, table->bucket_count * sizeof *buckets);
+  if (table->backend_count)
+    memcpy (backends, table->backends,
+            table->backend_count * sizeof *backends);
+  return copy;
+}
+
+void
+gbd_table_delete (gbd_table_t *table)
+{
+  if (!table)
+    return;
+  free (table->buckets);
+  free (table->backends);
+  free (table);
+}
+
+uint32_t
+gbd_table_bucket_of (const gbd_table_t *table, gbd_flow_hash_t hash)
+{
+  unsigned bits = (unsigned)__builtin_ctz (table->bucket_count);
+  return bits ? (uint32_t)(hash >> (64 - bits)) : 0;
+}
+
+bool
+gbd_bucket_is_ambiguous (const gbd_bucket_t *bucket)
+{
+  return bucket->phase == GBD_BUCKET_ANNOUNCED
+         || bucket->phase == GBD_BUCKET_ACTIVE
+         || bucket->phase == GBD_BUCKET_SETTLING;
+}
+
+bool
+gbd_bucket_is_registering (const gbd_bucket_t *bucket)
+{
+  return bucket->phase != GBD_BUCKET_STABLE;
+}
+
+gbd_slot_t
+gbd_bucket_open_slot (const gbd_bucket_t *bucket)
+{
+  return bucket->phase == GBD_BUCKET_ANNOUNCED ? bucket->from : bucket->to;
+}
+
+gbd_slot_t
+gbd_bucket_default_slot (const gbd_bucket_t *bucket)
+{
+  return gbd_bucket_is_ambiguous (bucket) ? bucket->from : bucket->to;
+}
+
+void
+gbd_table_keepers (const gbd_table_t *table, uint32_t bucket,
+                   gbd_keepers_t *keepers)
+{
+  assert (bucket < table->bucket_count);
+  gbd_instance_id_t present[2] = { 0, 0 };
+  gbd_instance_id_t next[2] = { 0, 0 };
+  uint64_t key = keeper_key (table, bucket);
+  uint8_t present_count
+      = choose_keepers (table->roster, table->roster_count, key, present);
+  uint8_t next_count = 0;
+  if (table->roster_phase != GBD_ROSTER_SETTLED)
+    next_count = choose_keepers (table->next, table->next_count, key, next);
+
+  memset (keepers, 0, sizeof *keepers);
+  for (uint8_t i = 0; i < present_count; i++)
+    if (is_among (next, next_count, present[i]))
+      append_keeper (keepers, present[i]);
+  for (uint8_t i = 0; i < present_count; i++)
+    append_keeper (keepers, present[i]);
+  for (uint8_t i = 0; i < next_count; i++)
+    append_keeper (keepers, next[i]);
+
+  bool is_switched = table->roster_phase == GBD_ROSTER_SWITCHED;
+  memcpy (keepers->lookup, is_switched ? next : present,
+          sizeof keepers->lookup);
+}
+
+bool
+gbd_table_has_member (const gbd_table_t *table, gbd_instance_id_t id)
+{
+  return gbd_roster_has (table->roster, table->roster_count, id)
+         || gbd_roster_has (table->next, table->next_count, id);
+}
+
+gbd_slot_t
+gbd_table_find_backend (const gbd_table_t *table, gbd_backend_id_t id)
+{
+  for (uint32_t i = 0; i < table->backend_count; i++)
+    if (table->backends[i].id == id)
+      return (gbd_slot_t)i;
+  return GBD_SLOT_NONE;
+}
+
+void
+gbd_bucket_set (gbd_bucket_t *bucket, gbd_bucket_phase_t phase,
+                gbd_slot_t from, gbd_slot_t to)
+{
+  bucket->phase = (uint8_t)phase;
+  bucket->from = from;
+  bucket->to = to;
+}
+
+bool
+gbd_roster_has (const gbd_member_t *members, uint8_t count,
+                gbd_instance_id_t id)
+{
+  for (uint8_t i = 0; i < count; i++)
+    if (members[i].id == id)
+      return true;
+  return false;
+}
+
+static gbd_table_t *
+allocate (uint32_t bucket_count, uint32_t backend_count)
+{
+  gbd_table_t *table = calloc (1, sizeof *table);
+  if (!table)
+    return NULL;
+  table->bucket_count = bucket_count;
+  table->backend_count = backend_count;
+  table->buckets = calloc (bucket_count, sizeof *table->buckets);
+  table->backends = calloc (backend_count + 1, sizeof *table->backends);
+  if (table->buckets && table->backends)
+    return table;
+  gbd_table_delete (table);
+  return NULL;
+}
+
+static uint64_t
+keeper_key (const gbd_table_t *table, uint32_t bucket)
+{
+  return gbd_rendezvous (table->service, bucket);
+}
+
+/* The two highest members of a roster; the second stands in another zone
+   than the first where the roster has one.  */
+static uint8_t
+choose_keepers (const gbd_member_t *roster, uint8_t count, uint64_t key,
+                gbd_instance_id_t chosen[2])
+{
+  int first = best_member (roster, count, key, -1, false);
+  if (first < 0)
+    return 0;
+  chosen[0] = roster[first].id;
+  int second = best_member (roster, count, key, first, true);
+  if (second < 0)
+    second = best_member (roster, count, key, first, false);
+  if (second < 0)
+    return 1;
+  chosen[1] = roster[second].id;
+  return 2;
+}
+
+static int
+best_member (const gbd_member_t *roster, uint8_t count, uint64_t key,
+             int taken, bool in_other_zone)
+{
+  int best = -1;
+  uint64_t best_rank = 0;
+  for (int i = 0; i < count; i++)
+    {
+      if (i == taken)
+        continue;
+      if (in_other_zone && roster[i].zone == roster[taken].zone)
+        continue;
+      uint64_t rank = gbd_rendezvous (roster[i].id, key);
+      bool wins_tie
+          = best >= 0 && rank == best_rank && roster[i].id > roster[best].id;
+      if (best >= 0 && rank <= best_rank && !wins_tie)
+        continue;
+      best = i;
+      best_rank = rank;
+    }
+  return best;
+}
+
+static void
+append_keeper (gbd_keepers_t *keepers, gbd_instance_id_t id)
+{
+  if (!is_among (keepers->chain, keepers->count, id))
+    keepers->chain[keepers->count++] = id;
+}
+
+static bool
+is_among (const gbd_instance_id_t *ids, uint8_t count, gbd_instance_id_t id)
+{
+  for (uint8_t i = 0; i < count; i++)
+    if (ids[i] == id)
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_table.c
@@ -0,0 +1,318 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "gooseberrydrum/table.h"
+
+#define BUCKETS 1024
+#define SERVERS_MAX 20
+
+static const gbd_member_t roster[]
+    = { { 11, 1 }, { 12, 1 }, { 21, 2 }, { 22, 2 }, { 31, 3 }, { 41, 4 } };
+#define ROSTER_COUNT 6
+
+static gbd_table_t *
+table_of (uint32_t servers)
+{
+  gbd_backend_t backends[SERVERS_MAX] = { 0 };
+  for (uint32_t i = 0; i < servers; i++)
+    backends[i] = (gbd_backend_t){ .id = 1000 + i, .zone = 1 + i % 4 };
+  return gbd_table_new (7, BUCKETS, backends, servers, roster, ROSTER_COUNT);
+}
+
+static void
+count_buckets (const gbd_table_t *table, uint32_t *counts)
+{
+  memset (counts, 0, SERVERS_MAX * sizeof *counts);
+  for (uint32_t i = 0; i < table->bucket_count; i++)
+    counts[table->buckets[i].to]++;
+}
+
+static void
+apply (gbd_table_t *table, const gbd_slot_t *targets)
+{
+  for (uint32_t i = 0; i < table->bucket_count; i++)
+    table->buckets[i].from = table->buckets[i].to = targets[i];
+}
+
+static void
+new_table_is_balanced (void **state)
+{
+  (void)state;
+  for (uint32_t servers = 1; servers <= SERVERS_MAX; servers++)
+    {
+      gbd_table_t *table = table_of (servers);
+      uint32_t counts[SERVERS_MAX];
+      count_buckets (table, counts);
+      for (uint32_t i = 0; i < servers; i++)
+        assert_true (counts[i] * servers * 100 <= BUCKETS * 105);
+      gbd_table_delete (table);
+    }
+}
+
+static void
+bucket_is_the_high_bits (void **state)
+{
+  (void)state;
+  gbd_table_t *table = table_of (3);
+  assert_int_equal (gbd_table_bucket_of (table, 0), 0);
+  assert_int_equal (gbd_table_bucket_of (table, UINT64_MAX), BUCKETS - 1);
+  assert_int_equal (gbd_table_bucket_of (table, (uint64_t)1 << 54), 1);
+  table->bucket_count = 1;
+  assert_int_equal (gbd_table_bucket_of (table, UINT64_MAX), 0);
+  gbd_table_delete (table);
+}
+
+static void
+phases_answer_as_stated (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    uint8_t phase;
+    bool is_ambiguous;
+    bool is_registering;
+    gbd_slot_t open;
+    gbd_slot_t unregistered;
+  } rows[] = {
+    { GBD_BUCKET_STABLE, false, false, 2, 2 },
+    { GBD_BUCKET_ANNOUNCED, true, true, 1, 1 },
+    { GBD_BUCKET_ACTIVE, true, true, 2, 1 },
+    { GBD_BUCKET_SETTLING, true, true, 2, 1 },
+    { GBD_BUCKET_INVERTED, false, true, 2, 2 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      gbd_bucket_t bucket = { .from = 1, .to = 2, .phase = rows[i].phase };
+      assert_int_equal (gbd_bucket_is_ambiguous (&bucket),
+                        rows[i].is_ambiguous);
+      assert_int_equal (gbd_bucket_is_registering (&bucket),
+                        rows[i].is_registering);
+      assert_int_equal (gbd_bucket_open_slot (&bucket), rows[i].open);
+      assert_int_equal (gbd_bucket_default_slot (&bucket),
+                        rows[i].unregistered);
+    }
+}
+
+static gbd_zone_id_t
+zone_of (gbd_instance_id_t id)
+{
+  return (gbd_zone_id_t)(id / 10);
+}
+
+static void
+keepers_stand_in_two_zones (void **state)
+{
+  (void)state;
+  gbd_table_t *table = table_of (3);
+  uint32_t firsts[50] = { 0 };
+  for (uint32_t i = 0; i < BUCKETS; i++)
+    {
+      gbd_keepers_t keepers;
+      gbd_table_keepers (table, i, &keepers);
+      assert_int_equal (keepers.count, 2);
+      assert_int_not_equal (zone_of (keepers.chain[0]),
+                            zone_of (keepers.chain[1]));
+      assert_memory_equal (keepers.lookup, keepers.chain,
+                           sizeof keepers.lookup);
+      firsts[keepers.chain[0]]++;
+    }
+  for (int i = 0; i < ROSTER_COUNT; i++)
+    assert_in_range (firsts[roster[i].id], BUCKETS / 12, BUCKETS / 3);
+  gbd_table_delete (table);
+}
+
+static void
+keepers_of_a_small_roster (void **state)
+{
+  (void)state;
+  gbd_table_t *table = table_of (3);
+  gbd_keepers_t keepers;
+  table->roster_count = 2; /* both in one zone */
+  gbd_table_keepers (table, 0, &keepers);
+  assert_int_equal (keepers.count, 2);
+  table->roster_count = 1;
+  gbd_table_keepers (table, 0, &keepers);
+  assert_int_equal (keepers.count, 1);
+  assert_int_equal (keepers.chain[0], 11);
+  assert_int_equal (keepers.lookup[0], 11);
+  assert_int_equal (keepers.lookup[1], 0);
+  table->roster_count = 0;
+  gbd_table_keepers (table, 0, &keepers);
+  assert_int_equal (keepers.count, 0);
+  gbd_table_delete (table);
+}
+
+static int
+count_of (const gbd_instance_id_t *ids, int count, gbd_instance_id_t id)
+{
+  int seen = 0;
+  for (int i = 0; i < count; i++)
+    seen += ids[i] == id;
+  return seen;
+}
+
+static void
+keepers_of_both_rosters_during_a_change (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    gbd_member_t next[ROSTER_COUNT];
+    uint8_t next_count;
+    bool is_one_member;
+  } rows[] = {
+    { { { 12, 1 }, { 21, 2 }, { 22, 2 }, { 31, 3 }, { 41, 4 } }, 5, true },
+    { { { 11, 1 }, { 12, 1 }, { 21, 2 }, { 22, 2 }, { 31, 3 } }, 5, true },
+    { { { 51, 5 }, { 12, 1 }, { 21, 2 }, { 22, 2 }, { 31, 3 }, { 41, 4 } },
+      6,
+      false },
+    { { { 51, 5 }, { 61, 6 } }, 2, false },
+    { { { 51, 5 } }, 1, false },
+  };
+  for (size_t row = 0; row < sizeof rows / sizeof rows[0]; row++)
+    {
+      gbd_table_t *present = table_of (3);
+      gbd_table_t *change = gbd_table_copy (present);
+      gbd_table_t *next = gbd_table_copy (present);
+      memcpy (next->roster, rows[row].next, sizeof rows[row].next);
+      memcpy (change->next, rows[row].next, sizeof rows[row].next);
+      next->roster_count = change->next_count = rows[row].next_count;
+      for (uint32_t i = 0; i < 2 * BUCKETS; i++)
+        {
+          gbd_keepers_t old, young, both;
+          bool is_switched = i >= BUCKETS;
+          change->roster_phase
+              = is_switched ? GBD_ROSTER_SWITCHED : GBD_ROSTER_JOINING;
+          gbd_table_keepers (present, i % BUCKETS, &old);
+          gbd_table_keepers (next, i % BUCKETS, &young);
+          gbd_table_keepers (change, i % BUCKETS, &both);
+          assert_memory_equal (both.lookup,
+                               is_switched ? young.lookup : old.lookup,
+                               sizeof both.lookup);
+          for (int k = 0; k < old.count; k++)
+            assert_int_equal (count_of (both.chain, both.count, old.chain[k]),
+                              1);
+          for (int k = 0; k < young.count; k++)
+            assert_int_equal (
+                count_of (both.chain, both.count, young.chain[k]), 1);
+          /* Rosters that differ by one member share a keeper: it decides.  */
+          if (rows[row].is_one_member)
+            {
+              assert_int_equal (count_of (old.chain, old.count, both.chain[0]),
+                                1);
+              assert_int_equal (
+                  count_of (young.chain, young.count, both.chain[0]), 1);
+            }
+        }
+      gbd_table_delete (present);
+      gbd_table_delete (change);
+      gbd_table_delete (next);
+    }
+}
+
+static void
+plan_moves_only_what_must_move (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *what;
+    uint16_t weights[4];
+    uint32_t move_max;
+    uint32_t moves_min;
+    uint32_t moves_max;
+  } rows[] = {
+    { "nothing changed", { 100, 100, 100, 100 }, BUCKETS, 0, 0 },
+    { "scaled alike", { 7, 7, 7, 7 }, BUCKETS, 0, 0 },
+    { "nearly alike", { 1000, 1004, 996, 1000 }, BUCKETS, 0, 0 },
+    { "one server leaves", { 100, 0, 100, 100 }, 0, 256, 256 },
+    { "two servers leave", { 0, 100, 0, 100 }, BUCKETS, 512, 512 },
+    { "no server is left", { 0, 0, 0, 0 }, 0, BUCKETS, BUCKETS },
+    { "lower share, bounded", { 50, 100, 100, 100 }, 16, 16, 16 },
+    { "lower share", { 50, 100, 100, 100 }, BUCKETS, 109, 111 },
+    { "lower share, held", { 50, 100, 100, 100 }, 0, 0, 0 },
+    { "highest weights", { 65535, 65535, 65535, 65535 }, BUCKETS, 0, 0 },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      gbd_table_t *table = table_of (4);
+      gbd_slot_t targets[BUCKETS];
+      uint32_t moves
+          = gbd_table_plan (table, rows[i].weights, rows[i].move_max, targets);
+      if (moves < rows[i].moves_min || moves > rows[i].moves_max)
+        fail_msg ("%s: %u moves", rows[i].what, moves);
+      for (int j = 0; j < BUCKETS; j++)
+        assert_true (targets[j] == GBD_SLOT_NONE
+                     || rows[i].weights[targets[j]] > 0);
+      apply (table, targets);
+      if (rows[i].move_max == BUCKETS)
+        assert_int_equal (
+            gbd_table_plan (table, rows[i].weights, BUCKETS, targets), 0);
+      gbd_table_delete (table);
+    }
+}
+
+static void
+plan_gives_a_new_server_its_share (void **state)
+{
+  (void)state;
+  gbd_table_t *table = table_of (SERVERS_MAX);
+  uint16_t weights[SERVERS_MAX];
+  gbd_slot_t targets[BUCKETS];
+  for (int i = 0; i < SERVERS_MAX; i++)
+    weights[i] = i < SERVERS_MAX - 1;
+  gbd_table_plan (table, weights, 0, targets);
+  apply (table, targets);
+  weights[SERVERS_MAX - 1] = 1;
+  uint32_t moves = gbd_table_plan (table, weights, BUCKETS, targets);
+  assert_in_range (moves, BUCKETS / SERVERS_MAX, BUCKETS / SERVERS_MAX + 1);
+  for (int i = 0; i < BUCKETS; i++)
+    assert_true (targets[i] == table->buckets[i].to
+                 || targets[i] == SERVERS_MAX - 1);
+  gbd_table_delete (table);
+}
+
+static void
+plan_leaves_moving_buckets_alone (void **state)
+{
+  (void)state;
+  gbd_table_t *table = table_of (4);
+  for (int i = 0; i < BUCKETS; i++)
+    {
+      table->buckets[i].from = 1;
+      table->buckets[i].to = 0;
+      table->buckets[i].phase = GBD_BUCKET_ACTIVE;
+    }
+  const uint16_t even[4] = { 1, 1, 1, 1 };
+  const uint16_t drained[4] = { 0, 1, 1, 1 };
+  gbd_slot_t targets[BUCKETS];
+  assert_int_equal (gbd_table_plan (table, even, BUCKETS, targets), 0);
+  assert_int_equal (gbd_table_plan (table, drained, 0, targets), BUCKETS);
+  uint32_t back = 0;
+  for (int i = 0; i < BUCKETS; i++)
+    back += targets[i] == 1;
+  assert_in_range (back, BUCKETS / 3, BUCKETS / 3 + 1);
+  gbd_table_delete (table);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (new_table_is_balanced),
+    cmocka_unit_test (bucket_is_the_high_bits),
+    cmocka_unit_test (phases_answer_as_stated),
+    cmocka_unit_test (keepers_stand_in_two_zones),
+    cmocka_unit_test (keepers_of_a_small_roster),
+    cmocka_unit_test (keepers_of_both_rosters_during_a_change),
+    cmocka_unit_test (plan_moves_only_what_must_move),
+    cmocka_unit_test (plan_gives_a_new_server_its_share),
+    cmocka_unit_test (plan_leaves_moving_buckets_alone),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
