Encode tables as JSON and msgpack, whole and as differences

The text form is the platform's object, the binary form goes between peers. Both end in one check of every field, so that no table from outside names a slot, phase or count beyond its bounds.

A difference names the version and a digest of its base: a version number alone would accept a base that a restored platform had numbered alike.

--- a/include/gooseberrydrum/table.h
+++ b/include/gooseberrydrum/table.h
@@ -168,8 +168,12 @@
   uint32_t gbd_table_plan (const gbd_table_t *table, const uint16_t *weights,
                            uint32_t move_max, gbd_slot_t *targets);
 
-  /** Text form for the platform's object (JSON, at most 1 MB).
-   *  @return malloc'd text or NULL. */
+/** Bytes of the text or binary form of one table, at most. */
+#define GBD_TABLE_TEXT_MAX ((size_t)1 << 20)
+
+  /** Text form for the platform's object (JSON).
+   *  @return malloc'd text, or NULL when memory is short or the text passes
+   *  GBD_TABLE_TEXT_MAX. */
   char *gbd_table_to_json (const gbd_table_t *table);
 
   /** Read the text form, checking every bound.
@@ -186,7 +190,8 @@
 
   /** Read the binary form.
    *  @param base the version the difference was made from; ignored for a whole
-   *  @return NULL when the bytes do not decode or base is another version. */
+   *  @return NULL when the bytes do not decode, or base is missing, is another
+   *  version or has another content. */
   gbd_table_t *gbd_table_unpack (const uint8_t *bytes, size_t length,
                                  const gbd_table_t *base);
 
--- a/src/libgooseberrydrum/table.c
+++ b/src/libgooseberrydrum/table.c
@@ -6,7 +6,6 @@
 
 #include "table_private.h"
 
-static gbd_table_t *allocate (uint32_t bucket_count, uint32_t backend_count);
 static uint64_t keeper_key (const gbd_table_t *table, uint32_t bucket);
 static uint8_t choose_keepers (const gbd_member_t *roster, uint8_t count,
                                uint64_t key, gbd_instance_id_t chosen[2]);
@@ -26,7 +25,7 @@
   assert (backend_count <= GBD_BACKENDS_MAX);
   assert (roster_count <= GBD_ROSTER_MAX);
 
-  gbd_table_t *table = allocate (bucket_count, backend_count);
+  gbd_table_t *table = gbd_table_allocate (bucket_count, backend_count);
   if (!table)
     return NULL;
   table->service = service;
@@ -69,7 +68,8 @@
 gbd_table_t *
 gbd_table_copy (const gbd_table_t *table)
 {
-  gbd_table_t *copy = allocate (table->bucket_count, table->backend_count);
+  gbd_table_t *copy
+      = gbd_table_allocate (table->bucket_count, table->backend_count);
   if (!copy)
     return NULL;
   gbd_bucket_t *buckets = copy->buckets;
@@ -171,6 +171,36 @@
   return GBD_SLOT_NONE;
 }
 
+gbd_table_t *
+gbd_table_allocate (uint32_t bucket_count, uint32_t backend_count)
+{
+  gbd_table_t *table = calloc (1, sizeof *table);
+  if (!table)
+    return NULL;
+  table->bucket_count = bucket_count;
+  table->buckets = calloc (bucket_count, sizeof *table->buckets);
+  if (table->buckets && gbd_table_resize_backends (table, backend_count))
+    return table;
+  gbd_table_delete (table);
+  return NULL;
+}
+
+bool
+gbd_table_resize_backends (gbd_table_t *table, uint32_t count)
+{
+  /* One more entry keeps the request above zero bytes.  */
+  gbd_backend_t *backends
+      = realloc (table->backends, (count + 1) * sizeof *backends);
+  if (!backends)
+    return false;
+  if (count > table->backend_count)
+    memset (backends + table->backend_count, 0,
+            (count - table->backend_count) * sizeof *backends);
+  table->backends = backends;
+  table->backend_count = count;
+  return true;
+}
+
 void
 gbd_bucket_set (gbd_bucket_t *bucket, gbd_bucket_phase_t phase,
                 gbd_slot_t from, gbd_slot_t to)
@@ -190,22 +220,6 @@
   return false;
 }
 
-static gbd_table_t *
-allocate (uint32_t bucket_count, uint32_t backend_count)
-{
-  gbd_table_t *table = calloc (1, sizeof *table);
-  if (!table)
-    return NULL;
-  table->bucket_count = bucket_count;
-  table->backend_count = backend_count;
-  table->buckets = calloc (bucket_count, sizeof *table->buckets);
-  table->backends = calloc (backend_count + 1, sizeof *table->backends);
-  if (table->buckets && table->backends)
-    return table;
-  gbd_table_delete (table);
-  return NULL;
-}
-
 static uint64_t
 keeper_key (const gbd_table_t *table, uint32_t bucket)
 {
--- a/src/libgooseberrydrum/table_private.h
+++ b/src/libgooseberrydrum/table_private.h
@@ -4,10 +4,24 @@
 
 #include "gooseberrydrum/table.h"
 
+/* Table without content.  NULL when memory is short.  */
+gbd_table_t *gbd_table_allocate (uint32_t bucket_count,
+                                 uint32_t backend_count);
+
+/* Make room for another number of backend servers; the present ones stay and
+   new ones are zero.  False when memory is short.  */
+bool gbd_table_resize_backends (gbd_table_t *table, uint32_t count);
+
 void gbd_bucket_set (gbd_bucket_t *bucket, gbd_bucket_phase_t phase,
                      gbd_slot_t from, gbd_slot_t to);
 
 bool gbd_roster_has (const gbd_member_t *members, uint8_t count,
                      gbd_instance_id_t id);
 
+bool gbd_table_is_bucket_count (size_t count);
+
+/* Whether every field is within its bounds and they agree with each other;
+   for tables that came from outside.  */
+bool gbd_table_is_valid (const gbd_table_t *table);
+
 #endif
--- a/src/test_libgooseberrydrum/prop_table.cc
+++ b/src/test_libgooseberrydrum/prop_table.cc
@@ -132,6 +132,124 @@
   gbd_table_delete (table);
 }
 
+/* Any table that keeps the rules between its fields.  */
+gbd_table_t *
+any_table (uint32_t buckets)
+{
+  servers_t servers = servers_of (*rc::gen::inRange (0, 6));
+  for (gbd_backend_t &server : servers)
+    {
+      server.state = *rc::gen::inRange (0, 3);
+      server.address.family = *rc::gen::element (4, 6);
+      server.address.port = *rc::gen::inRange (1, 65536);
+      int bytes = server.address.family == 4 ? 4 : 16;
+      for (int i = 0; i < bytes; i++)
+        server.address.ip[i] = *rc::gen::arbitrary<uint8_t> ();
+    }
+  gbd_member_t members[GBD_ROSTER_MAX];
+  for (int i = 0; i < GBD_ROSTER_MAX; i++)
+    members[i] = { *rc::gen::arbitrary<uint64_t> () | 1, 3 };
+  for (int i = 0; i < GBD_ROSTER_MAX; i++)
+    members[i].id = members[i].id << 4 | static_cast<uint64_t> (i);
+  gbd_table_t *table
+      = gbd_table_new (7, buckets, servers.data (), servers.size (), members,
+                       *rc::gen::inRange (1, GBD_ROSTER_MAX + 1));
+  table->version = *rc::gen::inRange<uint64_t> (1, INT64_MAX);
+  table->generation = *rc::gen::inRange<uint64_t> (0, INT64_MAX);
+  table->roster_phase = *rc::gen::inRange (0, 3);
+  if (table->roster_phase != GBD_ROSTER_SETTLED)
+    {
+      table->next_count = *rc::gen::inRange (1, GBD_ROSTER_MAX + 1);
+      memcpy (table->next, members, table->next_count * sizeof *members);
+    }
+  auto slots = rc::gen::map (
+      rc::gen::inRange<int> (-1, servers.size ()),
+      [] (int slot) { return static_cast<gbd_slot_t> (slot); });
+  for (uint32_t i = 0; i < buckets; i++)
+    {
+      gbd_bucket_t &bucket = table->buckets[i];
+      bucket.phase = *rc::gen::inRange (0, 5);
+      bucket.from = *slots;
+      bucket.to = bucket.phase == GBD_BUCKET_STABLE ? bucket.from : *slots;
+    }
+  return table;
+}
+
+std::string
+text_of (const gbd_table_t *table)
+{
+  char *text = gbd_table_to_json (table);
+  RC_ASSERT (text);
+  std::string copy (text);
+  free (text);
+  return copy;
+}
+
+std::vector<uint8_t>
+bytes_of (const gbd_table_t *table, const gbd_table_t *base)
+{
+  size_t length;
+  uint8_t *bytes = gbd_table_pack (table, base, &length);
+  RC_ASSERT (bytes);
+  std::vector<uint8_t> copy (bytes, bytes + length);
+  free (bytes);
+  return copy;
+}
+
+void
+codecs_give_the_table_back ()
+{
+  uint32_t buckets = 1u << *rc::gen::inRange (0, 6);
+  gbd_table_t *table = any_table (buckets);
+  gbd_table_t *base = any_table (buckets);
+  std::string text = text_of (table);
+  gbd_table_t *from_text = gbd_table_from_json (text.data (), text.size ());
+  RC_ASSERT (from_text);
+  RC_ASSERT (text_of (from_text) == text);
+
+  auto whole = bytes_of (table, nullptr);
+  gbd_table_t *from_whole
+      = gbd_table_unpack (whole.data (), whole.size (), base);
+  RC_ASSERT (from_whole);
+  RC_ASSERT (text_of (from_whole) == text);
+
+  auto part = bytes_of (table, base);
+  gbd_table_t *from_part = gbd_table_unpack (part.data (), part.size (), base);
+  RC_ASSERT (from_part);
+  RC_ASSERT (text_of (from_part) == text);
+  if (text_of (base) != text)
+    RC_ASSERT (!gbd_table_unpack (part.data (), part.size (), table));
+
+  for (gbd_table_t *each : { table, base, from_text, from_whole, from_part })
+    gbd_table_delete (each);
+}
+
+/* Bytes that were changed give no table or one that keeps every rule: its
+   text is read again.  */
+void
+changed_bytes_do_no_harm ()
+{
+  gbd_table_t *table = any_table (4);
+  gbd_table_t *base = any_table (4);
+  auto bytes
+      = bytes_of (table, *rc::gen::element<gbd_table_t *> (nullptr, base));
+  size_t changes = *rc::gen::inRange (1, 4);
+  for (size_t i = 0; i < changes; i++)
+    bytes[*rc::gen::inRange<size_t> (0, bytes.size ())]
+        = *rc::gen::arbitrary<uint8_t> ();
+  gbd_table_t *read = gbd_table_unpack (bytes.data (), bytes.size (), base);
+  if (read)
+    {
+      std::string text = text_of (read);
+      gbd_table_t *again = gbd_table_from_json (text.data (), text.size ());
+      RC_ASSERT (again);
+      gbd_table_delete (again);
+    }
+  gbd_table_delete (read);
+  gbd_table_delete (table);
+  gbd_table_delete (base);
+}
+
 } // namespace
 
 int
@@ -141,5 +259,8 @@
   is_good &= rc::check ("a plan moves no more than it must",
                         plan_is_least_movement);
   is_good &= rc::check ("a plan without a bound balances", plan_balances);
+  is_good
+      &= rc::check ("codecs give the table back", codecs_give_the_table_back);
+  is_good &= rc::check ("changed bytes do no harm", changed_bytes_do_no_harm);
   return is_good ? EXIT_SUCCESS : EXIT_FAILURE;
 }
