--- a/include/gooseberrydrum/engine.h
+++ b/include/gooseberrydrum/engine.h
@@ -64,6 +64,7 @@
     bool is_new;     /**< the flow was not known here before */
     bool registers;  /**< commit registers the flow here */
     bool teaches;    /**< commit tells the origin, within the budget */
+    bool corrects;   /**< commit corrects the keepers before this one */
     gbd_slot_t slot; /**< backend server, or GBD_SLOT_NONE */
     gbd_service_t service;
     uint32_t bucket;
@@ -71,7 +72,8 @@
     uint64_t version;       /**< table version used */
     gbd_address_t backend;  /**< destination of GBD_ACTION_BACKEND */
     gbd_instance_id_t peer; /**< destination of GBD_ACTION_PEER */
-    gbd_shim_t shim;        /**< sent before the packet to a peer */
+    gbd_shim_t shim;        /**< sent before the packet to a peer; else the
+                                 one it came with, or only an origin */
   } gbd_decision_t;
 
   /** Whether the limits admit a new flow; the limiter fills it in.
@@ -182,6 +184,11 @@
                                     gbd_service_id_t service,
                                     gbd_flow_visit_t visit, void *data);
 
+  /** List exceptions of a service (to copy them to an instance that joins). */
+  void gbd_engine_visit_held_exceptions (const gbd_engine_t *engine,
+                                         gbd_service_id_t service,
+                                         gbd_flow_visit_t visit, void *data);
+
   /** List open flows known here, cached or registered, of the SETTLING buckets
    *  of a service that are not on their bucket's target. */
   void gbd_engine_visit_exceptions (const gbd_engine_t *engine,
@@ -189,7 +196,8 @@
                                     gbd_flow_visit_t visit, void *data);
 
   /** Called once for each message that commits have queued: LEARNED,
-   *  CORRECTION and CLOSED flows for one instance. */
+   *  CORRECTION and CLOSED flows for one instance; REGISTERED and EXCEPTION
+   *  ones for what was opened out of full touch or past a silent keeper. */
   typedef void (*gbd_told_visit_t) (void *data, gbd_instance_id_t to,
                                     gbd_service_id_t service,
                                     gbd_flows_kind_t kind,
--- /dev/null
+++ b/src/libgooseberrydrum/engine.c
@@ -0,0 +1,329 @@
+#include "engine_state.h"
+
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+const char *const gbd_rule_strings[GBD_RULE_COUNT]
+    = { "none",        "bad-packet", "no-service",   "not-joined",
+        "cached",      "registered", "exception",    "bucket",
+        "open-keeper", "ask-keeper", "out-of-touch", "incomplete",
+        "limit",       "gone" };
+
+static uint16_t claim_index (gbd_engine_t *engine, gbd_service_id_t id);
+static void drop_missing_services (gbd_engine_t *engine);
+static void tell_local_flows (gbd_engine_t *engine, gbd_instance_id_t to);
+static void tell_local_of (gbd_engine_t *engine, gbd_instance_id_t to,
+                           uint16_t index, const gbd_registry_t *registry,
+                           gbd_flows_kind_t kind);
+static bool reserve_told (gbd_engine_t *engine, uint32_t count);
+
+gbd_engine_t *
+gbd_engine_new (const gbd_engine_settings_t *settings)
+{
+  assert (settings->policy && settings->self);
+  gbd_engine_t *engine = calloc (1, sizeof *engine);
+  if (!engine)
+    return NULL;
+
+  engine->settings = *settings;
+  engine->services = calloc (GBD_SERVICES_MAX, sizeof *engine->services);
+  engine->cache = gbd_flow_cache_new (settings->cache_capacity);
+  if (!engine->services || !engine->cache
+      || !reserve_told (engine, GBD_TOLD_MAX))
+    {
+      gbd_engine_delete (engine);
+      return NULL;
+    }
+  engine->teaching.refilled_at = GBD_TIME_NEVER;
+  engine->teaching.threshold = 2;
+  return engine;
+}
+
+void
+gbd_engine_delete (gbd_engine_t *engine)
+{
+  if (!engine)
+    return;
+  for (uint32_t i = 0; i < engine->service_count; i++)
+    {
+      gbd_engine_service_t *service = &engine->services[i];
+      gbd_table_delete (service->table);
+      gbd_registry_delete (service->registered);
+      gbd_registry_delete (service->exceptions);
+      free (service->lives);
+      free (service->loads);
+    }
+  gbd_flow_cache_delete (engine->cache);
+  free (engine->services);
+  free (engine->index_of);
+  free (engine->told);
+  free (engine);
+}
+
+gbd_status_t
+gbd_engine_set_catalog (gbd_engine_t *engine, const gbd_catalog_t *catalog)
+{
+  uint32_t count = gbd_catalog_get_service_count (catalog);
+  if (count > GBD_SERVICES_MAX)
+    return GBD_ERROR_RANGE;
+  uint16_t *index_of = calloc (count + 1, sizeof *index_of);
+  if (!index_of)
+    return GBD_ERROR_MEMORY;
+
+  for (uint32_t i = 0; i < engine->service_count; i++)
+    engine->services[i].handle
+        = gbd_catalog_find_service (catalog, engine->services[i].id);
+  drop_missing_services (engine);
+  for (gbd_service_t handle = 0; handle < count; handle++)
+    {
+      const gbd_service_info_t *info
+          = gbd_catalog_get_service (catalog, handle);
+      const gbd_plan_t *plan = gbd_catalog_get_plan (catalog, info->plan);
+      uint16_t index = claim_index (engine, info->id);
+      engine->services[index].handle = handle;
+      engine->services[index].customer = info->customer;
+      index_of[handle] = index;
+      gbd_flow_cache_set_idle_limit (engine->cache, index,
+                                     plan->idle_limit_s * 1000);
+    }
+  free (engine->index_of);
+  engine->index_of = index_of;
+  engine->catalog = catalog;
+  return GBD_OK;
+}
+
+gbd_status_t
+gbd_engine_set_table (gbd_engine_t *engine, gbd_table_t *table, gbd_time_t now)
+{
+  gbd_status_t status = GBD_OK;
+  uint16_t index = gbd_engine_find_index (engine, table->service);
+  if (index == UINT16_MAX)
+    {
+      status = GBD_ERROR_NOT_FOUND;
+      goto refuse;
+    }
+  gbd_engine_service_t *service = &engine->services[index];
+  if (service->table && table->version <= service->table->version)
+    {
+      status = GBD_ERROR_STALE;
+      goto refuse;
+    }
+  status = gbd_engine_adopt_table (engine, index, table, now);
+  if (status != GBD_OK)
+    goto refuse;
+  gbd_table_delete (service->table);
+  service->table = table;
+  return GBD_OK;
+
+refuse:
+  gbd_table_delete (table);
+  return status;
+}
+
+const gbd_table_t *
+gbd_engine_get_table (const gbd_engine_t *engine, gbd_service_id_t service)
+{
+  uint16_t index = gbd_engine_find_index (engine, service);
+  return index == UINT16_MAX ? NULL : engine->services[index].table;
+}
+
+const gbd_catalog_t *
+gbd_engine_get_catalog (const gbd_engine_t *engine)
+{
+  return engine->catalog;
+}
+
+void
+gbd_engine_set_touch (gbd_engine_t *engine, gbd_touch_t touch)
+{
+  engine->touch = touch;
+}
+
+void
+gbd_engine_set_joined (gbd_engine_t *engine, bool is_joined)
+{
+  engine->is_joined = is_joined;
+}
+
+void
+gbd_engine_set_live (gbd_engine_t *engine, const gbd_member_t *live,
+                     uint32_t count)
+{
+  assert (count <= GBD_LIVES_MAX);
+  gbd_instance_id_t fresh[GBD_LIVES_MAX];
+  uint32_t fresh_count = 0;
+  for (uint32_t i = 0; i < count; i++)
+    if (!gbd_engine_is_live (engine, live[i].id))
+      fresh[fresh_count++] = live[i].id;
+
+  memcpy (engine->live, live, count * sizeof *live);
+  engine->live_count = count;
+  for (uint32_t i = 0; i < fresh_count; i++)
+    tell_local_flows (engine, fresh[i]);
+}
+
+void
+gbd_engine_set_complete (gbd_engine_t *engine, gbd_service_id_t service,
+                         bool is_complete)
+{
+  uint16_t index = gbd_engine_find_index (engine, service);
+  if (index != UINT16_MAX)
+    engine->services[index].is_complete = is_complete;
+}
+
+void
+gbd_engine_set_admission (gbd_engine_t *engine,
+                          const gbd_admission_t *admission, void *data)
+{
+  engine->admission = admission;
+  engine->admission_data = data;
+}
+
+void
+gbd_engine_get_load (const gbd_engine_t *engine, gbd_service_id_t service,
+                     gbd_slot_t slot, gbd_backend_load_t *load)
+{
+  memset (load, 0, sizeof *load);
+  uint16_t index = gbd_engine_find_index (engine, service);
+  if (index != UINT16_MAX && slot < engine->services[index].slot_count)
+    *load = engine->services[index].loads[slot];
+}
+
+void
+gbd_engine_get_stats (const gbd_engine_t *engine, gbd_engine_stats_t *stats)
+{
+  *stats = engine->stats;
+  stats->cached_flows = gbd_flow_cache_get_count (engine->cache);
+  stats->evictions = gbd_flow_cache_get_evictions (engine->cache);
+  stats->covered_since = gbd_flow_cache_get_covered_since (engine->cache);
+  stats->bytes = sizeof *engine + GBD_SERVICES_MAX * sizeof *engine->services
+                 + engine->told_capacity * sizeof *engine->told
+                 + (uint64_t)gbd_flow_cache_get_capacity (engine->cache)
+                       * sizeof (gbd_cached_flow_t);
+  for (uint32_t i = 0; i < engine->service_count; i++)
+    {
+      const gbd_engine_service_t *service = &engine->services[i];
+      stats->registrations += gbd_registry_get_count (service->registered);
+      stats->exceptions += gbd_registry_get_count (service->exceptions);
+      stats->bytes
+          += ((uint64_t)gbd_registry_get_capacity (service->registered)
+              + gbd_registry_get_capacity (service->exceptions))
+             * sizeof (gbd_registered_flow_t);
+    }
+}
+
+uint16_t
+gbd_engine_find_index (const gbd_engine_t *engine, gbd_service_id_t id)
+{
+  if (!engine->catalog)
+    return UINT16_MAX;
+  gbd_service_t handle = gbd_catalog_find_service (engine->catalog, id);
+  return handle == GBD_SERVICE_NONE ? UINT16_MAX : engine->index_of[handle];
+}
+
+bool
+gbd_engine_is_live (const gbd_engine_t *engine, gbd_instance_id_t id)
+{
+  for (uint32_t i = 0; i < engine->live_count; i++)
+    if (engine->live[i].id == id)
+      return true;
+  return false;
+}
+
+gbd_backend_state_t
+gbd_engine_get_slot_state (const gbd_table_t *table, gbd_slot_t slot)
+{
+  if (slot >= table->backend_count)
+    return GBD_BACKEND_GONE;
+  return (gbd_backend_state_t)table->backends[slot].state;
+}
+
+void
+gbd_engine_tell (gbd_engine_t *engine, gbd_instance_id_t to, uint16_t index,
+                 gbd_flows_kind_t kind, gbd_flow_hash_t hash, gbd_slot_t slot)
+{
+  if (engine->told_count >= engine->told_capacity)
+    return;
+  gbd_told_t *told = &engine->told[engine->told_count++];
+  told->to = to;
+  told->entry.hash = hash;
+  told->entry.slot = slot;
+  told->service = index;
+  told->kind = (uint8_t)kind;
+}
+
+/* Index of a service, a free one if it has none; there are as many places as
+   services a catalog may have. */
+static uint16_t
+claim_index (gbd_engine_t *engine, gbd_service_id_t id)
+{
+  uint16_t vacant = UINT16_MAX;
+  for (uint32_t i = 0; i < engine->service_count; i++)
+    {
+      if (engine->services[i].id == id)
+        return (uint16_t)i;
+      if (engine->services[i].id == 0 && vacant == UINT16_MAX)
+        vacant = (uint16_t)i;
+    }
+  if (vacant == UINT16_MAX)
+    vacant = (uint16_t)engine->service_count++;
+  assert (vacant < GBD_SERVICES_MAX);
+  engine->services[vacant].id = id;
+  return vacant;
+}
+
+static void
+drop_missing_services (gbd_engine_t *engine)
+{
+  for (uint32_t i = 0; i < engine->service_count; i++)
+    if (engine->services[i].id
+        && engine->services[i].handle == GBD_SERVICE_NONE)
+      gbd_engine_forget_service (engine, (uint16_t)i);
+}
+
+/* An instance heard again has missed what was opened on this side. */
+static void
+tell_local_flows (gbd_engine_t *engine, gbd_instance_id_t to)
+{
+  for (uint32_t i = 0; i < engine->service_count; i++)
+    {
+      const gbd_engine_service_t *service = &engine->services[i];
+      tell_local_of (engine, to, (uint16_t)i, service->registered,
+                     GBD_FLOWS_REGISTERED);
+      tell_local_of (engine, to, (uint16_t)i, service->exceptions,
+                     GBD_FLOWS_EXCEPTION);
+    }
+}
+
+static void
+tell_local_of (gbd_engine_t *engine, gbd_instance_id_t to, uint16_t index,
+               const gbd_registry_t *registry, gbd_flows_kind_t kind)
+{
+  for (uint32_t i = 0; i < gbd_registry_get_capacity (registry); i++)
+    {
+      const gbd_registered_flow_t *flow = gbd_registry_at (registry, i);
+      uint8_t flags = flow->flags;
+      if (!(flags & GBD_REGISTERED_USED) || !(flags & GBD_REGISTERED_LOCAL)
+          || (flags & GBD_REGISTERED_CLOSED))
+        continue;
+      if (!reserve_told (engine, engine->told_count + 1))
+        return;
+      gbd_engine_tell (engine, to, index, kind, flow->hash, flow->slot);
+    }
+}
+
+static bool
+reserve_told (gbd_engine_t *engine, uint32_t count)
+{
+  if (count <= engine->told_capacity)
+    return true;
+  uint32_t capacity
+      = engine->told_capacity ? 2 * engine->told_capacity : GBD_TOLD_MAX;
+  gbd_told_t *told = realloc (engine->told, capacity * sizeof *told);
+  if (!told)
+    return false;
+  engine->told = told;
+  engine->told_capacity = capacity;
+  return true;
+}
--- /dev/null
+++ b/src/libgooseberrydrum/engine_flows.c
@@ -0,0 +1,229 @@
+#include "engine_state.h"
+
+#include <stdlib.h>
+
+static bool merge_one (gbd_engine_t *engine, uint16_t index,
+                       gbd_flows_kind_t kind, const gbd_flow_entry_t *entry,
+                       gbd_time_t now);
+static void learn (gbd_engine_t *engine, uint16_t index,
+                   const gbd_flow_entry_t *entry, gbd_time_t now);
+static bool correct (gbd_engine_t *engine, uint16_t index,
+                     const gbd_flow_entry_t *entry, gbd_time_t now);
+static void close_flow (gbd_engine_t *engine, uint16_t index,
+                        gbd_flow_hash_t hash, gbd_time_t now);
+static void visit_all (const gbd_registry_t *registry, gbd_flow_visit_t visit,
+                       void *data);
+static bool stays_behind (const gbd_table_t *table, gbd_flow_hash_t hash,
+                          gbd_slot_t slot);
+static void visit_behind (const gbd_registry_t *registry,
+                          const gbd_table_t *table, gbd_flow_visit_t visit,
+                          void *data);
+static int compare_told (const void *a, const void *b);
+
+gbd_status_t
+gbd_engine_merge (gbd_engine_t *engine, gbd_service_id_t service,
+                  gbd_flows_kind_t kind, const gbd_flow_entry_t *entries,
+                  uint32_t count, gbd_time_t now)
+{
+  uint16_t index = gbd_engine_find_index (engine, service);
+  if (index == UINT16_MAX)
+    return GBD_ERROR_NOT_FOUND;
+  for (uint32_t i = 0; i < count; i++)
+    if (!merge_one (engine, index, kind, &entries[i], now))
+      return GBD_ERROR_MEMORY;
+  return GBD_OK;
+}
+
+void
+gbd_engine_visit_registered (const gbd_engine_t *engine,
+                             gbd_service_id_t service, gbd_flow_visit_t visit,
+                             void *data)
+{
+  uint16_t index = gbd_engine_find_index (engine, service);
+  if (index != UINT16_MAX)
+    visit_all (engine->services[index].registered, visit, data);
+}
+
+void
+gbd_engine_visit_held_exceptions (const gbd_engine_t *engine,
+                                  gbd_service_id_t service,
+                                  gbd_flow_visit_t visit, void *data)
+{
+  uint16_t index = gbd_engine_find_index (engine, service);
+  if (index != UINT16_MAX)
+    visit_all (engine->services[index].exceptions, visit, data);
+}
+
+void
+gbd_engine_visit_exceptions (const gbd_engine_t *engine,
+                             gbd_service_id_t service, gbd_time_t now,
+                             gbd_flow_visit_t visit, void *data)
+{
+  uint16_t index = gbd_engine_find_index (engine, service);
+  if (index == UINT16_MAX || !engine->services[index].table)
+    return;
+  const gbd_engine_service_t *state = &engine->services[index];
+  uint32_t capacity = gbd_flow_cache_get_capacity (engine->cache);
+  for (uint32_t i = 0; i < capacity; i++)
+    {
+      const gbd_cached_flow_t *flow = gbd_flow_cache_at (engine->cache, i);
+      if (!(flow->flags & GBD_CACHED_USED) || flow->service != index
+          || (flow->flags & GBD_CACHED_CLOSED)
+          || gbd_engine_find_cached (engine, index, flow->hash) != flow
+          || gbd_flow_cache_is_idle (engine->cache, flow, now)
+          || !stays_behind (state->table, flow->hash, flow->slot))
+        continue;
+      gbd_flow_entry_t entry = { flow->hash, flow->slot };
+      visit (data, &entry);
+    }
+  visit_behind (state->registered, state->table, visit, data);
+  visit_behind (state->exceptions, state->table, visit, data);
+}
+
+void
+gbd_engine_take_told (gbd_engine_t *engine, gbd_told_visit_t visit, void *data)
+{
+  if (engine->told_count == 0)
+    return;
+  qsort (engine->told, engine->told_count, sizeof *engine->told, compare_told);
+  gbd_flow_entry_t entries[GBD_FLOWS_MAX];
+  uint32_t next = 0;
+  while (next < engine->told_count)
+    {
+      const gbd_told_t *first = &engine->told[next];
+      uint32_t count = 0;
+      while (next < engine->told_count && count < GBD_FLOWS_MAX
+             && compare_told (first, &engine->told[next]) == 0)
+        entries[count++] = engine->told[next++].entry;
+      visit (data, first->to, engine->services[first->service].id,
+             (gbd_flows_kind_t)first->kind, entries, count);
+    }
+  engine->told_count = 0;
+}
+
+gbd_registry_t *
+gbd_engine_need_registry (const gbd_engine_t *engine,
+                          gbd_registry_t **registry)
+{
+  if (!*registry)
+    *registry = gbd_registry_new (engine->settings.registry_capacity);
+  return *registry;
+}
+
+/* False when the bound of a registry is reached. */
+static bool
+merge_one (gbd_engine_t *engine, uint16_t index, gbd_flows_kind_t kind,
+           const gbd_flow_entry_t *entry, gbd_time_t now)
+{
+  gbd_engine_service_t *service = &engine->services[index];
+  gbd_registry_t **registry = kind == GBD_FLOWS_EXCEPTION
+                                  ? &service->exceptions
+                                  : &service->registered;
+  switch (kind)
+    {
+    case GBD_FLOWS_REGISTERED:
+    case GBD_FLOWS_EXCEPTION:
+      return gbd_engine_need_registry (engine, registry)
+             && gbd_registry_merge (*registry, entry->hash, entry->slot, now)
+                    == GBD_OK;
+    case GBD_FLOWS_LEARNED:
+      learn (engine, index, entry, now);
+      return true;
+    case GBD_FLOWS_CORRECTION:
+      return correct (engine, index, entry, now);
+    case GBD_FLOWS_CLOSED:
+      close_flow (engine, index, entry->hash, now);
+      return true;
+    }
+  return true;
+}
+
+static void
+learn (gbd_engine_t *engine, uint16_t index, const gbd_flow_entry_t *entry,
+       gbd_time_t now)
+{
+  const gbd_cached_flow_t *flow
+      = gbd_engine_find_cached (engine, index, entry->hash);
+  bool is_known = flow && flow->slot != GBD_SLOT_NONE;
+  if (!is_known && entry->slot < engine->services[index].slot_count)
+    gbd_engine_cache (engine, index, entry->hash, entry->slot, now);
+}
+
+static bool
+correct (gbd_engine_t *engine, uint16_t index, const gbd_flow_entry_t *entry,
+         gbd_time_t now)
+{
+  gbd_engine_service_t *service = &engine->services[index];
+  if (entry->slot < service->slot_count
+      && gbd_flow_cache_find (engine->cache, entry->hash, index))
+    gbd_engine_cache (engine, index, entry->hash, entry->slot, now);
+  gbd_registry_t *registry
+      = gbd_engine_need_registry (engine, &service->registered);
+  return registry
+         && gbd_registry_set (registry, entry->hash, entry->slot, now)
+                == GBD_OK;
+}
+
+static void
+close_flow (gbd_engine_t *engine, uint16_t index, gbd_flow_hash_t hash,
+            gbd_time_t now)
+{
+  gbd_registry_close (engine->services[index].registered, hash, now);
+  gbd_registry_close (engine->services[index].exceptions, hash, now);
+  gbd_cached_flow_t *flow = gbd_engine_find_cached (engine, index, hash);
+  if (!flow)
+    return;
+  gbd_engine_end_cached (engine, flow, now);
+  flow->flags |= GBD_CACHED_CLOSED;
+}
+
+static void
+visit_all (const gbd_registry_t *registry, gbd_flow_visit_t visit, void *data)
+{
+  for (uint32_t i = 0; i < gbd_registry_get_capacity (registry); i++)
+    {
+      const gbd_registered_flow_t *flow = gbd_registry_at (registry, i);
+      if (!(flow->flags & GBD_REGISTERED_USED))
+        continue;
+      gbd_flow_entry_t entry = { flow->hash, flow->slot };
+      visit (data, &entry);
+    }
+}
+
+static bool
+stays_behind (const gbd_table_t *table, gbd_flow_hash_t hash, gbd_slot_t slot)
+{
+  const gbd_bucket_t *bucket
+      = &table->buckets[gbd_table_bucket_of (table, hash)];
+  return bucket->phase == GBD_BUCKET_SETTLING && slot != GBD_SLOT_NONE
+         && slot != bucket->to
+         && gbd_engine_get_slot_state (table, slot) != GBD_BACKEND_GONE;
+}
+
+static void
+visit_behind (const gbd_registry_t *registry, const gbd_table_t *table,
+              gbd_flow_visit_t visit, void *data)
+{
+  for (uint32_t i = 0; i < gbd_registry_get_capacity (registry); i++)
+    {
+      const gbd_registered_flow_t *flow = gbd_registry_at (registry, i);
+      if (!(flow->flags & GBD_REGISTERED_USED)
+          || (flow->flags & GBD_REGISTERED_CLOSED)
+          || !stays_behind (table, flow->hash, flow->slot))
+        continue;
+      gbd_flow_entry_t entry = { flow->hash, flow->slot };
+      visit (data, &entry);
+    }
+}
+
+static int
+compare_told (const void *a, const void *b)
+{
+  const gbd_told_t *left = a;
+  const gbd_told_t *right = b;
+  if (left->to != right->to)
+    return left->to < right->to ? -1 : 1;
+  if (left->service != right->service)
+    return left->service < right->service ? -1 : 1;
+  return (int)left->kind - (int)right->kind;
+}
--- /dev/null
+++ b/src/libgooseberrydrum/engine_table.c
@@ -0,0 +1,197 @@
+#include "engine_state.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* What the removal of stale facts depends on. */
+typedef struct
+{
+  const gbd_engine_t *engine;
+  const gbd_table_t *former; /* may be NULL */
+  const gbd_table_t *table;
+  const uint8_t *keeps; /* for each bucket, whether registrations stay */
+} adoption_t;
+
+/* The flows that stay behind when buckets invert. */
+typedef struct
+{
+  gbd_registry_t *exceptions;
+  const gbd_table_t *table;
+  gbd_time_t now;
+  gbd_status_t status;
+} inversion_t;
+
+static bool reserve_slots (gbd_engine_service_t *service, uint32_t count);
+static void count_lives (gbd_engine_service_t *service,
+                         const gbd_table_t *table);
+static bool is_new_life (const gbd_table_t *former, const gbd_table_t *table,
+                         gbd_slot_t slot);
+static bool is_stale_registration (void *data,
+                                   const gbd_registered_flow_t *flow);
+static bool is_stale_exception (void *data, const gbd_registered_flow_t *flow);
+static void find_kept_buckets (const gbd_engine_t *engine,
+                               const gbd_table_t *table, uint8_t *keeps);
+static bool inverts (const gbd_table_t *former, const gbd_table_t *table);
+static gbd_status_t keep_exceptions (gbd_engine_t *engine, uint16_t index,
+                                     const gbd_table_t *table, gbd_time_t now);
+static void keep_exception (void *data, const gbd_flow_entry_t *entry);
+
+gbd_status_t
+gbd_engine_adopt_table (gbd_engine_t *engine, uint16_t index,
+                        const gbd_table_t *table, gbd_time_t now)
+{
+  gbd_engine_service_t *service = &engine->services[index];
+  uint8_t *keeps = malloc (table->bucket_count);
+  if (!keeps || !reserve_slots (service, table->backend_count))
+    {
+      free (keeps);
+      return GBD_ERROR_MEMORY;
+    }
+  if (service->table && inverts (service->table, table)
+      && keep_exceptions (engine, index, table, now) != GBD_OK)
+    {
+      free (keeps);
+      return GBD_ERROR_MEMORY;
+    }
+
+  find_kept_buckets (engine, table, keeps);
+  adoption_t adoption = { engine, service->table, table, keeps };
+  if (service->registered)
+    gbd_registry_sweep (service->registered, &service->registered_cursor,
+                        UINT32_MAX, is_stale_registration, &adoption);
+  if (service->exceptions)
+    gbd_registry_sweep (service->exceptions, &service->exception_cursor,
+                        UINT32_MAX, is_stale_exception, &adoption);
+  count_lives (service, table);
+  free (keeps);
+  return GBD_OK;
+}
+
+static bool
+reserve_slots (gbd_engine_service_t *service, uint32_t count)
+{
+  if (count <= service->slot_count)
+    return true;
+  uint16_t *lives = realloc (service->lives, count * sizeof *lives);
+  if (!lives)
+    return false;
+  service->lives = lives;
+  gbd_backend_load_t *loads = realloc (service->loads, count * sizeof *loads);
+  if (!loads)
+    return false;
+  service->loads = loads;
+
+  uint32_t fresh = count - service->slot_count;
+  memset (lives + service->slot_count, 0, fresh * sizeof *lives);
+  memset (loads + service->slot_count, 0, fresh * sizeof *loads);
+  service->slot_count = count;
+  return true;
+}
+
+/* Flows of a slot's former backend server are not flows of its next one. */
+static void
+count_lives (gbd_engine_service_t *service, const gbd_table_t *table)
+{
+  if (!service->table)
+    return;
+  for (uint32_t slot = 0; slot < service->table->backend_count; slot++)
+    if (is_new_life (service->table, table, (gbd_slot_t)slot))
+      {
+        service->lives[slot]++;
+        memset (&service->loads[slot], 0, sizeof service->loads[slot]);
+      }
+}
+
+static bool
+is_new_life (const gbd_table_t *former, const gbd_table_t *table,
+             gbd_slot_t slot)
+{
+  if (!former || slot >= former->backend_count)
+    return false;
+  return slot >= table->backend_count
+         || former->backends[slot].id != table->backends[slot].id;
+}
+
+static bool
+is_stale_registration (void *data, const gbd_registered_flow_t *flow)
+{
+  const adoption_t *adoption = data;
+  if (is_new_life (adoption->former, adoption->table, flow->slot))
+    return true;
+  if (flow->flags & GBD_REGISTERED_LOCAL)
+    return adoption->engine->touch == GBD_TOUCH_FULL
+           && adoption->table
+                      ->buckets[gbd_table_bucket_of (adoption->table,
+                                                     flow->hash)]
+                      .phase
+                  == GBD_BUCKET_STABLE;
+  return !adoption->keeps[gbd_table_bucket_of (adoption->table, flow->hash)];
+}
+
+static bool
+is_stale_exception (void *data, const gbd_registered_flow_t *flow)
+{
+  const adoption_t *adoption = data;
+  return is_new_life (adoption->former, adoption->table, flow->slot)
+         || gbd_engine_get_slot_state (adoption->table, flow->slot)
+                == GBD_BACKEND_GONE;
+}
+
+/* Registrations stay while their bucket moves and this instance is one of its
+   keepers; those of others could miss that a flow ended and came again. */
+static void
+find_kept_buckets (const gbd_engine_t *engine, const gbd_table_t *table,
+                   uint8_t *keeps)
+{
+  for (uint32_t bucket = 0; bucket < table->bucket_count; bucket++)
+    {
+      keeps[bucket] = 0;
+      if (table->buckets[bucket].phase == GBD_BUCKET_STABLE)
+        continue;
+      gbd_keepers_t keepers;
+      gbd_table_keepers (table, bucket, &keepers);
+      for (uint8_t i = 0; i < keepers.count; i++)
+        if (keepers.chain[i] == engine->settings.self)
+          keeps[bucket] = 1;
+    }
+}
+
+static bool
+inverts (const gbd_table_t *former, const gbd_table_t *table)
+{
+  if (former->bucket_count != table->bucket_count)
+    return false;
+  for (uint32_t bucket = 0; bucket < table->bucket_count; bucket++)
+    if (former->buckets[bucket].phase == GBD_BUCKET_SETTLING
+        && table->buckets[bucket].phase == GBD_BUCKET_INVERTED)
+      return true;
+  return false;
+}
+
+/* What this instance tells the others as exceptions holds for itself too. */
+static gbd_status_t
+keep_exceptions (gbd_engine_t *engine, uint16_t index,
+                 const gbd_table_t *table, gbd_time_t now)
+{
+  gbd_engine_service_t *service = &engine->services[index];
+  if (!gbd_engine_need_registry (engine, &service->exceptions))
+    return GBD_ERROR_MEMORY;
+  inversion_t inversion = { service->exceptions, table, now, GBD_OK };
+  gbd_engine_visit_exceptions (engine, service->id, now, keep_exception,
+                               &inversion);
+  return inversion.status;
+}
+
+static void
+keep_exception (void *data, const gbd_flow_entry_t *entry)
+{
+  inversion_t *inversion = data;
+  const gbd_table_t *table = inversion->table;
+  uint32_t bucket = gbd_table_bucket_of (table, entry->hash);
+  if (table->buckets[bucket].phase != GBD_BUCKET_INVERTED)
+    return;
+  gbd_status_t status = gbd_registry_merge (inversion->exceptions, entry->hash,
+                                            entry->slot, inversion->now);
+  if (status != GBD_OK)
+    inversion->status = status;
+}
--- a/src/libgooseberrydrum/flow_cache.h
+++ b/src/libgooseberrydrum/flow_cache.h
@@ -13,10 +13,11 @@
 #include "gooseberrydrum/message.h"
 
 /** Flags of a cached flow. */
-#define GBD_CACHED_USED 1u     /**< the place holds a flow */
-#define GBD_CACHED_OPENED 2u   /**< this instance opened it */
-#define GBD_CACHED_CLOSED 4u   /**< the caller sent FIN or RST */
-#define GBD_CACHED_SEQUENCE 8u /**< sequence is that of the opening packet */
+#define GBD_CACHED_USED 1u      /**< the place holds a flow */
+#define GBD_CACHED_OPENED 2u    /**< this instance opened it */
+#define GBD_CACHED_CLOSED 4u    /**< the caller sent FIN or RST */
+#define GBD_CACHED_SEQUENCE 8u  /**< sequence is that of the opening packet */
+#define GBD_CACHED_ADMITTED 16u /**< the limits count it here */
 
 /** One flow; slot is GBD_SLOT_NONE while its opening packet was passed to a
  *  keeper and the answer is not known here. */
--- /dev/null
+++ b/src/libgooseberrydrum/policy_keepers.c
@@ -0,0 +1,115 @@
+#include "route.h"
+
+/* Hops after which two incomplete keepers stop passing a packet on. */
+#define LOOKUP_HOPS_MAX 3
+
+static void route_keepers (const gbd_engine_t *engine,
+                           const gbd_packet_t *packet, const gbd_shim_t *shim,
+                           gbd_time_t now, gbd_decision_t *decision);
+static bool is_near_version (const gbd_route_t *route);
+static void route_later (gbd_route_t *route);
+static void ask_keeper (gbd_route_t *route);
+static void answer_as_keeper (gbd_route_t *route, gbd_instance_id_t other);
+
+const gbd_policy_t gbd_policy_keepers = { "keepers", route_keepers };
+
+static void
+route_keepers (const gbd_engine_t *engine, const gbd_packet_t *packet,
+               const gbd_shim_t *shim, gbd_time_t now,
+               gbd_decision_t *decision)
+{
+  gbd_route_t route = { .engine = engine,
+                        .packet = packet,
+                        .shim = shim,
+                        .now = now,
+                        .decision = decision };
+  if (!gbd_route_begin (&route))
+    return;
+  if (!is_near_version (&route))
+    gbd_route_drop (&route, GBD_RULE_OUT_OF_TOUCH, GBD_DROP_UNCERTAIN);
+  else if (packet->kind == GBD_PACKET_OPENING)
+    gbd_route_open (&route);
+  else
+    route_later (&route);
+}
+
+/* Only adjacent versions are made to work side by side. */
+static bool
+is_near_version (const gbd_route_t *route)
+{
+  if (!route->shim || route->shim->kind == GBD_SHIM_RELAY)
+    return true;
+  uint64_t theirs = route->shim->version;
+  uint64_t ours = route->table->version;
+  return theirs <= ours + 1 && ours <= theirs + 1;
+}
+
+static void
+route_later (gbd_route_t *route)
+{
+  gbd_flow_hash_t hash = route->decision->hash;
+  const gbd_registered_flow_t *known;
+
+  if (route->cached && route->cached->slot != GBD_SLOT_NONE)
+    {
+      gbd_route_to_backend (route, GBD_RULE_CACHED, route->cached->slot);
+      return;
+    }
+  route->decision->is_new = route->packet->kind != GBD_PACKET_ICMP;
+  if ((known = gbd_registry_find (route->service->exceptions, hash)))
+    gbd_route_to_backend (route, GBD_RULE_EXCEPTION, known->slot);
+  else if ((known = gbd_registry_find (route->service->registered, hash)))
+    gbd_route_to_backend (route, GBD_RULE_REGISTERED, known->slot);
+  else if (route->engine->touch != GBD_TOUCH_FULL)
+    gbd_route_drop (route, GBD_RULE_OUT_OF_TOUCH, GBD_DROP_UNCERTAIN);
+  else if (gbd_bucket_is_ambiguous (route->bucket))
+    ask_keeper (route);
+  else if (route->service->is_complete)
+    gbd_route_to_backend (route, GBD_RULE_BUCKET,
+                          gbd_bucket_default_slot (route->bucket));
+  else if (route->shim || !gbd_route_relay (route, GBD_RULE_INCOMPLETE))
+    gbd_route_drop (route, GBD_RULE_INCOMPLETE, GBD_DROP_UNCERTAIN);
+}
+
+static void
+ask_keeper (gbd_route_t *route)
+{
+  gbd_keepers_t keepers;
+  gbd_table_keepers (route->table, route->decision->bucket, &keepers);
+  gbd_instance_id_t self = route->engine->settings.self;
+  for (int i = 0; i < 2; i++)
+    if (keepers.lookup[i] == self)
+      {
+        answer_as_keeper (route, keepers.lookup[1 - i]);
+        return;
+      }
+
+  for (int i = 0; i < 2; i++)
+    if (keepers.lookup[i]
+        && gbd_engine_is_live (route->engine, keepers.lookup[i]))
+      {
+        gbd_route_to_peer (route, GBD_RULE_ASK_KEEPER, keepers.lookup[i],
+                           GBD_SHIM_LOOKUP, GBD_SLOT_NONE);
+        return;
+      }
+  gbd_route_drop (route, GBD_RULE_ASK_KEEPER, GBD_DROP_UNCERTAIN);
+}
+
+/* Not registered is a claim that needs a complete copy. */
+static void
+answer_as_keeper (gbd_route_t *route, gbd_instance_id_t other)
+{
+  if (route->service->is_complete)
+    {
+      gbd_route_to_backend (route, GBD_RULE_BUCKET,
+                            gbd_bucket_default_slot (route->bucket));
+      return;
+    }
+  uint8_t hops = route->shim ? route->shim->hops : 0;
+  if (other && hops < LOOKUP_HOPS_MAX
+      && gbd_engine_is_live (route->engine, other))
+    gbd_route_to_peer (route, GBD_RULE_INCOMPLETE, other, GBD_SHIM_LOOKUP,
+                       GBD_SLOT_NONE);
+  else
+    gbd_route_drop (route, GBD_RULE_INCOMPLETE, GBD_DROP_UNCERTAIN);
+}
--- a/src/libgooseberrydrum/registry.c
+++ b/src/libgooseberrydrum/registry.c
@@ -135,6 +135,13 @@
          && to_ms (now) - flow->seen_ms > GBD_REGISTRY_LINGER_MS;
 }
 
+bool
+gbd_registry_has_room (const gbd_registry_t *registry, gbd_flow_hash_t hash)
+{
+  return !registry || registry->count < registry->bound
+         || gbd_registry_find (registry, hash);
+}
+
 const gbd_registered_flow_t *
 gbd_registry_at (const gbd_registry_t *registry, uint32_t index)
 {
--- a/src/libgooseberrydrum/registry.h
+++ b/src/libgooseberrydrum/registry.h
@@ -70,6 +70,10 @@
 /** Whether a closed flow has had no packet for the linger time. */
 bool gbd_registry_is_over (const gbd_registered_flow_t *flow, gbd_time_t now);
 
+/** Whether a flow is held or could be added; NULL is an empty registry. */
+bool gbd_registry_has_room (const gbd_registry_t *registry,
+                            gbd_flow_hash_t hash);
+
 /** Place by place access; the flow may be unused. */
 const gbd_registered_flow_t *gbd_registry_at (const gbd_registry_t *registry,
                                               uint32_t index);
--- /dev/null
+++ b/src/test_libgooseberrydrum/engine_fixture.h
@@ -0,0 +1,338 @@
+/* Several engines that exchange packets and flows at once, for tests in C and
+   C++; the table is set in each engine by the test. */
+#ifndef TEST_ENGINE_FIXTURE_H
+#define TEST_ENGINE_FIXTURE_H
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "gooseberrydrum/engine.h"
+
+#define INSTANCES 6
+#define BACKENDS 4
+#define BUCKETS 64
+#define FLOW_KEY 77
+
+/* Where a packet ended. */
+typedef struct
+{
+  uint8_t kind; /* gbd_action_kind_t */
+  uint8_t rule;
+  uint8_t drop;
+  uint8_t peers; /* instances it was passed to */
+  uint8_t last;  /* instance that decided */
+  gbd_slot_t slot;
+  gbd_decision_t decision;
+} outcome_t;
+
+typedef struct
+{
+  gbd_catalog_t *catalog;
+  gbd_service_id_t service;
+  gbd_address_t address;
+  gbd_member_t members[INSTANCES];
+  bool is_dead[INSTANCES];
+  gbd_engine_t *engines[INSTANCES];
+  gbd_time_t now;
+} cluster_t;
+
+static inline gbd_instance_id_t
+instance_id (uint32_t i)
+{
+  return 1000 + i;
+}
+
+static inline int
+instance_of (gbd_instance_id_t id)
+{
+  return (int)(id - 1000);
+}
+
+static inline gbd_address_t
+service_address (uint8_t last)
+{
+  gbd_address_t address;
+  memset (&address, 0, sizeof address);
+  address.family = 4;
+  address.port = 80;
+  address.ip[0] = 10;
+  address.ip[3] = last;
+  return address;
+}
+
+static inline gbd_packet_t
+make_packet (gbd_packet_kind_t kind, uint32_t caller,
+             const gbd_address_t *service, uint32_t sequence)
+{
+  gbd_packet_t packet;
+  memset (&packet, 0, sizeof packet);
+  packet.kind = kind;
+  packet.flow.service = *service;
+  packet.flow.caller.family = 4;
+  packet.flow.caller.port = (uint16_t)(1024 + caller % 60000);
+  packet.flow.caller.ip[0] = 192;
+  packet.flow.caller.ip[2] = (uint8_t)(caller >> 8);
+  packet.flow.caller.ip[3] = (uint8_t)caller;
+  packet.sequence = sequence;
+  packet.length = 100;
+  return packet;
+}
+
+static inline gbd_catalog_t *
+make_catalog (void)
+{
+  gbd_catalog_t *catalog = gbd_catalog_new (1);
+  gbd_plan_t plan;
+  memset (&plan, 0, sizeof plan);
+  plan.idle_limit_s = 60;
+  gbd_catalog_add_plan (catalog, &plan);
+  gbd_catalog_add_customer (catalog, "customer", 0);
+  gbd_catalog_add_service (catalog, "visitas", 0);
+  gbd_catalog_add_service (catalog, "acervo", 0);
+  gbd_address_t visitas = service_address (1);
+  gbd_address_t acervo = service_address (2);
+  gbd_catalog_add_address (catalog, &visitas, 0);
+  gbd_catalog_add_address (catalog, &acervo, 1);
+  return catalog;
+}
+
+/* Version 1: all buckets stable, each instance in a zone of its own pair. */
+static inline gbd_table_t *
+make_table (const cluster_t *cluster, uint8_t roster_count)
+{
+  gbd_backend_t backends[BACKENDS];
+  memset (backends, 0, sizeof backends);
+  for (uint32_t i = 0; i < BACKENDS; i++)
+    {
+      backends[i].id = 500 + i;
+      backends[i].address = service_address ((uint8_t)(100 + i));
+      backends[i].zone = 1 + i % 3;
+      backends[i].state = GBD_BACKEND_READY;
+    }
+  gbd_table_t *table
+      = gbd_table_new (cluster->service, BUCKETS, backends, BACKENDS,
+                       cluster->members, roster_count);
+  table->version = 1;
+  return table;
+}
+
+static inline gbd_engine_t *
+make_engine (const cluster_t *cluster, uint32_t i, const gbd_policy_t *policy)
+{
+  gbd_engine_settings_t settings;
+  memset (&settings, 0, sizeof settings);
+  settings.self = instance_id (i);
+  settings.zone = cluster->members[i].zone;
+  settings.flow_key = FLOW_KEY;
+  settings.cache_capacity = 1024;
+  settings.registry_capacity = 512;
+  settings.teach_per_second = 100;
+  settings.policy = policy;
+  gbd_engine_t *engine = gbd_engine_new (&settings);
+  gbd_engine_set_catalog (engine, cluster->catalog);
+  gbd_engine_set_touch (engine, GBD_TOUCH_FULL);
+  gbd_engine_set_joined (engine, true);
+  gbd_engine_set_complete (engine, cluster->service, true);
+  gbd_engine_set_live (engine, cluster->members, INSTANCES);
+  return engine;
+}
+
+static inline void
+cluster_open (cluster_t *cluster, const gbd_policy_t *policy)
+{
+  memset (cluster, 0, sizeof *cluster);
+  cluster->catalog = make_catalog ();
+  cluster->service = gbd_id_from_name ("visitas");
+  cluster->address = service_address (1);
+  cluster->now = 1000 * GBD_SECOND;
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    {
+      cluster->members[i].id = instance_id (i);
+      cluster->members[i].zone = 1 + i / 2;
+    }
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    cluster->engines[i] = make_engine (cluster, i, policy);
+}
+
+static inline void
+cluster_close (cluster_t *cluster)
+{
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    gbd_engine_delete (cluster->engines[i]);
+  gbd_catalog_delete (cluster->catalog);
+}
+
+/* Put a copy of the table in force at one instance. */
+static inline gbd_status_t
+set_table (cluster_t *cluster, uint32_t i, const gbd_table_t *table)
+{
+  return gbd_engine_set_table (cluster->engines[i], gbd_table_copy (table),
+                               cluster->now);
+}
+
+static inline void
+set_table_everywhere (cluster_t *cluster, const gbd_table_t *table)
+{
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    if (!cluster->is_dead[i])
+      set_table (cluster, i, table);
+}
+
+/* Say which instances are dead; the others notice at once. */
+static inline void
+set_dead (cluster_t *cluster, uint32_t dead)
+{
+  cluster->is_dead[dead] = true;
+  gbd_member_t live[INSTANCES];
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    if (!cluster->is_dead[i])
+      live[count++] = cluster->members[i];
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    if (!cluster->is_dead[i])
+      gbd_engine_set_live (cluster->engines[i], live, count);
+}
+
+/* Carry a packet from the fabric to its end; a packet to a dead instance is
+   lost.  @param stop_after peers after which the packet is lost on the way */
+static inline outcome_t
+deliver_until (cluster_t *cluster, uint32_t first, const gbd_packet_t *packet,
+               uint32_t stop_after)
+{
+  outcome_t outcome;
+  memset (&outcome, 0, sizeof outcome);
+  gbd_shim_t shim;
+  const gbd_shim_t *arrived = NULL;
+  uint32_t at = first;
+  for (;;)
+    {
+      outcome.last = (uint8_t)at;
+      gbd_decision_t *decision = &outcome.decision;
+      gbd_engine_route (cluster->engines[at], packet, arrived, cluster->now,
+                        decision);
+      gbd_engine_commit (cluster->engines[at], packet, decision, cluster->now);
+      outcome.kind = decision->kind;
+      outcome.rule = decision->rule;
+      outcome.drop = decision->drop;
+      outcome.slot = decision->slot;
+      if (decision->kind != GBD_ACTION_PEER)
+        return outcome;
+      shim = decision->shim;
+      arrived = &shim;
+      at = (uint32_t)instance_of (decision->peer);
+      if (outcome.peers++ == stop_after || cluster->is_dead[at])
+        return outcome;
+    }
+}
+
+static inline outcome_t
+deliver (cluster_t *cluster, uint32_t first, const gbd_packet_t *packet)
+{
+  return deliver_until (cluster, first, packet, UINT32_MAX);
+}
+
+static inline outcome_t
+send_kind (cluster_t *cluster, uint32_t first, gbd_packet_kind_t kind,
+           uint32_t caller)
+{
+  gbd_packet_t packet
+      = make_packet (kind, caller, &cluster->address, caller * 7 + 1);
+  return deliver (cluster, first, &packet);
+}
+
+typedef struct
+{
+  cluster_t *cluster;
+  uint32_t entries;
+} tell_context_t;
+
+static inline void
+tell_one (void *data, gbd_instance_id_t to, gbd_service_id_t service,
+          gbd_flows_kind_t kind, const gbd_flow_entry_t *entries,
+          uint32_t count)
+{
+  tell_context_t *context = (tell_context_t *)data;
+  int i = instance_of (to);
+  context->entries += count;
+  if (!context->cluster->is_dead[i])
+    gbd_engine_merge (context->cluster->engines[i], service, kind, entries,
+                      count, context->cluster->now);
+}
+
+/* Hand over what one engine has queued; returns the entries. */
+static inline uint32_t
+tell_from (cluster_t *cluster, uint32_t from)
+{
+  tell_context_t context = { cluster, 0 };
+  gbd_engine_take_told (cluster->engines[from], tell_one, &context);
+  return context.entries;
+}
+
+static inline gbd_flow_hash_t
+hash_of (const cluster_t *cluster, uint32_t caller)
+{
+  gbd_packet_t packet
+      = make_packet (GBD_PACKET_OPENING, caller, &cluster->address, 0);
+  return gbd_flow_hash (&packet.flow, FLOW_KEY);
+}
+
+/* Keepers of a caller's flow, as instance numbers. */
+static inline gbd_keepers_t
+keepers_of (const cluster_t *cluster, const gbd_table_t *table,
+            uint32_t caller)
+{
+  gbd_keepers_t keepers;
+  gbd_table_keepers (
+      table, gbd_table_bucket_of (table, hash_of (cluster, caller)), &keepers);
+  return keepers;
+}
+
+/* Some instance that is none of the keepers. */
+static inline uint32_t
+stranger_to (const gbd_keepers_t *keepers, uint32_t nth)
+{
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    {
+      bool is_keeper = false;
+      for (uint32_t k = 0; k < keepers->count; k++)
+        is_keeper |= instance_of (keepers->chain[k]) == (int)i;
+      if (!is_keeper && nth-- == 0)
+        return i;
+    }
+  abort ();
+}
+
+/* Next version with every bucket of x in a phase of its move to y. */
+static inline gbd_table_t *
+next_phase (const gbd_table_t *table, gbd_bucket_phase_t phase, gbd_slot_t x,
+            gbd_slot_t y)
+{
+  gbd_table_t *next = gbd_table_copy (table);
+  next->version++;
+  for (uint32_t i = 0; i < next->bucket_count; i++)
+    {
+      gbd_bucket_t *bucket = &next->buckets[i];
+      if (bucket->from != x)
+        continue;
+      bucket->phase = (uint8_t)phase;
+      bucket->to = y;
+      if (phase == GBD_BUCKET_STABLE)
+        bucket->from = y;
+    }
+  return next;
+}
+
+/* The nth caller whose flow's bucket is on a slot in a table. */
+static inline uint32_t
+caller_on (const cluster_t *cluster, const gbd_table_t *table, gbd_slot_t slot,
+           uint32_t nth)
+{
+  for (uint32_t caller = 1;; caller++)
+    {
+      uint32_t bucket = gbd_table_bucket_of (table, hash_of (cluster, caller));
+      if (table->buckets[bucket].from == slot && nth-- == 0)
+        return caller;
+    }
+}
+
+#endif
