--- a/src/standins/inner.c
+++ b/src/standins/inner.c
@@ -11,6 +11,7 @@
 
 static void put16 (uint8_t *at, uint32_t value);
 static void put32 (uint8_t *at, uint32_t value);
+static uint32_t get32 (const uint8_t *at);
 static uint32_t sum16 (const uint8_t *bytes, size_t length);
 static uint16_t fold (uint32_t sum);
 
@@ -67,6 +68,29 @@
   return length;
 }
 
+bool
+inner_read (const uint8_t *bytes, size_t length, inner_segment_t *segment)
+{
+  gbd_packet_t packet;
+  if (gbd_packet_parse (bytes, length, &packet) != GBD_DROP_NONE
+      || packet.kind == GBD_PACKET_ICMP)
+    return false;
+  bool is_plain
+      = bytes[0] == 0x45 || (bytes[0] >> 4 == 6 && bytes[6] == PROTOCOL_TCP);
+  if (!is_plain)
+    return false;
+
+  const uint8_t *tcp = bytes + (bytes[0] == 0x45 ? IPV4_HEADER : IPV6_HEADER);
+  segment->from = packet.flow.caller;
+  segment->to = packet.flow.service;
+  segment->flags = tcp[13];
+  segment->sequence = packet.sequence;
+  segment->acknowledgment = get32 (tcp + 8);
+  segment->payload_length = packet.payload_length;
+  segment->payload = bytes + length - packet.payload_length;
+  return true;
+}
+
 static void
 put16 (uint8_t *at, uint32_t value)
 {
@@ -81,6 +105,13 @@
   put16 (at + 2, value);
 }
 
+static uint32_t
+get32 (const uint8_t *at)
+{
+  return (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16 | (uint32_t)at[2] << 8
+         | at[3];
+}
+
 static uint32_t
 sum16 (const uint8_t *bytes, size_t length)
 {
--- a/src/standins/inner.h
+++ b/src/standins/inner.h
@@ -18,6 +18,24 @@
                     const void *payload, size_t payload_length,
                     uint8_t *bytes);
 
+/** A TCP segment that inner_build() could have made. */
+typedef struct
+{
+  gbd_address_t from;
+  gbd_address_t to;
+  uint8_t flags;
+  uint32_t sequence;
+  uint32_t acknowledgment;
+  const uint8_t *payload; /**< inside the bytes that were read */
+  size_t payload_length;
+} inner_segment_t;
+
+/** Read one packet.
+ *  @return false for anything but a well-formed TCP packet without IP options
+ *  or extension headers. */
+bool inner_read (const uint8_t *bytes, size_t length,
+                 inner_segment_t *segment);
+
 #define INNER_FIN 0x01
 #define INNER_SYN 0x02
 #define INNER_RST 0x04
