Decide the next version of a table

A step is a pure function of the present table and what the coordinator knows. Urgent bucket steps come first, so that a drained server takes no new flow two versions after; then the roster, then moves that wait for coverage.

Flows are told between members while a bucket settles. A member that is lost then may not have told its own, so that a roster change or a loss of coverage takes such buckets back to ACTIVE and they settle anew. Balance goes on while other buckets wait for the idle limit: it may be hours, and a new server would stand empty for as long.

When every server drains, buckets aim at no slot: known flows stay, new ones find no server. Memory shortage is an outcome of its own.

--- a/include/gooseberrydrum/coordinator.h
+++ b/include/gooseberrydrum/coordinator.h
@@ -13,7 +13,17 @@
 {
 #endif
 
-  /** What a coordinator knows of one member of the roster. */
+  /** What a coordinator knows of one member of the roster.
+   *
+   *  Silence counts from the time at which the coordinator first held the
+   *  present version at the earliest: a member that only the platform reaches
+   *  may trust the version before it for the touch time-out.
+   *
+   *  A copy for a next keeper is complete when it was taken from a present
+   *  keeper after every member that is not silent had confirmed JOINING.  In a
+   *  version with SETTLING buckets, copies are complete when the flows that
+   *  are not on their targets came from every member of the roster, silent or
+   *  not, each told while the teller's own flow cache was covered. */
   typedef struct
   {
     gbd_instance_id_t id;
@@ -25,6 +35,7 @@
   /** Everything that a step depends on; no hidden inputs. */
   typedef struct
   {
+    gbd_service_id_t service;    /**< of a first table */
     const gbd_member_t *members; /**< wanted roster: live, not leaving */
     uint8_t member_count;
     const gbd_confirmation_t *confirmations; /**< of all roster and next
@@ -50,26 +61,35 @@
     GBD_STEP_UNCOVERED,   /**< moving buckets wait for the idle limit */
     GBD_STEP_NO_MAJORITY, /**< most of the roster is silent and the platform
                                still lists it */
-    GBD_STEP_NO_MEMBER    /**< nobody to serve */
+    GBD_STEP_NO_MEMBER,   /**< nobody to serve */
+    GBD_STEP_NO_MEMORY    /**< try again later */
   } gbd_step_t;
-#define GBD_STEP_COUNT 7
+#define GBD_STEP_COUNT 8
   extern const char *const gbd_step_strings[GBD_STEP_COUNT];
 
   /** Decide the next version.
    *
    *  No step is made until every member of roster and next confirmed the
-   *  present version or is silent.  In order of urgency a step
-   *  1. replaces targets of buckets that have not been opened under them or
-   * may still change (ANNOUNCED, ACTIVE, SETTLING) and announces moves away
-   *     from backend servers that left or drain;
-   *  2. takes ANNOUNCED buckets to ACTIVE;
-   *  3. changes the roster (JOINING, SWITCHED once next keepers are complete,
-   *     SETTLED), never together with a bucket step; silent members leave it;
-   *  4. takes ACTIVE buckets to SETTLING when covered, SETTLING to INVERTED
-   * when every member is complete, INVERTED to STABLE;
-   *  5. announces moves for balance, while no bucket moves otherwise.
-   *  Slots of gone backend servers are reused once no bucket names them and no
-   *  flow can (all buckets STABLE and a version has passed).
+   *  present version or is silent.  A strict majority of the roster must have
+   *  confirmed it, unless no silent member is wanted any more.  In order of
+   *  urgency a step
+   *  1. takes over the wanted backend servers, replaces targets that take no
+   *     new flows (ANNOUNCED stays so, ACTIVE and SETTLING become ACTIVE,
+   *     INVERTED becomes STABLE and moves in the next version), announces
+   *     moves away from such backend servers, and takes ANNOUNCED buckets to
+   *     ACTIVE;
+   *  2. changes the roster (JOINING, SWITCHED once next keepers are complete,
+   *     SETTLED), never together with a bucket step; silent members leave it.
+   *     SETTLING buckets first go back to ACTIVE, as flows must then be told
+   *     anew;
+   *  3. takes ACTIVE buckets to SETTLING when covered, SETTLING to INVERTED
+   *     when every member of the roster is heard and complete, INVERTED to
+   *     STABLE.  Buckets whose unregistered flows have no backend server any
+   *     more need no coverage;
+   *  4. announces moves of STABLE buckets for balance while no bucket is
+   *     SETTLING or INVERTED; a move_max of 0 holds them.
+   *  The slot of a gone backend server is used again once the present version
+   *  calls it gone, no bucket names it and all buckets are STABLE.
    *
    *  @param table present version, or NULL to make the first one
    *  @param next  set to a new table on GBD_STEP_READY, else to NULL */
--- /dev/null
+++ b/src/libgooseberrydrum/coordinator_buckets.c
@@ -0,0 +1,235 @@
+/* Backend servers and the phases of buckets.  */
+#include "coordinator_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "table_private.h"
+
+static bool allocate_weights (gbd_draft_t *draft);
+static bool mark_missing (gbd_draft_t *draft);
+static bool set_backend (gbd_draft_t *draft, const gbd_backend_t *wanted,
+                         uint16_t weight);
+static gbd_slot_t take_slot (gbd_draft_t *draft);
+static bool is_slot_free (const gbd_table_t *table, gbd_slot_t slot);
+static bool replace_target (gbd_bucket_t *bucket, gbd_slot_t target);
+static bool needs_coverage (const gbd_draft_t *draft,
+                            const gbd_bucket_t *bucket);
+static bool is_roster_complete (const gbd_draft_t *draft);
+
+bool
+gbd_draft_set_backends (gbd_draft_t *draft, bool *has_changed)
+{
+  const gbd_coordinator_input_t *input = draft->input;
+  if (!allocate_weights (draft))
+    return false;
+  *has_changed = mark_missing (draft);
+  for (uint32_t i = 0; i < input->backend_count; i++)
+    if (set_backend (draft, &input->backends[i], input->weights[i]))
+      *has_changed = true;
+  return true;
+}
+
+gbd_step_t
+gbd_draft_replace_targets (gbd_draft_t *draft)
+{
+  gbd_table_t *next = draft->next;
+  bool has_changed = false;
+  gbd_table_plan (next, draft->weights, 0, draft->targets);
+  for (uint32_t i = 0; i < next->bucket_count; i++)
+    if (replace_target (&next->buckets[i], draft->targets[i]))
+      has_changed = true;
+  return has_changed ? GBD_STEP_READY : GBD_STEP_IDLE;
+}
+
+gbd_step_t
+gbd_draft_finish_moves (gbd_draft_t *draft)
+{
+  gbd_table_t *next = draft->next;
+  bool is_complete = is_roster_complete (draft);
+  gbd_step_t step = GBD_STEP_IDLE;
+  bool has_changed = false;
+  for (uint32_t i = 0; i < next->bucket_count; i++)
+    {
+      gbd_bucket_t *bucket = &next->buckets[i];
+      bool is_covered
+          = draft->input->is_covered || !needs_coverage (draft, bucket);
+      uint8_t phase = bucket->phase;
+      if (phase == GBD_BUCKET_INVERTED)
+        gbd_bucket_set (bucket, GBD_BUCKET_STABLE, bucket->to, bucket->to);
+      else if (phase == GBD_BUCKET_SETTLING && !is_covered)
+        bucket->phase = GBD_BUCKET_ACTIVE;
+      else if (phase == GBD_BUCKET_SETTLING && is_complete)
+        bucket->phase = GBD_BUCKET_INVERTED;
+      else if (phase == GBD_BUCKET_SETTLING)
+        step = GBD_STEP_INCOMPLETE;
+      else if (phase == GBD_BUCKET_ACTIVE && bucket->to != GBD_SLOT_NONE)
+        {
+          if (is_covered)
+            bucket->phase = GBD_BUCKET_SETTLING;
+          else if (step == GBD_STEP_IDLE)
+            step = GBD_STEP_UNCOVERED;
+        }
+      has_changed = has_changed || bucket->phase != phase;
+    }
+  return has_changed ? GBD_STEP_READY : step;
+}
+
+gbd_step_t
+gbd_draft_balance (gbd_draft_t *draft)
+{
+  gbd_table_t *next = draft->next;
+  gbd_step_t step = GBD_STEP_IDLE;
+  gbd_table_plan (next, draft->weights, draft->input->move_max,
+                  draft->targets);
+  for (uint32_t i = 0; i < next->bucket_count; i++)
+    {
+      gbd_bucket_t *bucket = &next->buckets[i];
+      if (bucket->phase != GBD_BUCKET_STABLE
+          || bucket->to == draft->targets[i])
+        continue;
+      gbd_bucket_set (bucket, GBD_BUCKET_ANNOUNCED, bucket->from,
+                      draft->targets[i]);
+      step = GBD_STEP_READY;
+    }
+  return step;
+}
+
+/* One a slot, also of the slots that new backend servers may take.  */
+static bool
+allocate_weights (gbd_draft_t *draft)
+{
+  size_t count
+      = (size_t)draft->table->backend_count + draft->input->backend_count + 1;
+  draft->weights = calloc (count, sizeof *draft->weights);
+  return draft->weights != NULL;
+}
+
+/* Whoever the platform no longer names is gone.  */
+static bool
+mark_missing (gbd_draft_t *draft)
+{
+  const gbd_coordinator_input_t *input = draft->input;
+  bool has_changed = false;
+  for (uint32_t i = 0; i < draft->next->backend_count; i++)
+    {
+      gbd_backend_t *backend = &draft->next->backends[i];
+      bool is_listed = false;
+      for (uint32_t j = 0; j < input->backend_count && !is_listed; j++)
+        is_listed = input->backends[j].id == backend->id;
+      if (is_listed || backend->state == GBD_BACKEND_GONE)
+        continue;
+      backend->state = GBD_BACKEND_GONE;
+      has_changed = true;
+    }
+  return has_changed;
+}
+
+/* True if the next version differs by it.  */
+static bool
+set_backend (gbd_draft_t *draft, const gbd_backend_t *wanted, uint16_t weight)
+{
+  gbd_slot_t slot = gbd_table_find_backend (draft->next, wanted->id);
+  bool is_new = slot == GBD_SLOT_NONE;
+  if (is_new && wanted->state == GBD_BACKEND_GONE)
+    return false;
+  if (is_new)
+    slot = take_slot (draft);
+  if (slot == GBD_SLOT_NONE)
+    return false;
+
+  gbd_backend_t *backend = &draft->next->backends[slot];
+  bool has_changed = is_new || backend->state != wanted->state;
+  if (is_new)
+    *backend = *wanted;
+  backend->state = wanted->state;
+  draft->weights[slot] = wanted->state == GBD_BACKEND_READY ? weight : 0;
+  return has_changed;
+}
+
+/* Slot for a new backend server, or GBD_SLOT_NONE when there is no room; a
+   later step tries again.  */
+static gbd_slot_t
+take_slot (gbd_draft_t *draft)
+{
+  const gbd_table_t *table = draft->table;
+  for (uint32_t i = 0; i < table->backend_count; i++)
+    if (draft->next->backends[i].id == table->backends[i].id
+        && is_slot_free (table, (gbd_slot_t)i))
+      return (gbd_slot_t)i;
+  uint32_t count = draft->next->backend_count;
+  if (count == GBD_BACKENDS_MAX
+      || !gbd_table_resize_backends (draft->next, count + 1))
+    return GBD_SLOT_NONE;
+  return (gbd_slot_t)count;
+}
+
+/* Registrations exist only while buckets move; every instance has confirmed
+   that the backend server is gone and drops what else names it.  */
+static bool
+is_slot_free (const gbd_table_t *table, gbd_slot_t slot)
+{
+  if (table->backends[slot].state != GBD_BACKEND_GONE)
+    return false;
+  for (uint32_t i = 0; i < table->bucket_count; i++)
+    if (table->buckets[i].phase != GBD_BUCKET_STABLE
+        || table->buckets[i].to == slot)
+      return false;
+  return true;
+}
+
+/* Move a bucket towards its target; true if it changed.  */
+static bool
+replace_target (gbd_bucket_t *bucket, gbd_slot_t target)
+{
+  bool is_kept = target == bucket->to;
+  switch (bucket->phase)
+    {
+    case GBD_BUCKET_STABLE:
+      if (is_kept)
+        return false;
+      gbd_bucket_set (bucket, GBD_BUCKET_ANNOUNCED, bucket->from, target);
+      return true;
+    case GBD_BUCKET_ANNOUNCED:
+      /* Nothing has opened on a target that was only announced.  */
+      if (is_kept)
+        bucket->phase = GBD_BUCKET_ACTIVE;
+      else if (target == bucket->from)
+        gbd_bucket_set (bucket, GBD_BUCKET_STABLE, target, target);
+      else
+        bucket->to = target;
+      return true;
+    case GBD_BUCKET_INVERTED:
+      if (is_kept)
+        return false;
+      gbd_bucket_set (bucket, GBD_BUCKET_STABLE, bucket->to, bucket->to);
+      return true;
+    default:
+      if (is_kept)
+        return false;
+      gbd_bucket_set (bucket, GBD_BUCKET_ACTIVE, bucket->from, target);
+      return true;
+    }
+}
+
+/* Unregistered flows are lost already when their backend server is gone.  */
+static bool
+needs_coverage (const gbd_draft_t *draft, const gbd_bucket_t *bucket)
+{
+  return bucket->from != GBD_SLOT_NONE
+         && draft->next->backends[bucket->from].state != GBD_BACKEND_GONE;
+}
+
+static bool
+is_roster_complete (const gbd_draft_t *draft)
+{
+  const gbd_table_t *next = draft->next;
+  for (uint8_t i = 0; i < next->roster_count; i++)
+    {
+      const gbd_confirmation_t *found
+          = gbd_confirmation_find (draft->input, next->roster[i].id);
+      if (!found || found->is_silent || found->complete < next->version)
+        return false;
+    }
+  return true;
+}
