Share a customer's limits over the instances by demand

Shares follow the newest reports; silent members keep theirs reserved, so a partition does not multiply a limit.

--- a/include/gooseberrydrum/engine.h
+++ b/include/gooseberrydrum/engine.h
@@ -76,14 +76,23 @@
                                  one it came with, or only an origin */
   } gbd_decision_t;
 
+  /** How a flow that counts against a plan has ended. */
+  typedef enum
+  {
+    GBD_FLOW_END_CLOSED,   /**< its opener saw the caller close it */
+    GBD_FLOW_END_IDLE,     /**< its opener saw no packet for the idle limit */
+    GBD_FLOW_END_ELSEWHERE /**< closed here, opened at another instance */
+  } gbd_flow_end_t;
+
   /** Whether the limits admit a new flow; the limiter fills it in.
-   *  @param data  context of the table
-   *  @return true if admitted. */
+   *  `opened` is called for every new flow that the fabric brought here,
+   *  admitted or refused, right after `admits` at the same time. */
   typedef struct
   {
     bool (*admits) (const void *data, uint32_t customer, gbd_time_t now);
     void (*opened) (void *data, uint32_t customer, gbd_time_t now);
-    void (*closed) (void *data, uint32_t customer, gbd_time_t now);
+    void (*ended) (void *data, uint32_t customer, gbd_flow_end_t end,
+                   gbd_time_t now);
   } gbd_admission_t;
 
   /** How a policy answers; the keepers policy and the baselines that the
--- /dev/null
+++ b/src/libgooseberrydrum/limits.c
@@ -0,0 +1,413 @@
+#include "gooseberrydrum/limits.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define MICRO 1000000
+/* Ends seen elsewhere wait here, one place a part of the idle limit. */
+#define DELAY_PLACES 16
+
+/* What a member last reported. */
+typedef struct
+{
+  uint32_t demand;
+  int32_t open;
+  int32_t growth; /* of open, between the newest two reports */
+  bool is_known;
+} member_report_t;
+
+typedef struct
+{
+  uint64_t id;
+  gbd_plan_t plan;
+  /* Counters of this instance. */
+  int64_t opened;
+  int64_t closed;
+  int64_t idle;
+  int64_t elsewhere;
+  int64_t elsewhere_due;              /* those an idle limit ago */
+  int64_t elsewhere_at[DELAY_PLACES]; /* value of elsewhere, in turn */
+  uint32_t delay_place;
+  gbd_time_t delay_due;
+  uint32_t demand;       /* this round so far */
+  uint32_t last_demand;  /* of the round before */
+  uint32_t opened_round; /* admitted this round */
+  gbd_limits_report_t reported;
+  int32_t growth; /* of open, between the last two reports */
+  bool has_reported;
+  /* Share of this instance. */
+  uint32_t share;     /* new flows a second */
+  uint32_t open_left; /* that may be opened in this round */
+  uint32_t open_group;
+  int64_t tokens; /* millionths of a new flow */
+  gbd_time_t refilled_at;
+  uint64_t admitted;
+  uint64_t refused;
+  member_report_t reports[GBD_LIVES_MAX];
+} customer_t;
+
+struct gbd_limits
+{
+  gbd_instance_id_t self;
+  gbd_time_t round_at;
+  uint32_t member_count;
+  gbd_instance_id_t members[GBD_LIVES_MAX];
+  uint32_t customer_count;
+  customer_t *customers;
+};
+
+static bool admits (const void *data, uint32_t customer, gbd_time_t now);
+static void opened (void *data, uint32_t customer, gbd_time_t now);
+static void ended (void *data, uint32_t customer, gbd_flow_end_t end,
+                   gbd_time_t now);
+static customer_t *find_customer (gbd_limits_t *limits, uint64_t id);
+static int find_member (const gbd_limits_t *limits, gbd_instance_id_t id);
+static void move_reports (const gbd_limits_t *limits, customer_t *customer,
+                          const gbd_instance_id_t *members, uint32_t count);
+static int32_t own_open (const customer_t *customer);
+static void advance_delay (customer_t *customer, gbd_time_t now);
+static void share_out (const gbd_limits_t *limits, customer_t *customer);
+static int64_t tokens_at (const customer_t *customer, gbd_time_t now);
+static int64_t burst_of (const customer_t *customer);
+static void refused_or_admitted (customer_t *customer, bool is_admitted);
+
+const gbd_admission_t gbd_limits_admission = {
+  .admits = admits,
+  .opened = opened,
+  .ended = ended,
+};
+
+gbd_limits_t *
+gbd_limits_new (gbd_instance_id_t self, gbd_time_t now)
+{
+  gbd_limits_t *limits = calloc (1, sizeof *limits);
+  if (!limits)
+    return NULL;
+  limits->self = self;
+  limits->round_at = now;
+  limits->members[0] = self;
+  limits->member_count = 1;
+  return limits;
+}
+
+void
+gbd_limits_delete (gbd_limits_t *limits)
+{
+  if (!limits)
+    return;
+  free (limits->customers);
+  free (limits);
+}
+
+gbd_status_t
+gbd_limits_set_catalog (gbd_limits_t *limits, const gbd_catalog_t *catalog)
+{
+  uint32_t count = gbd_catalog_get_customer_count (catalog);
+  customer_t *customers = calloc (count + 1, sizeof *customers);
+  if (!customers)
+    return GBD_ERROR_MEMORY;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const gbd_customer_info_t *info = gbd_catalog_get_customer (catalog, i);
+      uint64_t id = gbd_limits_customer_id (info->name);
+      const customer_t *former = find_customer (limits, id);
+      if (former)
+        customers[i] = *former;
+      customers[i].id = id;
+      customers[i].plan = *gbd_catalog_get_plan (catalog, info->plan);
+      share_out (limits, &customers[i]);
+      if (!former)
+        customers[i].tokens = burst_of (&customers[i]);
+    }
+  free (limits->customers);
+  limits->customers = customers;
+  limits->customer_count = count;
+  return GBD_OK;
+}
+
+void
+gbd_limits_set_members (gbd_limits_t *limits, const gbd_instance_id_t *members,
+                        uint32_t count)
+{
+  if (count > GBD_LIVES_MAX)
+    count = GBD_LIVES_MAX;
+  if (count == 0
+      || (count == limits->member_count
+          && memcmp (members, limits->members, count * sizeof *members) == 0))
+    return;
+  for (uint32_t i = 0; i < limits->customer_count; i++)
+    move_reports (limits, &limits->customers[i], members, count);
+  memcpy (limits->members, members, count * sizeof *members);
+  limits->member_count = count;
+  for (uint32_t i = 0; i < limits->customer_count; i++)
+    share_out (limits, &limits->customers[i]);
+}
+
+uint64_t
+gbd_limits_customer_id (const char *name)
+{
+  char text[GBD_NAME_MAX + sizeof "customer/"];
+  snprintf (text, sizeof text, "customer/%s", name);
+  return gbd_id_from_name (text);
+}
+
+void
+gbd_limits_receive (gbd_limits_t *limits, gbd_instance_id_t from,
+                    const gbd_limits_report_t *report)
+{
+  customer_t *customer = find_customer (limits, report->customer);
+  int member = find_member (limits, from);
+  if (!customer || member < 0)
+    return;
+  member_report_t *former = &customer->reports[member];
+  *former = (member_report_t){
+    .demand = report->demand,
+    .open = report->open,
+    .growth = report->open - former->open,
+    .is_known = true,
+  };
+}
+
+bool
+gbd_limits_end_round (gbd_limits_t *limits, gbd_time_t now,
+                      gbd_limits_visit_t visit, void *data)
+{
+  if (now - limits->round_at < GBD_LIMITS_ROUND)
+    return false;
+  limits->round_at = now;
+  for (uint32_t i = 0; i < limits->customer_count; i++)
+    {
+      customer_t *customer = &limits->customers[i];
+      advance_delay (customer, now);
+      customer->tokens = tokens_at (customer, now);
+      customer->refilled_at = now;
+      customer->last_demand = customer->demand;
+      customer->demand = 0;
+      customer->opened_round = 0;
+      share_out (limits, customer);
+      gbd_limits_report_t report = {
+        .customer = customer->id,
+        .demand = customer->last_demand,
+        .open = own_open (customer),
+      };
+      int32_t growth = report.open - customer->reported.open;
+      /* One more report after the last growth, to say that it has ended. */
+      bool is_same = customer->has_reported && growth == 0
+                     && customer->growth == 0
+                     && report.demand == customer->reported.demand;
+      if (is_same)
+        continue;
+      customer->growth = growth;
+      customer->reported = report;
+      customer->has_reported = true;
+      visit (data, &report);
+    }
+  return true;
+}
+
+gbd_status_t
+gbd_limits_get (const gbd_limits_t *limits, uint32_t index,
+                gbd_limits_info_t *info)
+{
+  if (index >= limits->customer_count)
+    return GBD_ERROR_NOT_FOUND;
+  const customer_t *customer = &limits->customers[index];
+  uint32_t left = customer->open_left > customer->opened_round
+                      ? customer->open_left - customer->opened_round
+                      : 0;
+  *info = (gbd_limits_info_t){
+    .share_per_second = customer->share,
+    .open_flows = customer->open_group,
+    .open_left = left,
+    .admitted = customer->admitted,
+    .refused = customer->refused,
+  };
+  return GBD_OK;
+}
+
+static bool
+admits (const void *data, uint32_t index, gbd_time_t now)
+{
+  const gbd_limits_t *limits = data;
+  if (index >= limits->customer_count)
+    return false;
+  const customer_t *customer = &limits->customers[index];
+  return customer->opened_round < customer->open_left
+         && tokens_at (customer, now) >= MICRO;
+}
+
+/* Called for every new flow that was asked for, admitted or not. */
+static void
+opened (void *data, uint32_t index, gbd_time_t now)
+{
+  gbd_limits_t *limits = data;
+  if (index >= limits->customer_count)
+    return;
+  customer_t *customer = &limits->customers[index];
+  bool is_admitted = admits (data, index, now);
+  refused_or_admitted (customer, is_admitted);
+  if (!is_admitted)
+    return;
+  customer->tokens = tokens_at (customer, now) - MICRO;
+  customer->refilled_at = now;
+}
+
+static void
+ended (void *data, uint32_t index, gbd_flow_end_t end, gbd_time_t now)
+{
+  (void)now;
+  gbd_limits_t *limits = data;
+  if (index >= limits->customer_count)
+    return;
+  customer_t *customer = &limits->customers[index];
+  switch (end)
+    {
+    case GBD_FLOW_END_CLOSED:
+      customer->closed++;
+      break;
+    case GBD_FLOW_END_IDLE:
+      customer->idle++;
+      break;
+    case GBD_FLOW_END_ELSEWHERE:
+      customer->elsewhere++;
+      break;
+    }
+}
+
+static void
+refused_or_admitted (customer_t *customer, bool is_admitted)
+{
+  customer->demand++;
+  if (!is_admitted)
+    {
+      customer->refused++;
+      return;
+    }
+  customer->admitted++;
+  customer->opened++;
+  customer->opened_round++;
+}
+
+static customer_t *
+find_customer (gbd_limits_t *limits, uint64_t id)
+{
+  for (uint32_t i = 0; i < limits->customer_count; i++)
+    {
+      if (limits->customers[i].id == id)
+        return &limits->customers[i];
+    }
+  return NULL;
+}
+
+static int
+find_member (const gbd_limits_t *limits, gbd_instance_id_t id)
+{
+  for (uint32_t i = 0; i < limits->member_count; i++)
+    {
+      if (limits->members[i] == id)
+        return (int)i;
+    }
+  return -1;
+}
+
+/* Reports follow their members to new places.  What a former member had added
+   to the open flows stays counted by the first place, for its flows go on. */
+static void
+move_reports (const gbd_limits_t *limits, customer_t *customer,
+              const gbd_instance_id_t *members, uint32_t count)
+{
+  member_report_t moved[GBD_LIVES_MAX] = { 0 };
+  for (uint32_t i = 0; i < count; i++)
+    {
+      int place = find_member (limits, members[i]);
+      if (place >= 0)
+        moved[i] = customer->reports[place];
+    }
+  memcpy (customer->reports, moved, sizeof moved);
+}
+
+static int32_t
+own_open (const customer_t *customer)
+{
+  int64_t open = customer->opened - customer->closed - customer->elsewhere
+                 - customer->idle + customer->elsewhere_due;
+  return (int32_t)open;
+}
+
+static void
+advance_delay (customer_t *customer, gbd_time_t now)
+{
+  gbd_time_t part
+      = (gbd_time_t)customer->plan.idle_limit_s * GBD_SECOND / DELAY_PLACES;
+  if (customer->delay_due == 0)
+    customer->delay_due = now + part;
+  while (now >= customer->delay_due)
+    {
+      uint32_t place = customer->delay_place;
+      customer->elsewhere_due = customer->elsewhere_at[place];
+      customer->elsewhere_at[place] = customer->elsewhere;
+      customer->delay_place = (place + 1) % DELAY_PLACES;
+      customer->delay_due += part;
+    }
+}
+
+/* Shares by demand; what nobody asks for is spread evenly.  Members that have
+   not reported count as if they asked for an even part. */
+static void
+share_out (const gbd_limits_t *limits, customer_t *customer)
+{
+  uint64_t limit = customer->plan.new_flows_per_second;
+  uint64_t even = limit / limits->member_count;
+  uint64_t own = customer->has_reported ? customer->last_demand : even;
+  uint64_t demand = 0;
+  int64_t open = 0;
+  for (uint32_t i = 0; i < limits->member_count; i++)
+    {
+      const member_report_t *report = &customer->reports[i];
+      if (limits->members[i] == limits->self)
+        {
+          demand += own;
+          open += own_open (customer);
+        }
+      else
+        {
+          demand += report->is_known ? report->demand : even;
+          /* What it adds in the round that it has not reported yet. */
+          open += report->open + (report->growth > 0 ? report->growth : 0);
+        }
+    }
+
+  uint64_t share;
+  if (demand > limit)
+    share = limit * own / demand;
+  else
+    share = own + (limit - demand) / limits->member_count;
+  customer->share = (uint32_t)share;
+  if (open < 0)
+    open = 0;
+  customer->open_group = (uint32_t)open;
+  uint64_t left = customer->plan.open_flows > (uint64_t)open
+                      ? customer->plan.open_flows - (uint64_t)open
+                      : 0;
+  customer->open_left = (uint32_t)(left * share / (limit ? limit : 1));
+}
+
+static int64_t
+tokens_at (const customer_t *customer, gbd_time_t now)
+{
+  gbd_time_t elapsed = now - customer->refilled_at;
+  if (elapsed > GBD_SECOND)
+    elapsed = GBD_SECOND;
+  int64_t tokens = customer->tokens + (int64_t)customer->share * elapsed;
+  int64_t burst = burst_of (customer);
+  return tokens < burst ? tokens : burst;
+}
+
+/* At least one flow, or a small share would never admit any. */
+static int64_t
+burst_of (const customer_t *customer)
+{
+  int64_t burst = (int64_t)customer->share * GBD_LIMITS_BURST_PERCENT / 100;
+  return (burst > 0 ? burst : 1) * MICRO;
+}
