--- a/src/libgooseberrydrum/engine_cache.c
+++ b/src/libgooseberrydrum/engine_cache.c
@@ -36,7 +36,7 @@
   gbd_cached_flow_t *flow
       = gbd_flow_cache_insert (engine->cache, hash, index, now, &former);
   if (former.flags & GBD_CACHED_USED)
-    gbd_engine_end_cached (engine, &former, now);
+    gbd_engine_end_cached (engine, &former, GBD_FLOW_END_IDLE, now);
 
   const gbd_engine_service_t *service = &engine->services[index];
   uint16_t life = slot < service->slot_count ? service->lives[slot] : 0;
@@ -44,7 +44,7 @@
                   && (flow->slot != slot || flow->life != life);
   if (is_other)
     {
-      gbd_engine_end_cached (engine, flow, now);
+      gbd_engine_end_cached (engine, flow, GBD_FLOW_END_IDLE, now);
       flow->flags = GBD_CACHED_USED;
       flow->packets = 0;
     }
@@ -55,14 +55,15 @@
 
 void
 gbd_engine_end_cached (gbd_engine_t *engine, gbd_cached_flow_t *flow,
-                       gbd_time_t now)
+                       gbd_flow_end_t end, gbd_time_t now)
 {
   gbd_engine_service_t *service = &engine->services[flow->service];
   if ((flow->flags & GBD_CACHED_OPENED) && flow->slot < service->slot_count
       && service->lives[flow->slot] == flow->life)
     service->loads[flow->slot].open_flows--;
   if ((flow->flags & GBD_CACHED_ADMITTED) && engine->admission)
-    engine->admission->closed (engine->admission_data, service->customer, now);
+    engine->admission->ended (engine->admission_data, service->customer, end,
+                              now);
   flow->flags &= (uint8_t) ~(GBD_CACHED_OPENED | GBD_CACHED_ADMITTED);
 }
 
@@ -121,7 +122,7 @@
       if (!gbd_flow_cache_is_idle (engine->cache, flow, now)
           && !(is_closed && is_lingered))
         continue;
-      gbd_engine_end_cached (engine, flow, now);
+      gbd_engine_end_cached (engine, flow, GBD_FLOW_END_IDLE, now);
       gbd_flow_cache_remove (engine->cache, flow);
     }
 }
--- a/src/libgooseberrydrum/engine_commit.c
+++ b/src/libgooseberrydrum/engine_commit.c
@@ -30,6 +30,13 @@
                    const gbd_decision_t *decision, gbd_time_t now)
 {
   count (engine, packet, decision);
+  if (decision->kind == GBD_ACTION_RESET && engine->admission)
+    {
+      /* Refused flows count as demand. */
+      uint16_t index = engine->index_of[decision->service];
+      engine->admission->opened (engine->admission_data,
+                                 engine->services[index].customer, now);
+    }
   bool is_sent = decision->kind == GBD_ACTION_BACKEND
                  || decision->kind == GBD_ACTION_PEER;
   if (!is_sent || decision->service == GBD_SERVICE_NONE)
@@ -166,7 +173,7 @@
   const gbd_decision_t *decision = commit->decision;
   if (!decision->is_new)
     return;
-  gbd_engine_end_cached (engine, flow, commit->now);
+  gbd_engine_end_cached (engine, flow, GBD_FLOW_END_CLOSED, commit->now);
   flow->flags = GBD_CACHED_USED | GBD_CACHED_SEQUENCE;
   flow->sequence = (uint16_t)commit->packet->sequence;
   flow->packets = 0;
@@ -202,7 +209,11 @@
   gbd_flow_hash_t hash = commit->decision->hash;
   if (flow->flags & GBD_CACHED_CLOSED)
     return;
-  gbd_engine_end_cached (engine, flow, commit->now);
+  bool is_admitted = flow->flags & GBD_CACHED_ADMITTED;
+  if (!is_admitted && engine->admission)
+    engine->admission->ended (engine->admission_data, service->customer,
+                              GBD_FLOW_END_ELSEWHERE, commit->now);
+  gbd_engine_end_cached (engine, flow, GBD_FLOW_END_CLOSED, commit->now);
   flow->flags |= GBD_CACHED_CLOSED;
 
   if (gbd_registry_find (service->exceptions, hash))
--- a/src/libgooseberrydrum/engine_flows.c
+++ b/src/libgooseberrydrum/engine_flows.c
@@ -173,7 +173,7 @@
   gbd_cached_flow_t *flow = gbd_engine_find_cached (engine, index, hash);
   if (!flow)
     return;
-  gbd_engine_end_cached (engine, flow, now);
+  gbd_engine_end_cached (engine, flow, GBD_FLOW_END_IDLE, now);
   flow->flags |= GBD_CACHED_CLOSED;
 }
 
--- a/src/libgooseberrydrum/engine_state.h
+++ b/src/libgooseberrydrum/engine_state.h
@@ -91,7 +91,7 @@
 
 /** Account for the end of a cached flow; the place stays. */
 void gbd_engine_end_cached (gbd_engine_t *engine, gbd_cached_flow_t *flow,
-                            gbd_time_t now);
+                            gbd_flow_end_t end, gbd_time_t now);
 
 /** Registry to write to, made when it is missing; NULL if memory is short. */
 gbd_registry_t *gbd_engine_need_registry (const gbd_engine_t *engine,
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_balance.c
@@ -0,0 +1,204 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "gooseberrydrum/balance.h"
+
+#define SERVERS 14
+#define BASE 10000
+
+typedef struct
+{
+  gbd_balance_t *balance;
+  gbd_table_t *table;
+  gbd_backend_t backends[SERVERS];
+  uint16_t base[SERVERS];
+  uint16_t weights[SERVERS];
+  gbd_time_t now;
+} fixture_t;
+
+static fixture_t *
+setup (void)
+{
+  static fixture_t fixture;
+  memset (&fixture, 0, sizeof fixture);
+  gbd_member_t member = { 1, 1 };
+  for (uint32_t i = 0; i < SERVERS; i++)
+    {
+      fixture.backends[i].id = i + 1;
+      fixture.base[i] = BASE;
+    }
+  fixture.now = 100 * GBD_SECOND;
+  fixture.table
+      = gbd_table_new (1, 256, fixture.backends, SERVERS, &member, 1);
+  fixture.balance = gbd_balance_new ();
+  assert_non_null (fixture.table);
+  assert_non_null (fixture.balance);
+  gbd_balance_decide (fixture.balance, fixture.backends, fixture.base, SERVERS,
+                      100, fixture.now, fixture.weights);
+  return &fixture;
+}
+
+static void
+teardown (fixture_t *fixture)
+{
+  gbd_balance_delete (fixture->balance);
+  gbd_table_delete (fixture->table);
+}
+
+/* Every instance reports one load for all servers but one. */
+static void
+report (fixture_t *fixture, gbd_slot_t odd, uint32_t open, uint32_t odd_open)
+{
+  for (gbd_instance_id_t from = 1; from <= 8; from++)
+    for (gbd_slot_t slot = 0; slot < SERVERS; slot++)
+      {
+        gbd_load_entry_t entry
+            = { .slot = slot, .open_flows = slot == odd ? odd_open : open };
+        assert_int_equal (gbd_balance_receive (fixture->balance,
+                                               fixture->table, from, &entry, 1,
+                                               fixture->now),
+                          GBD_OK);
+      }
+}
+
+static void
+decide (fixture_t *fixture, uint8_t percent, gbd_time_t later)
+{
+  fixture->now += later;
+  gbd_balance_decide (fixture->balance, fixture->backends, fixture->base,
+                      SERVERS, percent, fixture->now, fixture->weights);
+}
+
+static void
+busy_server_gets_less_in_bounded_steps (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  report (fixture, 3, 10, 100);
+  decide (fixture, 100, GBD_BALANCE_ADJUST);
+  assert_int_equal (fixture->weights[3],
+                    BASE * (100 - GBD_BALANCE_STEP_MAX_PERCENT) / 100);
+  /* No second step before its time, however often it is asked. */
+  decide (fixture, 100, 0);
+  decide (fixture, 100, GBD_SECOND);
+  assert_int_equal (fixture->weights[3],
+                    BASE * (100 - GBD_BALANCE_STEP_MAX_PERCENT) / 100);
+  for (int i = 0; i < 50; i++)
+    decide (fixture, 100, GBD_BALANCE_ADJUST);
+  assert_int_equal (fixture->weights[3],
+                    BASE * GBD_BALANCE_FACTOR_MIN_PERCENT / 100);
+  teardown (fixture);
+}
+
+static void
+dead_band_and_plan_keep_weights (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  report (fixture, 3, 100, 108);
+  decide (fixture, 100, GBD_BALANCE_ADJUST);
+  assert_int_equal (fixture->weights[3], BASE);
+  report (fixture, 3, 100, 150);
+  decide (fixture, 0, GBD_BALANCE_ADJUST);
+  assert_int_equal (fixture->weights[3], BASE);
+  teardown (fixture);
+}
+
+/* A report of nothing, or of too little, moves nothing. */
+static void
+silence_moves_nothing (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  decide (fixture, 100, GBD_BALANCE_ADJUST);
+  report (fixture, 3, 0, 1);
+  decide (fixture, 100, GBD_BALANCE_ADJUST);
+  for (int i = 0; i < SERVERS; i++)
+    assert_int_equal (fixture->weights[i], BASE);
+  teardown (fixture);
+}
+
+/* No report can empty a service, and only the platform sets a weight of 0. */
+static void
+only_the_platform_takes_a_server_out (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  for (int i = 0; i < 50; i++)
+    {
+      report (fixture, 3, 5000, 50000);
+      decide (fixture, 100, GBD_BALANCE_ADJUST);
+    }
+  for (int i = 0; i < SERVERS; i++)
+    assert_true (fixture->weights[i] > 0);
+  fixture->base[5] = 0;
+  decide (fixture, 100, 0);
+  assert_int_equal (fixture->weights[5], 0);
+  teardown (fixture);
+}
+
+static void
+new_server_ramps_up (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  fixture->backends[7].id = 99;
+  decide (fixture, 100, GBD_SECOND);
+  assert_int_equal (fixture->weights[7], BASE / GBD_BALANCE_RAMP_STEPS);
+  uint16_t former = fixture->weights[7];
+  for (int i = 1; i < GBD_BALANCE_RAMP_STEPS; i++)
+    {
+      decide (fixture, 100, GBD_BALANCE_RAMP / GBD_BALANCE_RAMP_STEPS);
+      assert_true (fixture->weights[7] > former);
+      former = fixture->weights[7];
+    }
+  assert_int_equal (former, BASE);
+  teardown (fixture);
+}
+
+static void
+full_server_gets_almost_nothing (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  report (fixture, 2, 225, 249);
+  decide (fixture, 0, 0);
+  assert_in_range (fixture->weights[2], 1, BASE / 10);
+  assert_true (fixture->weights[2] < fixture->weights[1]);
+  teardown (fixture);
+}
+
+static void
+foreign_slot_is_refused_whole (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  gbd_load_entry_t entries[] = { { .slot = 0, .open_flows = 9 },
+                                 { .slot = SERVERS, .open_flows = 9 } };
+  assert_int_equal (gbd_balance_receive (fixture->balance, fixture->table, 1,
+                                         entries, 2, fixture->now),
+                    GBD_ERROR_RANGE);
+  gbd_balance_info_t info;
+  assert_int_equal (gbd_balance_get (fixture->balance, 1, &info), GBD_OK);
+  assert_int_equal (info.open_flows, 0);
+  teardown (fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (busy_server_gets_less_in_bounded_steps),
+    cmocka_unit_test (dead_band_and_plan_keep_weights),
+    cmocka_unit_test (silence_moves_nothing),
+    cmocka_unit_test (only_the_platform_takes_a_server_out),
+    cmocka_unit_test (new_server_ramps_up),
+    cmocka_unit_test (full_server_gets_almost_nothing),
+    cmocka_unit_test (foreign_slot_is_refused_whole),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/test_libgooseberrydrum/test_engine.c
+++ b/src/test_libgooseberrydrum/test_engine.c
@@ -544,7 +544,14 @@
   (void)now;
 }
 
-static const gbd_admission_t admission = { admit_none, note, note };
+static void
+note_end (void *data, uint32_t customer, gbd_flow_end_t end, gbd_time_t now)
+{
+  (void)end;
+  note (data, customer, now);
+}
+
+static const gbd_admission_t admission = { admit_none, note, note_end };
 
 /* A reset claims that nothing was passed on, so it needs to be true. */
 static void
