Detect failures and bound trust inside a spray group

Trust counts from the sending of an acknowledged heartbeat, so that delay and pauses shorten it. Two cases needed more than ages:

- A peer that went on to newer versions while this instance was cut off would give it back its trust at its first acknowledgment, before the newer table arrives.
A peer's word counts for a table only while the peer holds that version or an older one.
- A peer's age of the platform's answer grows on the way by an unknown delay.
It is dated by the heartbeat of ours that the same message acknowledges, and is not passed on to third instances, which may hold other versions.

--- a/include/gooseberrydrum/message.h
+++ b/include/gooseberrydrum/message.h
@@ -89,8 +89,9 @@
         uint64_t sequence;
         bool leaving;
         bool watching;            /**< holds watches on the platform */
-        uint32_t platform_age_ms; /**< since the platform, directly or through
-                                       a peer, confirmed the newest tables */
+        uint32_t platform_age_ms; /**< since the platform confirmed the newest
+                                       tables to the sender itself;
+                                       UINT32_MAX if never */
         uint32_t covered_ms;      /**< flow cache has lost no open flow for */
         uint64_t generation;      /**< accepted configuration in force */
         uint16_t heard_count;
--- /dev/null
+++ b/src/libgooseberrydrum/touch.c
@@ -0,0 +1,154 @@
+/* How far this instance may speak for its group.  */
+#include "membership_private.h"
+
+#include "table_private.h"
+
+static gbd_trust_t trust_for (const gbd_peer_t *peer,
+                              const gbd_table_t *table);
+static bool has_platform (const gbd_membership_t *membership,
+                          const gbd_table_t *table, gbd_time_t now);
+static bool has_majority (const gbd_membership_t *membership,
+                          const gbd_table_t *table,
+                          const gbd_member_t *members, uint8_t count,
+                          gbd_time_t now);
+static bool has_whole_zones (const gbd_membership_t *membership,
+                             const gbd_table_t *table, gbd_time_t now);
+static uint8_t list_members (const gbd_table_t *table,
+                             gbd_member_t members[2 * GBD_ROSTER_MAX]);
+static bool is_recent (const gbd_membership_t *membership, gbd_time_t time,
+                       gbd_time_t now);
+
+gbd_time_t
+gbd_membership_get_platform_age (const gbd_membership_t *membership,
+                                 gbd_time_t now)
+{
+  gbd_time_t latest = membership->platform_at;
+  for (uint32_t i = 0; i < membership->peer_count; i++)
+    if (membership->peers[i].trust.platform_at > latest)
+      latest = membership->peers[i].trust.platform_at;
+  return now - latest;
+}
+
+gbd_touch_t
+gbd_membership_get_touch (const gbd_membership_t *membership,
+                          const gbd_table_t *table, gbd_time_t now)
+{
+  if (has_platform (membership, table, now))
+    return GBD_TOUCH_FULL;
+  if (!table)
+    return GBD_TOUCH_NONE;
+  bool is_settled = table->roster_phase == GBD_ROSTER_SETTLED;
+  if (has_majority (membership, table, table->roster, table->roster_count, now)
+      && (is_settled
+          || has_majority (membership, table, table->next, table->next_count,
+                           now)))
+    return GBD_TOUCH_FULL;
+  if (has_whole_zones (membership, table, now))
+    return GBD_TOUCH_ZONE;
+  return GBD_TOUCH_NONE;
+}
+
+/* Trust in a peer as far as it concerns a table: what it said while it held
+   that version or an older one.  */
+static gbd_trust_t
+trust_for (const gbd_peer_t *peer, const gbd_table_t *table)
+{
+  const gbd_trust_t none = { GBD_TIME_NEVER, GBD_TIME_NEVER };
+  const gbd_peer_progress_t *found
+      = gbd_peer_find_progress (peer, table->service);
+  if (!found || found->progress.version == 0)
+    return none;
+  if (found->progress.version <= table->version)
+    return peer->trust;
+  if (found->former_version > 0 && found->former_version <= table->version)
+    return found->former_trust;
+  return none;
+}
+
+static bool
+has_platform (const gbd_membership_t *membership, const gbd_table_t *table,
+              gbd_time_t now)
+{
+  if (is_recent (membership, membership->platform_at, now))
+    return true;
+  for (uint32_t i = 0; table && i < membership->peer_count; i++)
+    {
+      gbd_trust_t trust = trust_for (&membership->peers[i], table);
+      if (is_recent (membership, trust.platform_at, now))
+        return true;
+    }
+  return false;
+}
+
+static bool
+has_majority (const gbd_membership_t *membership, const gbd_table_t *table,
+              const gbd_member_t *members, uint8_t count, gbd_time_t now)
+{
+  unsigned in_touch = 0;
+  for (uint8_t i = 0; i < count; i++)
+    {
+      const gbd_peer_t *peer = gbd_membership_find (membership, members[i].id);
+      if (members[i].id == membership->settings.self)
+        in_touch++;
+      else if (peer
+               && is_recent (membership, trust_for (peer, table).acked_at,
+                             now))
+        in_touch++;
+    }
+  return 2 * in_touch > count;
+}
+
+/* A member that is heard but does not hear this instance tells that the cut
+   is not between zones, or has not come to rest.  */
+static bool
+has_whole_zones (const gbd_membership_t *membership, const gbd_table_t *table,
+                 gbd_time_t now)
+{
+  gbd_member_t members[2 * GBD_ROSTER_MAX];
+  bool is_heard[2 * GBD_ROSTER_MAX] = { false };
+  uint8_t count = list_members (table, members);
+  unsigned others = 0;
+  bool has_self = false;
+  for (uint8_t i = 0; i < count; i++)
+    {
+      if (members[i].id == membership->settings.self)
+        {
+          is_heard[i] = has_self = true;
+          continue;
+        }
+      const gbd_peer_t *peer = gbd_membership_find (membership, members[i].id);
+      if (!peer || !gbd_membership_is_heard (membership, peer, now))
+        continue;
+      if (!is_recent (membership, peer->trust.acked_at, now))
+        return false;
+      is_heard[i] = true;
+      others++;
+    }
+  if (!has_self || others == 0)
+    return false;
+
+  for (uint8_t i = 0; i < count; i++)
+    for (uint8_t j = 0; j < count; j++)
+      if (is_heard[i] && !is_heard[j] && members[i].zone == members[j].zone)
+        return false;
+  return true;
+}
+
+static uint8_t
+list_members (const gbd_table_t *table,
+              gbd_member_t members[2 * GBD_ROSTER_MAX])
+{
+  uint8_t count = 0;
+  for (uint8_t i = 0; i < table->roster_count; i++)
+    members[count++] = table->roster[i];
+  for (uint8_t i = 0; i < table->next_count; i++)
+    if (!gbd_roster_has (members, count, table->next[i].id))
+      members[count++] = table->next[i];
+  return count;
+}
+
+static bool
+is_recent (const gbd_membership_t *membership, gbd_time_t time, gbd_time_t now)
+{
+  return now - time < membership->settings.touch_timeout;
+}
