Read and check the settings of serve from one table

Operators need every setting checked before an instance serves, with the remedy named, and the manual page to say the same as the program.

One table holds name, kind, default, range and help of each setting; GLib's options, the variables, the checks and the manual page come from it. A flag goes before its variable, and that before the default. The group key and the admin token have no flag, as every user of a machine sees flags; they come from a variable or the first line of a file.

`gooseberrydrum help man` prints the page, `make man` commits it to docs, and a test holds the two to each other.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 POLICY ?= keepers
 
-.PHONY: all deps build check demo bench capacity format lint clean sanitize
+.PHONY: all deps build check demo bench capacity format lint clean sanitize man
 
 all: build
 
@@ -23,6 +23,9 @@
 	  || { cat build-asan/build.log; exit 1; }
 	@ctest --test-dir build-asan --output-on-failure -j 4
 
+man: build
+	@$(BUILD)/gooseberrydrum help man > docs/gooseberrydrum.1
+
 demo: build
 	@scripts/demo $(BUILD) $(POLICY)
 
--- a/src/gooseberrydrum/command.c
+++ b/src/gooseberrydrum/command.c
@@ -1,4 +1,5 @@
 #include "command.h"
+#include "settings.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -13,6 +14,12 @@
       print_usage (commands, stderr);
       return GBD_EXIT_USAGE;
     }
+  if (argc == 3 && strcmp (argv[1], "help") == 0
+      && strcmp (argv[2], "man") == 0)
+    {
+      gbd_settings_print_man (stdout);
+      return GBD_EXIT_OK;
+    }
   if (strcmp (argv[1], "--help") == 0 || strcmp (argv[1], "help") == 0)
     {
       print_usage (commands, stdout);
--- /dev/null
+++ b/src/gooseberrydrum/settings.h
@@ -0,0 +1,78 @@
+/** @file settings.h
+ *  Settings of `gooseberrydrum serve`: flags, environment, defaults.
+ *
+ *  A flag --fabric-listen goes before the variable
+ *  GOOSEBERRYDRUM_FABRIC_LISTEN, and that before the default.  Secrets come
+ *  from the environment or a file only, as flags are seen by every user of
+ *  the machine.  Everything is checked before the program starts to serve.
+ */
+#ifndef PROGRAM_SETTINGS_H
+#define PROGRAM_SETTINGS_H
+
+#include <stdio.h>
+
+#include "gooseberrydrum/types.h"
+
+#define GBD_PATH_LENGTH_MAX 1023 /**< bytes, without the NUL */
+#define GBD_TOKEN_LENGTH_MIN 16  /**< characters */
+#define GBD_TOKEN_LENGTH_MAX 128 /**< characters */
+#define GBD_GROUP_KEY_LENGTH 16  /**< bytes; twice as many hex digits */
+
+typedef char gbd_name_text_t[GBD_NAME_MAX + 1];
+typedef char gbd_path_text_t[GBD_PATH_LENGTH_MAX + 1];
+
+/** Settings that have been checked, alone and against each other. */
+typedef struct
+{
+  gbd_name_text_t name;
+  gbd_name_text_t zone;
+  gbd_name_text_t group;
+  gbd_address_t platform;
+  gbd_address_t fabric_listen;
+  gbd_address_t peer_listen;
+  gbd_address_t link_listen;
+  gbd_address_t admin_listen;                 /**< family 0 when it is off */
+  char admin_token[GBD_TOKEN_LENGTH_MAX + 1]; /**< empty if there is none */
+  const char *policy;              /**< a name that gbd_policy_find knows */
+  gbd_path_text_t tls_certificate; /**< all three or none are empty */
+  gbd_path_text_t tls_key;
+  gbd_path_text_t tls_authority;
+  bool insecure_links;
+  uint32_t heartbeat_ms;
+  uint32_t touch_timeout_ms;
+  uint32_t silence_timeout_ms;
+  uint32_t stop_forward_ms;
+  uint32_t cache_flows;
+  uint32_t registry_flows;
+  uint32_t teach_per_second;
+  uint32_t bucket_count;
+  int log_priority; /**< as syslog.h has it */
+  uint8_t group_key[GBD_GROUP_KEY_LENGTH];
+  bool has_group_key;
+  gbd_path_text_t group_key_file;
+  gbd_path_text_t admin_token_file;
+} gbd_settings_t;
+
+/** Told of each setting that is wrong.
+ *  @param setting its flag or variable
+ *  @param wrong   what is wrong with it
+ *  @param remedy  what to do */
+typedef void (*gbd_settings_report_t) (void *data, const char *setting,
+                                       const char *wrong, const char *remedy);
+
+/** Read and check all settings; --help prints them and ends the program.
+ *  @param argc, argv  flags that were understood are removed
+ *  @return GBD_OK, or GBD_ERROR_RANGE after at least one report. */
+gbd_status_t gbd_settings_read (int *argc, char ***argv,
+                                gbd_settings_t *settings,
+                                gbd_settings_report_t report, void *data);
+
+/** As gbd_settings_read, with event 102 for each report and a warning for
+ *  settings that are only fit for tests. */
+gbd_status_t gbd_settings_parse (int *argc, char ***argv,
+                                 gbd_settings_t *settings);
+
+/** Write the manual page in troff. */
+void gbd_settings_print_man (FILE *stream);
+
+#endif
--- /dev/null
+++ b/src/gooseberrydrum/settings_kinds.h
@@ -0,0 +1,21 @@
+/** @file settings_kinds.h
+ *  Kinds of values that settings have.
+ */
+#ifndef PROGRAM_SETTINGS_KINDS_H
+#define PROGRAM_SETTINGS_KINDS_H
+
+#include "settings_table.h"
+
+extern const gbd_setting_kind_t gbd_kind_name;
+extern const gbd_setting_kind_t gbd_kind_address;
+extern const gbd_setting_kind_t gbd_kind_optional_address; /**< or "off" */
+extern const gbd_setting_kind_t gbd_kind_number;
+extern const gbd_setting_kind_t gbd_kind_power_of_two;
+extern const gbd_setting_kind_t gbd_kind_flag;
+extern const gbd_setting_kind_t gbd_kind_file;
+extern const gbd_setting_kind_t gbd_kind_choice;
+extern const gbd_setting_kind_t gbd_kind_priority;
+extern const gbd_setting_kind_t gbd_kind_key;
+extern const gbd_setting_kind_t gbd_kind_token;
+
+#endif
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -17,6 +17,7 @@
   EVENT (STOPPING,       103, LOG_NOTICE,  "planned stop: forwarding for up to %u ms more") \
   EVENT (STOPPED,        104, LOG_NOTICE,  "stopped: %s") \
   EVENT (FATAL,          105, LOG_CRIT,    "cannot go on: %s") \
+  EVENT (INSECURE_LINKS, 106, LOG_WARNING, "links between instances run without TLS; give --tls-certificate, --tls-key and --tls-authority outside of tests") \
   EVENT (STANDIN_READY,  801, LOG_INFO,    "stand-in %s listens on %s") \
   EVENT (STANDIN_FAILED, 802, LOG_ERR,     "stand-in %s: %s")
 /* clang-format on */
--- /dev/null
+++ b/src/test_gooseberrydrum/test_settings.c
@@ -0,0 +1,326 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <syslog.h>
+#include <unistd.h>
+
+#include "gooseberrydrum/engine.h"
+#include "gooseberrydrum/settings.h"
+
+#define ARGUMENTS_MAX 32
+#define REPORTS_LENGTH 2048
+#define KEY "000102030405060708090a0b0c0d0e0f"
+
+/* Enough to start; each case adds to it. */
+static const char *const base[] = { "serve",
+                                    "--name=entry-1",
+                                    "--zone=recife-a",
+                                    "--platform=127.0.0.1:7100",
+                                    "--fabric-listen=127.0.0.1:7200",
+                                    "--peer-listen=127.0.0.1:7300",
+                                    "--link-listen=127.0.0.1:7400",
+                                    "--insecure-links" };
+#define BASE_COUNT (sizeof base / sizeof base[0])
+
+static char reports[REPORTS_LENGTH];
+static uint32_t report_count;
+
+static void
+report (void *data, const char *setting, const char *wrong, const char *remedy)
+{
+  (void)data;
+  size_t used = strlen (reports);
+  snprintf (reports + used, sizeof reports - used, "%s: %s; %s\n", setting,
+            wrong, remedy);
+  report_count++;
+}
+
+/* Read the base, without one flag if told so, and up to two flags more. */
+static gbd_status_t
+read_with (const char *without, const char *first, const char *second,
+           gbd_settings_t *settings)
+{
+  char *arguments[ARGUMENTS_MAX];
+  int count = 0;
+  for (size_t i = 0; i < BASE_COUNT; i++)
+    {
+      if (!without || strncmp (base[i], without, strlen (without)) != 0)
+        arguments[count++] = (char *)base[i];
+    }
+  if (first)
+    arguments[count++] = (char *)first;
+  if (second)
+    arguments[count++] = (char *)second;
+  arguments[count] = NULL;
+
+  char **argv = arguments;
+  reports[0] = '\0';
+  report_count = 0;
+  return gbd_settings_read (&count, &argv, settings, report, NULL);
+}
+
+static int
+set_key (void **state)
+{
+  (void)state;
+  return setenv ("GOOSEBERRYDRUM_GROUP_KEY", KEY, 1);
+}
+
+static void
+defaults_are_filled_in (void **state)
+{
+  (void)state;
+  gbd_settings_t settings;
+  assert_int_equal (read_with (NULL, NULL, NULL, &settings), GBD_OK);
+  assert_int_equal (report_count, 0);
+  assert_string_equal (settings.name, "entry-1");
+  assert_string_equal (settings.zone, "recife-a");
+  assert_string_equal (settings.group, "main");
+  assert_int_equal (settings.platform.port, 7100);
+  assert_int_equal (settings.admin_listen.port, 7480);
+  assert_string_equal (settings.policy, "keepers");
+  assert_non_null (gbd_policy_find (settings.policy));
+  assert_int_equal (settings.heartbeat_ms, 200);
+  assert_int_equal (settings.touch_timeout_ms, 700);
+  assert_int_equal (settings.silence_timeout_ms, 1000);
+  assert_int_equal (settings.stop_forward_ms, 3000);
+  assert_int_equal (settings.cache_flows, 1048576);
+  assert_int_equal (settings.registry_flows, 262144);
+  assert_int_equal (settings.teach_per_second, 50);
+  assert_int_equal (settings.bucket_count, 2048);
+  assert_int_equal (settings.log_priority, LOG_INFO);
+  assert_true (settings.insecure_links);
+  for (int i = 0; i < GBD_GROUP_KEY_LENGTH; i++)
+    assert_int_equal (settings.group_key[i], i);
+}
+
+static void
+a_flag_goes_before_a_variable (void **state)
+{
+  (void)state;
+  gbd_settings_t settings;
+  setenv ("GOOSEBERRYDRUM_HEARTBEAT_MS", "100", 1);
+  setenv ("GOOSEBERRYDRUM_ZONE", "salvador-a", 1);
+  setenv ("GOOSEBERRYDRUM_INSECURE_LINKS", "yes", 1);
+  assert_int_equal (read_with ("--insecure", "--log-level=debug",
+                               "--admin-listen=off", &settings),
+                    GBD_OK);
+  assert_int_equal (settings.heartbeat_ms, 100);
+  assert_string_equal (settings.zone, "recife-a");
+  assert_int_equal (settings.log_priority, LOG_DEBUG);
+  assert_int_equal (settings.admin_listen.family, 0);
+
+  setenv ("GOOSEBERRYDRUM_HEARTBEAT_MS", "soon", 1);
+  assert_int_equal (read_with (NULL, NULL, NULL, &settings), GBD_ERROR_RANGE);
+  assert_string_equal (
+      reports, "GOOSEBERRYDRUM_HEARTBEAT_MS: is not a whole number; give a "
+               "whole number from 20 to 10000 ms\n");
+  unsetenv ("GOOSEBERRYDRUM_HEARTBEAT_MS");
+  unsetenv ("GOOSEBERRYDRUM_ZONE");
+  unsetenv ("GOOSEBERRYDRUM_INSECURE_LINKS");
+}
+
+typedef struct
+{
+  const char *without;
+  const char *first;
+  const char *second;
+  const char *message; /**< the one report, from its beginning */
+} bad_case_t;
+
+static const bad_case_t bad_cases[] = {
+  { "--name", NULL, NULL, "name: is missing; give 1 to 63 of a-z, 0-9 and -" },
+  { NULL, "--name=", NULL, "--name: is empty; give" },
+  { NULL, "--name=Entry", NULL,
+    "--name: has a character that names may not have; give" },
+  { NULL, "--name=a/b", NULL,
+    "--name: has a character that names may not have; give" },
+  { NULL,
+    "--zone=0123456789012345678901234567890123456789012345678901234567890123",
+    NULL, "--zone: is too long; give" },
+  { "--platform", NULL, NULL, "platform: is missing; give an address" },
+  { NULL, "--platform=platform:80", NULL,
+    "--platform: is not an IP number with a port; give an address" },
+  { NULL, "--link-listen=127.0.0.1:0", NULL,
+    "--link-listen: is not an IP number with a port; give" },
+  { NULL, "--admin-listen=none", NULL,
+    "--admin-listen: is not an IP number with a port; give an address such "
+    "as 127.0.0.1:7480, or off" },
+  { NULL, "--admin-listen=10.0.0.1:80", NULL,
+    "admin-listen: is not a loopback address and there is no token; set "
+    "GOOSEBERRYDRUM_ADMIN_TOKEN" },
+  { NULL, "--heartbeat-ms=19", NULL,
+    "--heartbeat-ms: is out of range; give a whole number from 20 to 10000 "
+    "ms" },
+  { NULL, "--heartbeat-ms=99999999999999999999", NULL,
+    "--heartbeat-ms: is out of range; give" },
+  { NULL, "--heartbeat-ms=-200", NULL,
+    "--heartbeat-ms: is not a whole number; give" },
+  { NULL, "--heartbeat-ms=200ms", NULL,
+    "--heartbeat-ms: is not a whole number; give" },
+  { NULL, "--heartbeat-ms=400", NULL,
+    "touch-timeout-ms: is shorter than three heartbeats; raise" },
+  { NULL, "--touch-timeout-ms=1000", NULL,
+    "silence-timeout-ms: is not longer than --touch-timeout-ms; raise" },
+  { NULL, "--cache-flows=1000000", NULL,
+    "--cache-flows: is not a power of two; give a power of two from 1024" },
+  { NULL, "--bucket-count=8", NULL, "--bucket-count: is out of range; give" },
+  { NULL, "--policy=maglev", NULL,
+    "--policy: is not one of the choices; give one of keepers, modulo, "
+    "rendezvous, cached" },
+  { NULL, "--log-level=all", NULL,
+    "--log-level: is not one of the choices; give one of error, warning" },
+  { NULL, "--peer-listen=127.0.0.1:7200", NULL,
+    "peer-listen: is the same as --fabric-listen; choose another port" },
+  { NULL, "--admin-listen=127.0.0.1:7400", NULL,
+    "admin-listen: is the same as --link-listen; choose another port" },
+  { "--insecure", NULL, NULL, "tls-certificate: is missing; give" },
+  { "--insecure", "--tls-key=/dev/null", NULL,
+    "tls-certificate: is given without its companions; give" },
+  { NULL, "--tls-key=/no/such/file", NULL,
+    "--tls-key: names a file that cannot be read; give the path" },
+  { NULL, "--group-key-file=/dev/null", NULL,
+    "group-key-file: contradicts GOOSEBERRYDRUM_GROUP_KEY; remove" },
+  { NULL, "--admin-token-file=/dev/null", NULL,
+    "admin-token-file: has no first line; let its first line be 16 to 128" },
+  { NULL, "--group-key=" KEY, NULL,
+    "command line: Unknown option --group-key=" KEY "; `gooseberrydrum" },
+  { NULL, "--quiet", NULL, "command line: Unknown option --quiet; " },
+  { NULL, "now", NULL, "now: is not a flag; `gooseberrydrum serve --help`" },
+};
+
+static void
+bad_settings_name_the_remedy (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof bad_cases / sizeof bad_cases[0]; i++)
+    {
+      const bad_case_t *c = &bad_cases[i];
+      gbd_settings_t settings;
+      gbd_status_t status
+          = read_with (c->without, c->first, c->second, &settings);
+      bool is_as_expected
+          = status == GBD_ERROR_RANGE && report_count == 1
+            && strncmp (reports, c->message, strlen (c->message)) == 0;
+      if (!is_as_expected)
+        print_error ("expected \"%s\", got \"%s\"\n", c->message, reports);
+      assert_true (is_as_expected);
+    }
+}
+
+static void
+every_bad_setting_is_reported_at_once (void **state)
+{
+  (void)state;
+  gbd_settings_t settings;
+  assert_int_equal (
+      read_with ("--name", "--policy=x", "--bucket-count=3", &settings),
+      GBD_ERROR_RANGE);
+  assert_int_equal (report_count, 3);
+}
+
+static void
+secrets_are_checked (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *variable;
+    const char *value;
+    const char *message;
+  } cases[] = {
+    { "GOOSEBERRYDRUM_GROUP_KEY", NULL, "group-key: is missing; set" },
+    { "GOOSEBERRYDRUM_GROUP_KEY", "0001",
+      "GOOSEBERRYDRUM_GROUP_KEY: does not have 32 digits; give 32" },
+    { "GOOSEBERRYDRUM_GROUP_KEY", "000102030405060708090a0b0c0d0e0g",
+      "GOOSEBERRYDRUM_GROUP_KEY: has a character that is no hexadecimal" },
+    { "GOOSEBERRYDRUM_ADMIN_TOKEN", "short",
+      "GOOSEBERRYDRUM_ADMIN_TOKEN: is too short; give 16 to 128" },
+    { "GOOSEBERRYDRUM_ADMIN_TOKEN", "0123456789 0123456789",
+      "GOOSEBERRYDRUM_ADMIN_TOKEN: has a space" },
+  };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      gbd_settings_t settings;
+      set_key (NULL);
+      if (cases[i].value)
+        setenv (cases[i].variable, cases[i].value, 1);
+      else
+        unsetenv (cases[i].variable);
+      assert_int_equal (read_with (NULL, NULL, NULL, &settings),
+                        GBD_ERROR_RANGE);
+      assert_memory_equal (reports, cases[i].message,
+                           strlen (cases[i].message));
+      unsetenv ("GOOSEBERRYDRUM_ADMIN_TOKEN");
+    }
+  set_key (NULL);
+}
+
+static void
+secrets_are_read_from_files (void **state)
+{
+  (void)state;
+  char path[] = "/tmp/gooseberrydrum-test-XXXXXX";
+  char flag[64];
+  int fd = mkstemp (path);
+  assert_true (fd >= 0);
+  static const char line[] = KEY "\nanything\n";
+  assert_int_equal (write (fd, line, sizeof line - 1), sizeof line - 1);
+  close (fd);
+  snprintf (flag, sizeof flag, "--group-key-file=%s", path);
+  gbd_settings_t settings;
+  unsetenv ("GOOSEBERRYDRUM_GROUP_KEY");
+  assert_int_equal (read_with (NULL, flag, NULL, &settings), GBD_OK);
+  assert_int_equal (settings.group_key[15], 15);
+
+  snprintf (flag, sizeof flag, "--admin-token-file=%s", path);
+  set_key (NULL);
+  assert_int_equal (
+      read_with (NULL, flag, "--admin-listen=10.0.0.1:80", &settings), GBD_OK);
+  assert_string_equal (settings.admin_token, KEY);
+  unlink (path);
+}
+
+static void
+the_manual_page_is_up_to_date (void **state)
+{
+  (void)state;
+  char *page = NULL;
+  size_t length = 0;
+  FILE *stream = open_memstream (&page, &length);
+  assert_non_null (stream);
+  gbd_settings_print_man (stream);
+  fclose (stream);
+
+  /* One byte more than expected, to see a longer file. */
+  char *committed = calloc (1, length + 2);
+  FILE *file = fopen (GBD_DOCS "/gooseberrydrum.1", "r");
+  assert_non_null (file); /* `make man` writes it */
+  size_t read = fread (committed, 1, length + 1, file);
+  fclose (file);
+  assert_int_equal (read, length);
+  assert_string_equal (committed, page);
+  free (committed);
+  free (page);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (defaults_are_filled_in),
+    cmocka_unit_test (a_flag_goes_before_a_variable),
+    cmocka_unit_test (bad_settings_name_the_remedy),
+    cmocka_unit_test (every_bad_setting_is_reported_at_once),
+    cmocka_unit_test (secrets_are_checked),
+    cmocka_unit_test (secrets_are_read_from_files),
+    cmocka_unit_test (the_manual_page_is_up_to_date),
+  };
+  return cmocka_run_group_tests (tests, set_key, NULL);
+}
