--- a/include/gooseberrydrum/lists.h
+++ b/include/gooseberrydrum/lists.h
@@ -8,7 +8,9 @@
  *    "open_flows": N, "new_flows_per_second": N, "idle_limit_s": N,
  *    "balance_percent": N}, ...]}
  *
- *  All fields are required and there are no others.  A NAME has 1 to
+ *  Each list may also have "generation": N beside its array, the accepted
+ *  generation that the edit started from.  All other fields are required and
+ *  there are no others.  A NAME has 1 to
  *  GBD_NAME_MAX lower-case letters, digits or inner hyphens.  The ranges of
  *  the numbers are those of gbd_plan_t.
  */
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -24,13 +24,18 @@
 
 gbd_platform_t *gbd_platform_new (struct lws_context *context,
                                   const gbd_platform_settings_t *settings);
+/** Calls and watches under way end without a report.  Not to be called from a
+ *  report. */
 void gbd_platform_delete (gbd_platform_t *platform);
 
 /** Outcome of one call.
  *  @param status  GBD_OK; GBD_ERROR_NOT_FOUND; GBD_ERROR_CONFLICT with the
  *                 present version and value; GBD_ERROR_UNAVAILABLE when it
  *                 surely had no effect; GBD_ERROR_UNKNOWN when a write may
- *                 have had one; GBD_ERROR_FORMAT for garbage
+ *                 have had one, also after garbage; GBD_ERROR_FORMAT for
+ *                 garbage as the answer of a read; GBD_ERROR_RANGE for a
+ *                 value over the platform's limit; GBD_ERROR_STALE for a
+ *                 version older than one already seen
  *  @param version of the object
  *  @param value   borrowed for the call; NULL if there is none */
 typedef void (*gbd_platform_done_t) (void *data, gbd_status_t status,
--- a/src/libgooseberrydrum/lists.c
+++ b/src/libgooseberrydrum/lists.c
@@ -8,6 +8,9 @@
 
 #include "list_errors.h"
 
+/* Largest whole number that every JSON reader keeps. */
+#define GENERATION_MAX ((json_int_t)1 << 53)
+
 /* What the lists hold so far; values are borrowed or short texts. */
 typedef struct
 {
@@ -30,6 +33,7 @@
   void (*check) (check_t *, const field_t *, json_t *value);
   json_int_t least; /* of a number */
   json_int_t most;
+  bool is_optional;
 };
 
 static json_t *parse (check_t *check, gbd_list_t list, const char *text);
@@ -63,8 +67,10 @@
 
 #define FIELD_COUNT(fields) (sizeof (fields) / sizeof (fields)[0])
 
-static const field_t customers_fields[]
-    = { { .name = "customers", .check = check_customers } };
+static const field_t customers_fields[] = {
+  { .name = "customers", .check = check_customers },
+  { "generation", check_number, 0, GENERATION_MAX, true },
+};
 static const field_t customer_fields[] = {
   { .name = "name", .check = check_customer_name },
   { .name = "plan", .check = check_customer_plan },
@@ -74,15 +80,17 @@
   { .name = "service", .check = check_service_name },
   { .name = "addresses", .check = check_addresses },
 };
-static const field_t plans_fields[]
-    = { { .name = "plans", .check = check_plans } };
+static const field_t plans_fields[] = {
+  { .name = "plans", .check = check_plans },
+  { "generation", check_number, 0, GENERATION_MAX, true },
+};
 static const field_t plan_fields[] = {
   { .name = "name", .check = check_plan_name },
   { .name = "services", .check = check_plan_services },
-  { "open_flows", check_number, 1, 100000000 },
-  { "new_flows_per_second", check_number, 1, 10000000 },
-  { "idle_limit_s", check_number, 1, 604800 },
-  { "balance_percent", check_number, 0, 100 },
+  { "open_flows", check_number, 1, 100000000, false },
+  { "new_flows_per_second", check_number, 1, 10000000, false },
+  { "idle_limit_s", check_number, 1, 604800, false },
+  { "balance_percent", check_number, 0, 100, false },
 };
 
 gbd_status_t
@@ -189,7 +197,7 @@
       gbd_list_place_enter_key (&check->place, fields[i].name);
       if (value)
         fields[i].check (check, &fields[i], value);
-      else
+      else if (!fields[i].is_optional)
         gbd_list_errors_add (check->errors, &check->place,
                              "add it; docs/OPERATIONS.md lists the fields",
                              "the field is missing");
--- a/src/libgooseberrydrum/retry.c
+++ b/src/libgooseberrydrum/retry.c
@@ -140,10 +140,9 @@
     }
   if (breaker->failures < breaker->failures_max)
     breaker->failures++;
-  if (breaker->state == GBD_BREAKER_HALF_OPEN)
-    open_breaker (breaker, now);
-  else if (breaker->state == GBD_BREAKER_CLOSED
-           && breaker->failures == breaker->failures_max)
+  bool is_run_over = breaker->state == GBD_BREAKER_CLOSED
+                     && breaker->failures == breaker->failures_max;
+  if (breaker->state == GBD_BREAKER_HALF_OPEN || is_run_over)
     open_breaker (breaker, now);
 }
 
