Add counters and the HTTP server for operators

Operators need to see what an instance does, and why, without being able to change anything there.

GET /counters, /status, /dump and /explain?flow= answer from a table of functions; errors are JSON with a remedy. Without a token only a loopback address is accepted; the token is compared in constant time.

--- /dev/null
+++ b/src/gooseberrydrum/admin.c
@@ -0,0 +1,334 @@
+#include "admin.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "admin_response.h"
+
+#define TOKEN_LENGTH_MAX 128 /* characters */
+#define FLOW_LENGTH_MAX ((size_t)2 * GBD_ADDRESS_TEXT_MAX + 8)
+#define IDLE_TIMEOUT_S 5 /* of a connection between requests */
+
+/** What the vhost refers to; outlives the server, as the library destroys a
+ *  vhost later than it is told to. */
+typedef struct
+{
+  gbd_admin_t *admin; /* NULL once deleted */
+  char host[GBD_ADDRESS_TEXT_MAX];
+} owner_t;
+
+struct gbd_admin
+{
+  struct lws_vhost *vhost;
+  owner_t *owner;
+  gbd_admin_callbacks_t callbacks;
+  void *data;
+  char token[TOKEN_LENGTH_MAX + 1]; /* zero-padded; empty for none */
+  uint32_t responses;               /* under way */
+};
+
+/** Answer one path. */
+typedef struct
+{
+  const char *path;
+  void (*answer) (gbd_admin_t *admin, struct lws *wsi,
+                  gbd_admin_response_t *response);
+} route_t;
+
+static int handle (struct lws *wsi, enum lws_callback_reasons reason,
+                   void *user, void *in, size_t length);
+static int handle_request (gbd_admin_t *admin, struct lws *wsi,
+                           gbd_admin_response_t *response, const char *path);
+static void answer (gbd_admin_t *admin, struct lws *wsi,
+                    gbd_admin_response_t *response, const char *path);
+static void answer_counters (gbd_admin_t *admin, struct lws *wsi,
+                             gbd_admin_response_t *response);
+static void answer_status (gbd_admin_t *admin, struct lws *wsi,
+                           gbd_admin_response_t *response);
+static void answer_dump (gbd_admin_t *admin, struct lws *wsi,
+                         gbd_admin_response_t *response);
+static void answer_explain (gbd_admin_t *admin, struct lws *wsi,
+                            gbd_admin_response_t *response);
+static bool is_authorized (const gbd_admin_t *admin, struct lws *wsi);
+static bool is_loopback (const gbd_address_t *address);
+static struct lws_vhost *make_vhost (struct lws_context *context,
+                                     const gbd_admin_settings_t *settings,
+                                     owner_t *owner);
+static void free_owner (struct lws_vhost *vhost, void *owner);
+
+static const struct lws_protocols protocols[] = {
+  { "gooseberrydrum-admin", handle, sizeof (gbd_admin_response_t), 0, 0, NULL,
+    0 },
+  { NULL, NULL, 0, 0, 0, NULL, 0 },
+};
+
+static const route_t routes[] = {
+  { "/counters", answer_counters },
+  { "/status", answer_status },
+  { "/dump", answer_dump },
+  { "/explain", answer_explain },
+};
+
+gbd_admin_t *
+gbd_admin_new (struct lws_context *context,
+               const gbd_admin_settings_t *settings,
+               const gbd_admin_callbacks_t *callbacks, void *data,
+               const char **error)
+{
+  const char *token = settings->token ? settings->token : "";
+  if (strlen (token) > TOKEN_LENGTH_MAX)
+    {
+      *error = "the admin token is longer than 128 characters; shorten it";
+      return NULL;
+    }
+  if (!token[0] && !is_loopback (&settings->listen))
+    {
+      *error = "the admin address is not a loopback address; set an admin "
+               "token";
+      return NULL;
+    }
+
+  gbd_admin_t *admin = calloc (1, sizeof *admin);
+  owner_t *owner = calloc (1, sizeof *owner);
+  if (!admin || !owner)
+    {
+      *error = "no memory for the admin server; raise the memory limit";
+      goto fail;
+    }
+  admin->owner = owner;
+  admin->callbacks = *callbacks;
+  admin->data = data;
+  snprintf (admin->token, sizeof admin->token, "%s", token);
+  owner->admin = admin;
+  admin->vhost = make_vhost (context, settings, owner);
+  if (admin->vhost)
+    return admin;
+  /* The library has freed the owner with the vhost that it gave up. */
+  owner = NULL;
+  *error = "cannot listen for operators; choose a free address of this "
+           "instance with --admin-listen, and check the certificate files";
+
+fail:
+  free (owner);
+  free (admin);
+  return NULL;
+}
+
+void
+gbd_admin_delete (gbd_admin_t *admin)
+{
+  if (!admin)
+    return;
+  admin->owner->admin = NULL;
+  lws_vhost_destroy (admin->vhost);
+  free (admin);
+}
+
+gbd_status_t
+gbd_flow_parse (const char *text, gbd_flow_t *flow)
+{
+  char caller[GBD_ADDRESS_TEXT_MAX];
+  const char *dash = strchr (text, '-');
+  size_t length = dash ? (size_t)(dash - text) : 0;
+  if (!dash || length >= sizeof caller)
+    return GBD_ERROR_FORMAT;
+  memcpy (caller, text, length);
+  caller[length] = '\0';
+  if (gbd_address_parse (caller, &flow->caller) != GBD_OK
+      || gbd_address_parse (dash + 1, &flow->service) != GBD_OK
+      || flow->caller.family != flow->service.family)
+    return GBD_ERROR_FORMAT;
+  return GBD_OK;
+}
+
+static int
+handle (struct lws *wsi, enum lws_callback_reasons reason, void *user,
+        void *in, size_t length)
+{
+  (void)length;
+  gbd_admin_response_t *response = user;
+  struct lws_vhost *vhost = lws_get_vhost (wsi);
+  const owner_t *owner = vhost ? lws_vhost_user (vhost) : NULL;
+  gbd_admin_t *admin = owner ? owner->admin : NULL;
+  switch (reason)
+    {
+    case LWS_CALLBACK_HTTP:
+      return admin ? handle_request (admin, wsi, response, in) : -1;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+      return gbd_admin_response_write (response, wsi);
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+    case LWS_CALLBACK_HTTP_BODY:
+      return 0;
+    case LWS_CALLBACK_CLOSED_HTTP:
+    case LWS_CALLBACK_HTTP_DROP_PROTOCOL:
+      if (response && response->is_counted && admin)
+        admin->responses--;
+      if (response)
+        gbd_admin_response_clear (response);
+      return 0;
+    default:
+      return 0;
+    }
+}
+
+static int
+handle_request (gbd_admin_t *admin, struct lws *wsi,
+                gbd_admin_response_t *response, const char *path)
+{
+  /* A second request on one connection. */
+  bool was_counted = response->is_counted;
+  gbd_admin_response_clear (response);
+  response->is_counted = was_counted;
+  if (!was_counted && admin->responses == GBD_ADMIN_RESPONSES_MAX)
+    gbd_admin_response_fail (response, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                             "too many requests at one time", "try again");
+  else
+    {
+      if (!was_counted)
+        admin->responses++;
+      response->is_counted = true;
+      answer (admin, wsi, response, path);
+    }
+  return gbd_admin_response_start (response, wsi);
+}
+
+static void
+answer (gbd_admin_t *admin, struct lws *wsi, gbd_admin_response_t *response,
+        const char *path)
+{
+  if (!is_authorized (admin, wsi))
+    {
+      gbd_admin_response_fail (response, HTTP_STATUS_UNAUTHORIZED,
+                               "the admin token is missing or wrong",
+                               "send Authorization: Bearer TOKEN");
+      return;
+    }
+  if (lws_hdr_total_length (wsi, WSI_TOKEN_GET_URI) <= 0)
+    {
+      gbd_admin_response_fail (response, HTTP_STATUS_METHOD_NOT_ALLOWED,
+                               "nothing can be changed here",
+                               "use GET; change the lists to change anything");
+      return;
+    }
+  for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
+    {
+      if (strcmp (routes[i].path, path) == 0)
+        {
+          routes[i].answer (admin, wsi, response);
+          return;
+        }
+    }
+  gbd_admin_response_fail (response, HTTP_STATUS_NOT_FOUND, "no such path",
+                           "use /counters, /status, /dump or /explain?flow=");
+}
+
+static void
+answer_counters (gbd_admin_t *admin, struct lws *wsi,
+                 gbd_admin_response_t *response)
+{
+  (void)wsi;
+  gbd_admin_response_set_text (response,
+                               admin->callbacks.counters (admin->data));
+}
+
+static void
+answer_status (gbd_admin_t *admin, struct lws *wsi,
+               gbd_admin_response_t *response)
+{
+  (void)wsi;
+  gbd_admin_response_set_json (response,
+                               admin->callbacks.status (admin->data));
+}
+
+static void
+answer_dump (gbd_admin_t *admin, struct lws *wsi,
+             gbd_admin_response_t *response)
+{
+  (void)wsi;
+  gbd_admin_response_set_json (response, admin->callbacks.dump (admin->data));
+}
+
+static void
+answer_explain (gbd_admin_t *admin, struct lws *wsi,
+                gbd_admin_response_t *response)
+{
+  char text[FLOW_LENGTH_MAX] = "";
+  gbd_flow_t flow;
+  const char *found = lws_get_urlarg_by_name (wsi, "flow=", text, sizeof text);
+  if (!found || gbd_flow_parse (found, &flow) != GBD_OK)
+    {
+      gbd_admin_response_fail (
+          response, HTTP_STATUS_BAD_REQUEST, "no flow given",
+          "use /explain?flow=CALLER-SERVICE, as 10.0.0.1:1234-10.1.0.1:443");
+      return;
+    }
+  json_t *explanation = admin->callbacks.explain (admin->data, &flow);
+  if (!explanation)
+    gbd_admin_response_fail (response, HTTP_STATUS_NOT_FOUND,
+                             "no service has this address",
+                             "compare it with `gooseberrydrum customers get`");
+  else
+    gbd_admin_response_set_json (response, explanation);
+}
+
+/* Both buffers are compared whole, so that the time tells nothing. */
+static bool
+is_authorized (const gbd_admin_t *admin, struct lws *wsi)
+{
+  static const char scheme[] = "Bearer ";
+  char header[sizeof scheme + TOKEN_LENGTH_MAX] = "";
+  char expected[sizeof scheme + TOKEN_LENGTH_MAX] = "";
+  if (!admin->token[0])
+    return true;
+  snprintf (expected, sizeof expected, "%s%s", scheme, admin->token);
+  int length = lws_hdr_copy (wsi, header, sizeof header,
+                             WSI_TOKEN_HTTP_AUTHORIZATION);
+  return length > 0
+         && lws_timingsafe_bcmp (header, expected, sizeof header) == 0;
+}
+
+static bool
+is_loopback (const gbd_address_t *address)
+{
+  static const uint8_t ipv6[16] = { [15] = 1 };
+  if (address->family == 4)
+    return address->ip[0] == 127;
+  return memcmp (address->ip, ipv6, sizeof ipv6) == 0;
+}
+
+static struct lws_vhost *
+make_vhost (struct lws_context *context, const gbd_admin_settings_t *settings,
+            owner_t *owner)
+{
+  const gbd_address_t *listen = &settings->listen;
+  inet_ntop (listen->family == 6 ? AF_INET6 : AF_INET, listen->ip, owner->host,
+             sizeof owner->host);
+  struct lws_context_creation_info info = {
+    .vhost_name = "admin",
+    .iface = owner->host,
+    .port = listen->port,
+    .protocols = protocols,
+    .user = owner,
+    .finalize = free_owner,
+    .finalize_arg = owner,
+    .timeout_secs = IDLE_TIMEOUT_S,
+    .keepalive_timeout = IDLE_TIMEOUT_S,
+    .alpn = "http/1.1",
+    .ssl_cert_filepath = settings->certificate,
+    .ssl_private_key_filepath = settings->key,
+    .options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND,
+  };
+  if (listen->family == 4)
+    info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
+  if (settings->certificate)
+    info.options |= LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT;
+  return lws_create_vhost (context, &info);
+}
+
+static void
+free_owner (struct lws_vhost *vhost, void *owner)
+{
+  (void)vhost;
+  free (owner);
+}
--- /dev/null
+++ b/src/test_gooseberrydrum/test_admin.c
@@ -0,0 +1,358 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "gooseberrydrum/admin.h"
+
+#define ROUNDS_MAX 20000
+#define RESPONSE_LENGTH_MAX (1 << 16)
+#define TOKEN "0123456789abcdef"
+#define LARGE_LENGTH (8 << 20) /* more than socket buffers hold */
+
+static struct lws_context *context;
+static gbd_admin_t *admin;
+static gbd_address_t listen_address;
+static char explained[2 * GBD_ADDRESS_TEXT_MAX];
+static bool is_dump_large;
+
+static char *
+get_counters (void *data)
+{
+  return strdup (data);
+}
+
+static json_t *
+get_status (void *data)
+{
+  return json_pack ("{s:s}", "status", data);
+}
+
+static json_t *
+get_dump (void *data)
+{
+  if (!is_dump_large)
+    return json_pack ("{s:s}", "dump", data);
+  char *text = calloc (1, LARGE_LENGTH + 1);
+  assert_non_null (text);
+  memset (text, 'x', LARGE_LENGTH);
+  json_t *dump = json_pack ("{s:s}", "dump", text);
+  free (text);
+  return dump;
+}
+
+static json_t *
+get_explanation (void *data, const gbd_flow_t *flow)
+{
+  char service[GBD_ADDRESS_TEXT_MAX];
+  (void)data;
+  gbd_address_format (&flow->caller, explained);
+  gbd_address_format (&flow->service, service);
+  strcat (strcat (explained, " "), service);
+  return flow->service.port == 443 ? json_pack ("{s:s}", "rule", "bucket")
+                                   : NULL;
+}
+
+static const gbd_admin_callbacks_t callbacks
+    = { get_counters, get_status, get_dump, get_explanation };
+
+static void
+choose_address (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  getsockname (fd, (struct sockaddr *)&address, &length);
+  close (fd);
+  memset (&listen_address, 0, sizeof listen_address);
+  listen_address.family = 4;
+  listen_address.port = ntohs (address.sin_port);
+  memcpy (listen_address.ip, "\x7f\0\0\1", 4);
+}
+
+static void
+start (const char *token)
+{
+  struct lws_context_creation_info info
+      = { .port = CONTEXT_PORT_NO_LISTEN,
+          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS };
+  const char *error = NULL;
+  lws_set_log_level (0, NULL);
+  choose_address ();
+  gbd_admin_settings_t settings = { .listen = listen_address, .token = token };
+  context = lws_create_context (&info);
+  assert_non_null (context);
+  admin = gbd_admin_new (context, &settings, &callbacks, "some", &error);
+  assert_non_null (admin);
+}
+
+static int
+set_up (void **state)
+{
+  (void)state;
+  is_dump_large = false;
+  start (NULL);
+  return 0;
+}
+
+static int
+set_up_with_token (void **state)
+{
+  (void)state;
+  start (TOKEN);
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void)state;
+  gbd_admin_delete (admin);
+  lws_context_destroy (context);
+  return 0;
+}
+
+static int
+dial (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  address.sin_port = htons (listen_address.port);
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (connect (fd, (struct sockaddr *)&address, sizeof address),
+                    0);
+  fcntl (fd, F_SETFL, O_NONBLOCK);
+  return fd;
+}
+
+static void
+send_request (int fd, const char *method, const char *target,
+              const char *header)
+{
+  char request[1024];
+  int length = snprintf (request, sizeof request,
+                         "%s %s HTTP/1.1\r\nHost: a\r\n%s"
+                         "Connection: close\r\n\r\n",
+                         method, target, header);
+  assert_int_equal (send (fd, request, (size_t)length, MSG_NOSIGNAL), length);
+}
+
+/* Read until the other side closes; fails after ROUNDS_MAX rounds. */
+static size_t
+read_response (int fd, char *response, size_t size)
+{
+  size_t used = 0;
+  size_t total = 0;
+  char bytes[4096];
+  for (int i = 0; i < ROUNDS_MAX; i++)
+    {
+      lws_service (context, -1);
+      ssize_t count = recv (fd, bytes, sizeof bytes, 0);
+      if (count == 0 || (count < 0 && errno != EAGAIN))
+        {
+          response[used] = '\0';
+          return total;
+        }
+      if (count < 0)
+        {
+          usleep (i > 100 ? 200 : 0);
+          continue;
+        }
+      size_t room = size - 1 - used;
+      size_t kept = (size_t)count < room ? (size_t)count : room;
+      memcpy (response + used, bytes, kept);
+      used += kept;
+      total += (size_t)count;
+    }
+  fail_msg ("no end of the response");
+  return 0;
+}
+
+typedef struct
+{
+  const char *method;
+  const char *target;
+  const char *header;
+  const char *status;
+  const char *content; /* somewhere in the response */
+} request_case_t;
+
+static void
+check_cases (const request_case_t *cases, size_t count)
+{
+  static char response[RESPONSE_LENGTH_MAX];
+  for (size_t i = 0; i < count; i++)
+    {
+      int fd = dial ();
+      send_request (fd, cases[i].method, cases[i].target, cases[i].header);
+      read_response (fd, response, sizeof response);
+      close (fd);
+      bool is_as_expected = strstr (response, cases[i].status) == response
+                            && strstr (response, cases[i].content);
+      if (!is_as_expected)
+        print_error ("%s %s (%s): \"%s\"\n", cases[i].method, cases[i].target,
+                     cases[i].header, response);
+      assert_true (is_as_expected);
+    }
+}
+
+static void
+paths_answer (void **state)
+{
+  (void)state;
+  static const request_case_t cases[] = {
+    { "GET", "/counters", "", "HTTP/1.1 200", "\r\n\r\nsome" },
+    { "GET", "/status", "", "HTTP/1.1 200", "\"status\": \"some\"" },
+    { "GET", "/dump", "", "HTTP/1.1 200", "\"dump\": \"some\"" },
+    { "GET", "/dump", "", "HTTP/1.1 200", "no-store" },
+    { "GET", "/", "", "HTTP/1.1 404", "use /counters" },
+    { "GET", "/dumps", "", "HTTP/1.1 404", "use /counters" },
+    { "POST", "/status", "Content-Length: 0\r\n", "HTTP/1.1 405", "use GET" },
+    { "PUT", "/status", "Content-Length: 0\r\n", "HTTP/1.1 405", "use GET" },
+    { "DELETE", "/status", "", "HTTP/1.1 405", "use GET" },
+    { "GET", "/explain?flow=10.0.0.1:1234-10.1.0.1:443", "", "HTTP/1.1 200",
+      "\"rule\": \"bucket\"" },
+    { "GET", "/explain?flow=10.0.0.1:1234-10.1.0.1:80", "", "HTTP/1.1 404",
+      "customers get" },
+    { "GET", "/explain", "", "HTTP/1.1 400", "CALLER-SERVICE" },
+    { "GET", "/explain?flow=", "", "HTTP/1.1 400", "CALLER-SERVICE" },
+    { "GET", "/explain?flow=10.0.0.1:1234", "", "HTTP/1.1 400", "CALLER" },
+    { "GET", "/explain?flow=10.0.0.1:1234-[::1]:443", "", "HTTP/1.1 400",
+      "CALLER" },
+    { "GET", "/explain?flow=10.0.0.1:0-10.1.0.1:443", "", "HTTP/1.1 400",
+      "CALLER" },
+    { "GET", "/explain?flow=%5B2001:db8::1%5D:9-%5B2001:db8::2%5D:443", "",
+      "HTTP/1.1 200", "rule" },
+  };
+  check_cases (cases, sizeof cases / sizeof cases[0]);
+  assert_string_equal (explained, "[2001:db8::1]:9 [2001:db8::2]:443");
+}
+
+static void
+a_token_is_required_whole (void **state)
+{
+  (void)state;
+  static const request_case_t cases[] = {
+    { "GET", "/status", "Authorization: Bearer " TOKEN "\r\n", "HTTP/1.1 200",
+      "some" },
+    { "GET", "/status", "", "HTTP/1.1 401", "Bearer TOKEN" },
+    { "GET", "/none", "", "HTTP/1.1 401", "Bearer TOKEN" },
+    { "GET", "/status", "Authorization: Bearer\r\n", "HTTP/1.1 401", "Bear" },
+    { "GET", "/status", "Authorization: " TOKEN "\r\n", "HTTP/1.1 401",
+      "Bear" },
+    { "GET", "/status", "Authorization: Bearer 0123456789abcde\r\n",
+      "HTTP/1.1 401", "Bearer" },
+    { "GET", "/status", "Authorization: Bearer " TOKEN "0\r\n", "HTTP/1.1 401",
+      "Bearer" },
+    { "GET", "/status", "Authorization: Basic " TOKEN "\r\n", "HTTP/1.1 401",
+      "Bearer" },
+  };
+  check_cases (cases, sizeof cases / sizeof cases[0]);
+}
+
+static void
+only_loopback_goes_without_a_token (void **state)
+{
+  (void)state;
+  gbd_admin_settings_t settings = { 0 };
+  const char *error = NULL;
+  assert_int_equal (gbd_address_parse ("0.0.0.0:7480", &settings.listen),
+                    GBD_OK);
+  assert_null (gbd_admin_new (context, &settings, &callbacks, NULL, &error));
+  assert_non_null (strstr (error, "set an admin token"));
+}
+
+static void
+a_large_response_arrives_whole (void **state)
+{
+  (void)state;
+  static char response[RESPONSE_LENGTH_MAX];
+  is_dump_large = true;
+  int fd = dial ();
+  send_request (fd, "GET", "/dump", "");
+  assert_true (read_response (fd, response, sizeof response) > LARGE_LENGTH);
+  close (fd);
+}
+
+/* Readers that stop hold a bounded number of responses, and end. */
+static void
+slow_readers_are_bounded (void **state)
+{
+  (void)state;
+  static char response[RESPONSE_LENGTH_MAX];
+  int slow[GBD_ADMIN_RESPONSES_MAX];
+  is_dump_large = true;
+  for (int i = 0; i < GBD_ADMIN_RESPONSES_MAX; i++)
+    {
+      slow[i] = dial ();
+      send_request (slow[i], "GET", "/dump", "");
+      for (int j = 0; j < 50; j++)
+        lws_service (context, -1);
+    }
+  int fd = dial ();
+  send_request (fd, "GET", "/status", "");
+  read_response (fd, response, sizeof response);
+  assert_ptr_equal (strstr (response, "HTTP/1.1 503"), response);
+  close (fd);
+
+  for (int i = 0; i < GBD_ADMIN_RESPONSES_MAX; i++)
+    close (slow[i]);
+  for (int i = 0; i < 200; i++)
+    lws_service (context, -1);
+  fd = dial ();
+  send_request (fd, "GET", "/status", "");
+  read_response (fd, response, sizeof response);
+  assert_ptr_equal (strstr (response, "HTTP/1.1 200"), response);
+  close (fd);
+}
+
+static void
+hostile_requests_end (void **state)
+{
+  (void)state;
+  static char long_request[20000];
+  static char response[RESPONSE_LENGTH_MAX];
+  memset (long_request, 'a', sizeof long_request - 1);
+  memcpy (long_request, "GET /", 5);
+  static const char *const requests[]
+      = { "\r\n\r\n", "\x16\x03\x01\x02\x00\x01\r\n\r\n", "GET\r\n\r\n",
+          "GET /\xff\xff HTTP/1.0\r\n\r\n", long_request };
+  for (size_t i = 0; i < sizeof requests / sizeof requests[0]; i++)
+    {
+      int fd = dial ();
+      size_t length = strlen (requests[i]);
+      assert_true (send (fd, requests[i], length, MSG_NOSIGNAL) > 0);
+      shutdown (fd, SHUT_WR);
+      read_response (fd, response, sizeof response);
+      assert_null (strstr (response, "some"));
+      close (fd);
+    }
+}
+
+int
+main (void)
+{
+#define ADMIN_TEST(test)                                                      \
+  cmocka_unit_test_setup_teardown (test, set_up, tear_down)
+  const struct CMUnitTest tests[] = {
+    ADMIN_TEST (paths_answer),
+    cmocka_unit_test_setup_teardown (a_token_is_required_whole,
+                                     set_up_with_token, tear_down),
+    ADMIN_TEST (only_loopback_goes_without_a_token),
+    ADMIN_TEST (a_large_response_arrives_whole),
+    ADMIN_TEST (slow_readers_are_bounded),
+    ADMIN_TEST (hostile_requests_end),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
