--- /dev/null
+++ b/src/gooseberrydrum/platform_client.c
@@ -0,0 +1,437 @@
+#include "platform_private.h"
+
+#include <string.h>
+
+#define CALL_TIMEOUT_MS 2000
+/* Below the time after which libwebsockets gives up an answer. */
+#define WATCH_WAIT_MS_MAX 10000
+#define ATTEMPTS_MAX 4
+#define VALUE_BYTES_MAX 1048576
+#define BREAKER_FAILURES 5
+#define BREAKER_FIRST_PAUSE (250 * GBD_MILLISECOND)
+#define BUDGET_TOKENS (10 * GBD_RETRY_COST)
+#define BUDGET_FREE_PER_SECOND 1
+
+typedef enum
+{
+  CALL_RUNNING,
+  CALL_WAITING, /* for its next attempt */
+  CALL_ENDING   /* its outcome is reported at the next tick */
+} call_state_t;
+
+typedef struct
+{
+  gbd_platform_t *platform;
+  call_state_t state;
+  bool is_write;
+  const char *method;
+  char *kind;
+  char *name;
+  char *path;
+  gbd_http_call_t *http_call;
+  gbd_time_t due; /* time-out, or next attempt */
+  gbd_backoff_t backoff;
+  gbd_status_t status; /* while CALL_ENDING */
+  gbd_platform_done_t done;
+  void *data;
+} call_t;
+
+/* What an HTTP status means for a read and for a write. */
+typedef struct
+{
+  int http_status;
+  gbd_status_t read;
+  gbd_status_t write;
+  bool is_failure;
+} meaning_t;
+
+static const meaning_t meanings[] = {
+  { 200, GBD_OK, GBD_OK, false },
+  { 400, GBD_ERROR_FORMAT, GBD_ERROR_FORMAT, false },
+  { 404, GBD_ERROR_NOT_FOUND, GBD_ERROR_NOT_FOUND, false },
+  { 409, GBD_ERROR_CONFLICT, GBD_ERROR_CONFLICT, false },
+  { 410, GBD_ERROR_STALE, GBD_ERROR_STALE, false },
+  { 413, GBD_ERROR_RANGE, GBD_ERROR_RANGE, false },
+  { 429, GBD_ERROR_UNAVAILABLE, GBD_ERROR_UNAVAILABLE, true },
+  { 503, GBD_ERROR_UNAVAILABLE, GBD_ERROR_UNAVAILABLE, true },
+};
+static const meaning_t unknown_meaning
+    = { 0, GBD_ERROR_UNAVAILABLE, GBD_ERROR_UNKNOWN, true };
+
+static call_t *call_new (gbd_platform_t *platform, const char *method,
+                         const char *kind, const char *name, gbd_time_t now,
+                         gbd_platform_done_t done, void *data);
+static void call_free (gpointer data);
+static void attempt (call_t *call, char *body);
+static void fail_attempt (call_t *call, gbd_status_t status);
+static void end_later (call_t *call, gbd_status_t status);
+static void report (call_t *call, gbd_status_t status, uint64_t version,
+                    json_t *value);
+static void receive (void *data, const gbd_http_answer_t *answer);
+static void tick_call (call_t *call);
+static void read_body (const gbd_http_answer_t *answer, bool is_write,
+                       gbd_platform_result_t *result);
+static const meaning_t *find_meaning (int http_status);
+static char *make_path (const char *kind, const char *name);
+
+gbd_platform_t *
+gbd_platform_new (struct lws_context *context,
+                  const gbd_platform_settings_t *settings)
+{
+  gbd_http_t *http = gbd_http_new (context, &settings->platform);
+  if (!http)
+    return NULL;
+  gbd_platform_t *platform = g_new0 (gbd_platform_t, 1);
+  platform->settings = *settings;
+  if (!platform->settings.call_timeout_ms)
+    platform->settings.call_timeout_ms = CALL_TIMEOUT_MS;
+  platform->settings.watch_wait_ms
+      = MIN (settings->watch_wait_ms, WATCH_WAIT_MS_MAX);
+  platform->http = http;
+  platform->seeds = settings->random_seed;
+  platform->calls = g_ptr_array_new ();
+  platform->watches = g_ptr_array_new ();
+  platform->seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gbd_breaker_init (&platform->breaker, BREAKER_FAILURES, BREAKER_FIRST_PAUSE,
+                    GBD_PLATFORM_BACKOFF_LONGEST,
+                    platform->settings.call_timeout_ms * GBD_MILLISECOND,
+                    platform->seeds++);
+  gbd_retry_budget_init (&platform->budget, BUDGET_TOKENS,
+                         BUDGET_FREE_PER_SECOND, 0);
+  return platform;
+}
+
+void
+gbd_platform_delete (gbd_platform_t *platform)
+{
+  if (!platform)
+    return;
+  for (guint i = 0; i < platform->calls->len; i++)
+    call_free (g_ptr_array_index (platform->calls, i));
+  while (platform->watches->len > 0)
+    gbd_platform_watch_delete (g_ptr_array_index (platform->watches, 0));
+  g_ptr_array_free (platform->calls, TRUE);
+  g_ptr_array_free (platform->watches, TRUE);
+  g_hash_table_destroy (platform->seen);
+  gbd_http_delete (platform->http);
+  g_free (platform);
+}
+
+void
+gbd_platform_get (gbd_platform_t *platform, const char *kind, const char *name,
+                  gbd_time_t now, gbd_platform_done_t done, void *data)
+{
+  call_t *call = call_new (platform, "GET", kind, name, now, done, data);
+  call->path = make_path (kind, name);
+  attempt (call, NULL);
+}
+
+void
+gbd_platform_put (gbd_platform_t *platform, const char *kind, const char *name,
+                  uint64_t version, json_t *value, gbd_time_t now,
+                  gbd_platform_done_t done, void *data)
+{
+  call_t *call = call_new (platform, "PUT", kind, name, now, done, data);
+  call->is_write = true;
+  char *object_path = make_path (kind, name);
+  call->path = g_strdup_printf ("%s?version=%" G_GUINT64_FORMAT, object_path,
+                                version);
+  g_free (object_path);
+
+  char *body = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
+  if (body && strlen (body) <= VALUE_BYTES_MAX)
+    {
+      attempt (call, body);
+      return;
+    }
+  end_later (call, body ? GBD_ERROR_RANGE : GBD_ERROR_FORMAT);
+  g_free (body);
+}
+
+void
+gbd_platform_remove (gbd_platform_t *platform, const char *kind,
+                     const char *name, uint64_t version, gbd_time_t now,
+                     gbd_platform_done_t done, void *data)
+{
+  call_t *call = call_new (platform, "DELETE", kind, name, now, done, data);
+  call->is_write = true;
+  char *object_path = make_path (kind, name);
+  call->path = g_strdup_printf ("%s?version=%" G_GUINT64_FORMAT, object_path,
+                                version);
+  g_free (object_path);
+  attempt (call, NULL);
+}
+
+void
+gbd_platform_tick (gbd_platform_t *platform, gbd_time_t now)
+{
+  platform->now = now;
+  /* A call ends only by its own report, so the copy stays valid; calls that
+     a report starts wait for the next tick. */
+  GPtrArray *calls = g_ptr_array_copy (platform->calls, NULL, NULL);
+  for (guint i = 0; i < calls->len; i++)
+    tick_call (g_ptr_array_index (calls, i));
+  g_ptr_array_free (calls, TRUE);
+  for (guint i = 0; i < platform->watches->len; i++)
+    gbd_platform_watch_tick (g_ptr_array_index (platform->watches, i));
+}
+
+void
+gbd_platform_get_stats (const gbd_platform_t *platform,
+                        gbd_platform_stats_t *stats)
+{
+  *stats = platform->stats;
+  stats->bytes_sent = gbd_http_get_bytes_sent (platform->http);
+  stats->bytes_received = gbd_http_get_bytes_received (platform->http);
+  stats->is_open = gbd_breaker_get_state (&platform->breaker, platform->now)
+                   == GBD_BREAKER_OPEN;
+}
+
+void
+gbd_platform_judge (gbd_platform_t *platform, const gbd_http_answer_t *answer,
+                    bool is_write, gbd_platform_result_t *result)
+{
+  memset (result, 0, sizeof *result);
+  if (answer->outcome == GBD_HTTP_ANSWERED)
+    read_body (answer, is_write, result);
+  else
+    {
+      bool is_unknown = is_write && answer->outcome == GBD_HTTP_CUT;
+      result->status = is_unknown ? GBD_ERROR_UNKNOWN : GBD_ERROR_UNAVAILABLE;
+      result->is_failure = true;
+    }
+  if (result->is_failure)
+    platform->stats.failures++;
+  gbd_breaker_report (&platform->breaker, !result->is_failure, platform->now);
+}
+
+gbd_http_call_t *
+gbd_platform_start (gbd_platform_t *platform, const char *method,
+                    const char *path, char *body, gbd_http_done_t done,
+                    void *data)
+{
+  if (!gbd_breaker_allow (&platform->breaker, platform->now))
+    {
+      g_free (body);
+      return NULL;
+    }
+  platform->stats.calls++;
+  gbd_http_call_t *http_call
+      = gbd_http_start (platform->http, method, path, body, done, data);
+  if (http_call)
+    return http_call;
+  platform->stats.failures++;
+  gbd_breaker_report (&platform->breaker, false, platform->now);
+  return NULL;
+}
+
+bool
+gbd_platform_spend_retry (gbd_platform_t *platform)
+{
+  if (!gbd_retry_budget_spend (&platform->budget, platform->now))
+    {
+      platform->stats.retries_refused++;
+      return false;
+    }
+  platform->stats.retries++;
+  return true;
+}
+
+gbd_status_t
+gbd_platform_time_out (gbd_platform_t *platform, gbd_http_call_t *http_call,
+                       bool is_write)
+{
+  gbd_http_outcome_t outcome = gbd_http_cancel (http_call);
+  platform->stats.failures++;
+  gbd_breaker_report (&platform->breaker, false, platform->now);
+  return is_write && outcome == GBD_HTTP_CUT ? GBD_ERROR_UNKNOWN
+                                             : GBD_ERROR_UNAVAILABLE;
+}
+
+bool
+gbd_platform_note_version (gbd_platform_t *platform, const char *kind,
+                           const char *name, uint64_t version)
+{
+  char *key = g_strconcat (kind, "/", name, NULL);
+  const uint64_t *seen = g_hash_table_lookup (platform->seen, key);
+  if (seen && *seen > version)
+    {
+      g_free (key);
+      return false;
+    }
+  uint64_t *copy = g_new (uint64_t, 1);
+  *copy = version;
+  g_hash_table_replace (platform->seen, key, copy);
+  return true;
+}
+
+static call_t *
+call_new (gbd_platform_t *platform, const char *method, const char *kind,
+          const char *name, gbd_time_t now, gbd_platform_done_t done,
+          void *data)
+{
+  call_t *call = g_new0 (call_t, 1);
+  platform->now = MAX (platform->now, now);
+  call->platform = platform;
+  call->method = method;
+  call->kind = g_strdup (kind);
+  call->name = g_strdup (name);
+  call->done = done;
+  call->data = data;
+  gbd_backoff_init (&call->backoff, GBD_PLATFORM_BACKOFF_FIRST,
+                    GBD_PLATFORM_BACKOFF_LONGEST, platform->seeds++);
+  gbd_retry_budget_earn (&platform->budget);
+  g_ptr_array_add (platform->calls, call);
+  return call;
+}
+
+static void
+call_free (gpointer data)
+{
+  call_t *call = data;
+  if (call->http_call)
+    gbd_http_cancel (call->http_call);
+  g_free (call->kind);
+  g_free (call->name);
+  g_free (call->path);
+  g_free (call);
+}
+
+static void
+attempt (call_t *call, char *body)
+{
+  gbd_platform_t *platform = call->platform;
+  call->http_call = gbd_platform_start (platform, call->method, call->path,
+                                        body, receive, call);
+  if (!call->http_call)
+    {
+      fail_attempt (call, GBD_ERROR_UNAVAILABLE);
+      return;
+    }
+  call->state = CALL_RUNNING;
+  call->due
+      = platform->now + platform->settings.call_timeout_ms * GBD_MILLISECOND;
+}
+
+/* Wait for another attempt at a read, or end. */
+static void
+fail_attempt (call_t *call, gbd_status_t status)
+{
+  gbd_platform_t *platform = call->platform;
+  call->http_call = NULL;
+  if (call->is_write || call->backoff.attempts + 1 >= ATTEMPTS_MAX
+      || !gbd_platform_spend_retry (platform))
+    {
+      end_later (call, status);
+      return;
+    }
+  call->state = CALL_WAITING;
+  call->due = platform->now + gbd_backoff_next (&call->backoff);
+}
+
+static void
+end_later (call_t *call, gbd_status_t status)
+{
+  call->state = CALL_ENDING;
+  call->status = status;
+}
+
+static void
+report (call_t *call, gbd_status_t status, uint64_t version, json_t *value)
+{
+  g_ptr_array_remove (call->platform->calls, call);
+  call->done (call->data, status, version, value);
+  call_free (call);
+}
+
+static void
+receive (void *data, const gbd_http_answer_t *answer)
+{
+  call_t *call = data;
+  gbd_platform_t *platform = call->platform;
+  gbd_platform_result_t result;
+  call->http_call = NULL;
+  gbd_platform_judge (platform, answer, call->is_write, &result);
+  if (result.status == GBD_OK
+      && !gbd_platform_note_version (platform, call->kind, call->name,
+                                     result.version))
+    {
+      result.status = GBD_ERROR_STALE;
+      result.is_failure = true;
+    }
+  if (result.is_failure)
+    fail_attempt (call, result.status);
+  else
+    {
+      json_t *value = json_object_get (result.body, "value");
+      report (call, result.status, result.version,
+              json_is_null (value) ? NULL : value);
+    }
+  json_decref (result.body);
+}
+
+static void
+tick_call (call_t *call)
+{
+  gbd_platform_t *platform = call->platform;
+  if (call->state == CALL_ENDING)
+    {
+      report (call, call->status, 0, NULL);
+      return;
+    }
+  if (platform->now < call->due)
+    return;
+  if (call->state == CALL_WAITING)
+    {
+      attempt (call, NULL);
+      return;
+    }
+  gbd_http_call_t *http_call = call->http_call;
+  call->http_call = NULL;
+  fail_attempt (call,
+                gbd_platform_time_out (platform, http_call, call->is_write));
+}
+
+static void
+read_body (const gbd_http_answer_t *answer, bool is_write,
+           gbd_platform_result_t *result)
+{
+  const meaning_t *meaning = find_meaning (answer->status);
+  result->status = is_write ? meaning->write : meaning->read;
+  result->is_failure = meaning->is_failure;
+  if (answer->length > 0)
+    result->body = json_loadb (answer->body, answer->length, 0, NULL);
+  json_t *version = json_object_get (result->body, "version");
+  bool is_whole
+      = json_is_integer (version) && json_integer_value (version) >= 0;
+  if (is_whole)
+    result->version = (uint64_t)json_integer_value (version);
+  if (answer->status != 200 || is_whole)
+    return;
+  /* After garbage nobody knows what a write did. */
+  result->status = is_write ? GBD_ERROR_UNKNOWN : GBD_ERROR_FORMAT;
+  result->is_failure = true;
+}
+
+static const meaning_t *
+find_meaning (int http_status)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (meanings); i++)
+    {
+      if (meanings[i].http_status == http_status)
+        return &meanings[i];
+    }
+  return &unknown_meaning;
+}
+
+static char *
+make_path (const char *kind, const char *name)
+{
+  char *kind_text = g_uri_escape_string (kind, NULL, FALSE);
+  char *name_text = g_uri_escape_string (name, NULL, FALSE);
+  char *path = g_strconcat ("/v1/", kind_text, "/", name_text, NULL);
+  g_free (kind_text);
+  g_free (name_text);
+  return path;
+}
--- /dev/null
+++ b/src/gooseberrydrum/platform_watch.c
@@ -0,0 +1,236 @@
+#include "platform_private.h"
+
+struct gbd_platform_watch
+{
+  gbd_platform_t *platform;
+  char *kind;
+  char *prefix;
+  gbd_platform_watch_callbacks_t callbacks;
+  void *data;
+  bool is_listed;   /* a full listing has been reported */
+  uint64_t version; /* up to which everything was reported */
+  GHashTable *seen; /* name -> version, a uint64_t */
+  gbd_http_call_t *http_call;
+  gbd_time_t asked_at;
+  gbd_time_t timeout_at;
+  gbd_time_t retry_at;
+  bool is_retry;
+  gbd_backoff_t backoff;
+  bool is_reporting; /* inside a callback; deletion waits */
+  bool is_deleted;
+};
+
+static void ask (gbd_platform_watch_t *watch);
+static void receive (void *data, const gbd_http_answer_t *answer);
+static void take_in (gbd_platform_watch_t *watch,
+                     const gbd_platform_result_t *result);
+static void report_list (gbd_platform_watch_t *watch, json_t *items);
+static void report_items (gbd_platform_watch_t *watch, json_t *items);
+static void report_item (gbd_platform_watch_t *watch, json_t *item);
+static void pause_watch (gbd_platform_watch_t *watch);
+static bool is_newer (gbd_platform_watch_t *watch, const char *name,
+                      uint64_t version);
+
+gbd_platform_watch_t *
+gbd_platform_watch_new (gbd_platform_t *platform, const char *kind,
+                        const char *prefix, gbd_time_t now,
+                        const gbd_platform_watch_callbacks_t *callbacks,
+                        void *data)
+{
+  gbd_platform_watch_t *watch = g_new0 (gbd_platform_watch_t, 1);
+  platform->now = MAX (platform->now, now);
+  watch->platform = platform;
+  watch->kind = g_uri_escape_string (kind, NULL, FALSE);
+  watch->prefix = g_strdup (prefix);
+  watch->callbacks = *callbacks;
+  watch->data = data;
+  watch->asked_at = GBD_TIME_NEVER;
+  watch->seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  gbd_backoff_init (&watch->backoff, GBD_PLATFORM_BACKOFF_FIRST,
+                    GBD_PLATFORM_BACKOFF_LONGEST, platform->seeds++);
+  g_ptr_array_add (platform->watches, watch);
+  ask (watch);
+  return watch;
+}
+
+void
+gbd_platform_watch_delete (gbd_platform_watch_t *watch)
+{
+  if (!watch || watch->is_deleted)
+    return;
+  g_ptr_array_remove (watch->platform->watches, watch);
+  watch->is_deleted = true;
+  if (!watch->is_reporting)
+    gbd_platform_watch_free (watch);
+}
+
+void
+gbd_platform_watch_free (gbd_platform_watch_t *watch)
+{
+  if (watch->http_call)
+    gbd_http_cancel (watch->http_call);
+  g_hash_table_destroy (watch->seen);
+  g_free (watch->kind);
+  g_free (watch->prefix);
+  g_free (watch);
+}
+
+void
+gbd_platform_watch_tick (gbd_platform_watch_t *watch)
+{
+  gbd_platform_t *platform = watch->platform;
+  if (watch->http_call)
+    {
+      if (platform->now < watch->timeout_at)
+        return;
+      gbd_platform_time_out (platform, watch->http_call, false);
+      watch->http_call = NULL;
+      pause_watch (watch);
+      return;
+    }
+  if (platform->now < watch->retry_at)
+    return;
+  if (watch->is_retry && !gbd_platform_spend_retry (platform))
+    {
+      pause_watch (watch);
+      return;
+    }
+  ask (watch);
+}
+
+static void
+ask (gbd_platform_watch_t *watch)
+{
+  gbd_platform_t *platform = watch->platform;
+  uint32_t wait_ms = watch->is_listed ? platform->settings.watch_wait_ms : 0;
+  char *path
+      = watch->is_listed
+            ? g_strdup_printf ("/v1/%s?since=%" G_GUINT64_FORMAT "&wait_ms=%u",
+                               watch->kind, watch->version, wait_ms)
+            : g_strconcat ("/v1/", watch->kind, NULL);
+  uint32_t timeout_ms = wait_ms + platform->settings.call_timeout_ms;
+  watch->asked_at = platform->now;
+  watch->timeout_at = platform->now + timeout_ms * GBD_MILLISECOND;
+  gbd_retry_budget_earn (&platform->budget);
+  watch->http_call
+      = gbd_platform_start (platform, "GET", path, NULL, receive, watch);
+  g_free (path);
+  if (!watch->http_call)
+    pause_watch (watch);
+}
+
+static void
+receive (void *data, const gbd_http_answer_t *answer)
+{
+  gbd_platform_watch_t *watch = data;
+  gbd_platform_t *platform = watch->platform;
+  gbd_platform_result_t result;
+  watch->http_call = NULL;
+  gbd_platform_judge (platform, answer, false, &result);
+
+  watch->is_reporting = true;
+  take_in (watch, &result);
+  watch->is_reporting = false;
+  json_decref (result.body);
+  if (watch->is_deleted)
+    {
+      gbd_platform_watch_free (watch);
+      return;
+    }
+  /* At most one call a tick, however fast the answers come. */
+  if (!watch->is_retry && watch->asked_at < platform->now)
+    ask (watch);
+}
+
+static void
+take_in (gbd_platform_watch_t *watch, const gbd_platform_result_t *result)
+{
+  if (result->status == GBD_ERROR_STALE)
+    {
+      /* The platform no longer knows the changes since then. */
+      watch->is_listed = false;
+      return;
+    }
+  json_t *items
+      = json_object_get (result->body, watch->is_listed ? "changes" : "items");
+  /* A version below the reported one comes from a copy that lags. */
+  if (result->status != GBD_OK || !json_is_array (items)
+      || result->version < watch->version)
+    {
+      pause_watch (watch);
+      return;
+    }
+  watch->is_retry = false;
+  watch->retry_at = 0;
+  gbd_backoff_reset (&watch->backoff);
+  if (watch->is_listed)
+    report_items (watch, items);
+  else
+    report_list (watch, items);
+  watch->version = result->version;
+  if (!watch->is_deleted && watch->callbacks.confirmed)
+    watch->callbacks.confirmed (watch->data, watch->asked_at);
+}
+
+static void
+report_list (gbd_platform_watch_t *watch, json_t *items)
+{
+  g_hash_table_remove_all (watch->seen);
+  if (watch->callbacks.reset)
+    watch->callbacks.reset (watch->data);
+  report_items (watch, items);
+  watch->is_listed = true;
+}
+
+static void
+report_items (gbd_platform_watch_t *watch, json_t *items)
+{
+  size_t index;
+  json_t *item;
+  json_array_foreach (items, index, item)
+  {
+    if (!watch->is_deleted)
+      report_item (watch, item);
+  }
+}
+
+static void
+report_item (gbd_platform_watch_t *watch, json_t *item)
+{
+  const char *name = json_string_value (json_object_get (item, "name"));
+  json_t *value = json_object_get (item, "value");
+  uint64_t version
+      = (uint64_t)json_integer_value (json_object_get (item, "version"));
+  if (!name || !value || !g_str_has_prefix (name, watch->prefix)
+      || !is_newer (watch, name, version))
+    return;
+  if (json_is_null (value))
+    {
+      value = NULL;
+      g_hash_table_remove (watch->seen, name);
+    }
+  watch->callbacks.changed (watch->data, name, version, value);
+}
+
+static void
+pause_watch (gbd_platform_watch_t *watch)
+{
+  watch->is_retry = true;
+  watch->retry_at = watch->platform->now + gbd_backoff_next (&watch->backoff);
+}
+
+/* A change that came before, by a watch replayed, is reported once. */
+static bool
+is_newer (gbd_platform_watch_t *watch, const char *name, uint64_t version)
+{
+  if (watch->is_listed && version <= watch->version)
+    return false;
+  const uint64_t *seen = g_hash_table_lookup (watch->seen, name);
+  if (seen && *seen >= version)
+    return false;
+  uint64_t *copy = g_new (uint64_t, 1);
+  *copy = version;
+  g_hash_table_replace (watch->seen, g_strdup (name), copy);
+  return true;
+}
--- a/src/standins/platform_server.c
+++ b/src/standins/platform_server.c
@@ -119,6 +119,20 @@
   return (uint16_t)lws_get_vhost_listen_port (server->vhost);
 }
 
+uint32_t
+platform_server_get_held_count (const platform_server_t *server)
+{
+  uint32_t held = 0;
+  for (GList *item = server->calls; item; item = item->next)
+    {
+      const call_t *call = item->data;
+      held += call->state == CALL_WAITING
+              || (call->state == CALL_READY
+                  && server->now < call->reply.answer_at);
+    }
+  return held;
+}
+
 static int
 handle_event (struct lws *wsi, enum lws_callback_reasons reason, void *user,
               void *in, size_t length)
@@ -300,6 +314,8 @@
   char *text = call->reply.body ? json_dumps (call->reply.body, JSON_COMPACT)
                                 : g_strdup ("{}");
   size_t length = strlen (text);
+  if (call->reply.flags & PLATFORM_REPLY_GARBLED)
+    length /= 2;
   int status = call->reply.status;
   end_call (call);
 
--- a/src/standins/platform_server.h
+++ b/src/standins/platform_server.h
@@ -27,6 +27,9 @@
  *  time. */
 void platform_server_tick (platform_server_t *server, gbd_time_t now);
 
+/** Calls that are held back until a later time or change. */
+uint32_t platform_server_get_held_count (const platform_server_t *server);
+
 uint16_t platform_server_get_port (const platform_server_t *server);
 
 #endif
--- a/src/standins/platform_store.c
+++ b/src/standins/platform_store.c
@@ -37,6 +37,8 @@
   gbd_token_bucket_t reads;
   bool is_down;
   bool is_cutting_watches;
+  bool is_replaying_watches;
+  uint32_t garble_answers;
   uint32_t slow_ms;
   uint32_t lose_answers;
   json_t *calls;   /* kind -> verb -> count */
@@ -62,8 +64,6 @@
 static bool is_version_right (platform_store_t *store,
                               const platform_request_t *request,
                               platform_reply_t *reply);
-static uint64_t write_object (platform_store_t *store, const char *kind,
-                              const char *name, json_t *value);
 static void forget_oldest_deletion (platform_store_t *store);
 static json_t *collect (const state_t *state, const char *kind, uint64_t since,
                         bool with_deleted);
@@ -125,12 +125,38 @@
     if (!slash || slash == key || !slash[1])
       return GBD_ERROR_FORMAT;
     char *kind = g_strndup (key, (gsize)(slash - key));
-    write_object (store, kind, slash + 1, json_incref (value));
+    platform_store_write (store, kind, slash + 1, json_incref (value));
     g_free (kind);
   }
   return GBD_OK;
 }
 
+uint64_t
+platform_store_write (platform_store_t *store, const char *kind,
+                      const char *name, json_t *value)
+{
+  uint64_t version = ++store->now.version;
+  g_hash_table_replace (store->now.objects, make_key (kind, name),
+                        object_new (kind, name, version, value));
+  if (!value)
+    {
+      g_queue_push_tail (store->deleted, make_key (kind, name));
+      if (g_queue_get_length (store->deleted) > PLATFORM_DELETED_MAX)
+        forget_oldest_deletion (store);
+    }
+  return version;
+}
+
+const json_t *
+platform_store_find (const platform_store_t *store, const char *kind,
+                     const char *name)
+{
+  char *key = make_key (kind, name);
+  const object_t *object = g_hash_table_lookup (store->now.objects, key);
+  g_free (key);
+  return object ? object->value : NULL;
+}
+
 void
 platform_store_handle (platform_store_t *store,
                        const platform_request_t *request, gbd_time_t now,
@@ -152,12 +178,17 @@
         reply->flags = PLATFORM_REPLY_LOST;
       return;
     }
+  if (store->garble_answers > 0)
+    {
+      store->garble_answers--;
+      reply->flags |= PLATFORM_REPLY_GARBLED;
+    }
   if (reply->status == 200)
     {
       if (is_write (request) && store->lose_answers > 0)
         {
           store->lose_answers--;
-          reply->flags = PLATFORM_REPLY_LOST;
+          reply->flags |= PLATFORM_REPLY_LOST;
         }
       return;
     }
@@ -199,18 +230,23 @@
   int down = store->is_down;
   int stale = store->stale.objects != NULL;
   int cut = store->is_cutting_watches;
+  int replay = store->is_replaying_watches;
   json_int_t slow_ms = store->slow_ms;
   json_int_t lose = store->lose_answers;
+  json_int_t garble = store->garble_answers;
   json_error_t error;
-  int failed = json_unpack_ex ((json_t *)switches, &error, JSON_STRICT,
-                               "{s?b, s?I, s?I, s?b, s?b}", "down", &down,
-                               "slow_ms", &slow_ms, "lose_answers", &lose,
-                               "stale_reads", &stale, "cut_watches", &cut);
+  int failed = json_unpack_ex (
+      (json_t *)switches, &error, JSON_STRICT,
+      "{s?b, s?I, s?I, s?b, s?b, s?b, s?I}", "down", &down, "slow_ms",
+      &slow_ms, "lose_answers", &lose, "stale_reads", &stale, "cut_watches",
+      &cut, "replay_watches", &replay, "garble_answers", &garble);
   if (failed || slow_ms < 0 || slow_ms > UINT32_MAX || lose < 0
-      || lose > UINT32_MAX)
+      || lose > UINT32_MAX || garble < 0 || garble > UINT32_MAX)
     return GBD_ERROR_FORMAT;
   store->is_down = down;
   store->is_cutting_watches = cut;
+  store->is_replaying_watches = replay;
+  store->garble_answers = (uint32_t)garble;
   store->slow_ms = (uint32_t)slow_ms;
   store->lose_answers = (uint32_t)lose;
   if ((store->stale.objects != NULL) != (stale != 0))
@@ -273,6 +309,11 @@
       reply->flags = PLATFORM_REPLY_WAIT;
       return;
     }
+  if (store->is_replaying_watches)
+    {
+      json_decref (changes);
+      changes = collect (state, request->kind, 0, true);
+    }
   reply->status = 200;
   reply->body = json_pack ("{s:I, s:o}", "version", (json_int_t)state->version,
                            "changes", changes);
@@ -300,7 +341,8 @@
       json_decref (value);
       return;
     }
-  uint64_t version = write_object (store, request->kind, request->name, value);
+  uint64_t version
+      = platform_store_write (store, request->kind, request->name, value);
   reply->status = 200;
   reply->body = json_pack ("{s:I}", "version", (json_int_t)version);
 }
@@ -316,7 +358,8 @@
       reply->status = 404;
       return;
     }
-  uint64_t version = write_object (store, request->kind, request->name, NULL);
+  uint64_t version
+      = platform_store_write (store, request->kind, request->name, NULL);
   reply->status = 200;
   reply->body = json_pack ("{s:I}", "version", (json_int_t)version);
 }
@@ -357,22 +400,6 @@
   return false;
 }
 
-static uint64_t
-write_object (platform_store_t *store, const char *kind, const char *name,
-              json_t *value)
-{
-  uint64_t version = ++store->now.version;
-  g_hash_table_replace (store->now.objects, make_key (kind, name),
-                        object_new (kind, name, version, value));
-  if (!value)
-    {
-      g_queue_push_tail (store->deleted, make_key (kind, name));
-      if (g_queue_get_length (store->deleted) > PLATFORM_DELETED_MAX)
-        forget_oldest_deletion (store);
-    }
-  return version;
-}
-
 static void
 forget_oldest_deletion (platform_store_t *store)
 {
--- a/src/standins/platform_store.h
+++ b/src/standins/platform_store.h
@@ -42,6 +42,7 @@
 /** Bits of platform_reply_t.flags. */
 #define PLATFORM_REPLY_WAIT 1 /**< watch: ask again later or after a write */
 #define PLATFORM_REPLY_LOST 2 /**< cut the connection, send nothing */
+#define PLATFORM_REPLY_GARBLED 4 /**< send half of the text */
 
 typedef struct
 {
@@ -65,6 +66,16 @@
 gbd_status_t platform_store_load (platform_store_t *store,
                                   const json_t *objects);
 
+/** Write an object whatever its version, the limits and the switches.
+ *  @param value owned by the store; NULL deletes
+ *  @return its version */
+uint64_t platform_store_write (platform_store_t *store, const char *kind,
+                               const char *name, json_t *value);
+
+/** Present value of an object, borrowed, or NULL. */
+const json_t *platform_store_find (const platform_store_t *store,
+                                   const char *kind, const char *name);
+
 /** Handle one call and count it. */
 void platform_store_handle (platform_store_t *store,
                             const platform_request_t *request, gbd_time_t now,
@@ -85,6 +96,8 @@
  *  "stale_reads": bool    reads and watches see the state of the moment at
  *                         which this was set
  *  "cut_watches": bool    cut the connections of watches that wait
+ *  "replay_watches": bool answers of watches repeat all older changes
+ *  "garble_answers": N    cut the text of the next N answers in the middle
  *  @return GBD_ERROR_FORMAT, nothing changed, for anything else. */
 gbd_status_t platform_store_set_switches (platform_store_t *store,
                                           const json_t *switches);
--- /dev/null
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -0,0 +1,502 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <glib.h>
+
+#include "gooseberrydrum/platform_client.h"
+#include "gooseberrydrum/platform_private.h"
+#include "platform_fixture.h"
+
+#define KIND "accepted"
+#define NAME "main"
+#define SWITCH_OFF                                                            \
+  "{\"down\":false,\"slow_ms\":0,\"lose_answers\":0,\"garble_answers\":0,"    \
+  "\"stale_reads\":false,\"cut_watches\":false,\"replay_watches\":false}"
+
+typedef enum
+{
+  GET,
+  PUT,
+  REMOVE
+} operation_t;
+
+/* One call under faults.  The object is at version 1 with value 1. */
+typedef struct
+{
+  const char *label;
+  const char *switches;
+  bool is_mended; /* once the first call has arrived */
+  operation_t operation;
+  uint64_t version;
+  gbd_status_t status;
+  bool has_effect;
+  int calls; /* that the platform counted */
+} row_t;
+
+static const row_t rows[] = {
+  { "read", "{}", false, GET, 0, GBD_OK, false, 1 },
+  { "write", "{}", false, PUT, 1, GBD_OK, true, 1 },
+  { "removal", "{}", false, REMOVE, 1, GBD_OK, true, 1 },
+  { "conflict", "{}", false, PUT, 9, GBD_ERROR_CONFLICT, false, 1 },
+  { "read while down", "{\"down\":true}", false, GET, 0, GBD_ERROR_UNAVAILABLE,
+    false, 4 },
+  { "read while down, then up", "{\"down\":true}", true, GET, 0, GBD_OK, false,
+    2 },
+  { "write while down", "{\"down\":true}", false, PUT, 1,
+    GBD_ERROR_UNAVAILABLE, false, 1 },
+  { "read, slow within the time-out", "{\"slow_ms\":1500}", false, GET, 0,
+    GBD_OK, false, 1 },
+  { "read, too slow", "{\"slow_ms\":90000}", false, GET, 0,
+    GBD_ERROR_UNAVAILABLE, false, 4 },
+  { "write, too slow", "{\"slow_ms\":90000}", false, PUT, 1, GBD_ERROR_UNKNOWN,
+    true, 1 },
+  { "write, answer lost", "{\"lose_answers\":1}", false, PUT, 1,
+    GBD_ERROR_UNKNOWN, true, 1 },
+  { "removal, answer lost", "{\"lose_answers\":1}", false, REMOVE, 1,
+    GBD_ERROR_UNKNOWN, true, 1 },
+  { "write, garbled", "{\"garble_answers\":1}", false, PUT, 1,
+    GBD_ERROR_UNKNOWN, true, 1 },
+  { "read, garbled once", "{\"garble_answers\":1}", false, GET, 0, GBD_OK,
+    false, 2 },
+  { "read, garbled always", "{\"garble_answers\":9}", false, GET, 0,
+    GBD_ERROR_FORMAT, false, 4 },
+  { "conflict, garbled", "{\"garble_answers\":1}", false, PUT, 9,
+    GBD_ERROR_CONFLICT, false, 1 },
+  /* Pairs of faults. */
+  { "write, down and slow", "{\"down\":true,\"slow_ms\":500}", false, PUT, 1,
+    GBD_ERROR_UNAVAILABLE, false, 1 },
+  { "write, down and too slow", "{\"down\":true,\"slow_ms\":90000}", false,
+    PUT, 1, GBD_ERROR_UNKNOWN, false, 1 },
+  { "write, down and lost", "{\"down\":true,\"lose_answers\":1}", false, PUT,
+    1, GBD_ERROR_UNAVAILABLE, false, 1 },
+  { "write, slow and lost", "{\"slow_ms\":500,\"lose_answers\":1}", false, PUT,
+    1, GBD_ERROR_UNKNOWN, true, 1 },
+  { "write, slow and garbled", "{\"slow_ms\":500,\"garble_answers\":1}", false,
+    PUT, 1, GBD_ERROR_UNKNOWN, true, 1 },
+  { "conflict, too slow", "{\"slow_ms\":90000}", false, PUT, 9,
+    GBD_ERROR_UNKNOWN, false, 1 },
+  { "read, slow and garbled", "{\"slow_ms\":500,\"garble_answers\":1}", false,
+    GET, 0, GBD_OK, false, 2 },
+  { "read, down and garbled", "{\"down\":true,\"garble_answers\":1}", true,
+    GET, 0, GBD_OK, false, 2 },
+};
+
+static gbd_platform_t *
+make_platform (fixture_t *fixture)
+{
+  gbd_platform_settings_t settings = { .platform = fixture->address,
+                                       .call_timeout_ms = 2000,
+                                       .watch_wait_ms = 1000,
+                                       .random_seed = 5 };
+  gbd_platform_t *platform = gbd_platform_new (fixture->context, &settings);
+  assert_non_null (platform);
+  fixture->platform = platform;
+  return platform;
+}
+
+static void
+begin (gbd_platform_t *platform, operation_t operation, uint64_t version,
+       json_t *value, gbd_time_t now, outcome_t *outcome)
+{
+  memset (outcome, 0, sizeof *outcome);
+  if (operation == GET)
+    gbd_platform_get (platform, KIND, NAME, now, note_outcome, outcome);
+  else if (operation == PUT)
+    gbd_platform_put (platform, KIND, NAME, version, value, now, note_outcome,
+                      outcome);
+  else
+    gbd_platform_remove (platform, KIND, NAME, version, now, note_outcome,
+                         outcome);
+  assert_false (outcome->is_done);
+}
+
+static void
+check_row (const row_t *row)
+{
+  fixture_t fixture;
+  outcome_t outcome;
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  fixture_write (&fixture, KIND, NAME, "1");
+  fixture_switch (&fixture, row->switches);
+
+  json_t *value = json_integer (2);
+  begin (platform, row->operation, row->version, value, fixture.now, &outcome);
+  json_decref (value);
+  static const char *const verbs[] = { "get", "put", "delete" };
+  const char *verb = verbs[row->operation];
+  while (row->is_mended && fixture_count_calls (&fixture, KIND, verb) == 0)
+    fixture_step (&fixture);
+  if (row->is_mended)
+    fixture_switch (&fixture, SWITCH_OFF);
+  while (!outcome.is_done)
+    fixture_step (&fixture);
+
+  print_message ("%s\n", row->label);
+  assert_int_equal (outcome.status, row->status);
+  assert_int_equal (fixture_count_calls (&fixture, KIND, verb), row->calls);
+  if (row->operation == GET && row->status == GBD_OK)
+    assert_int_equal (json_integer_value (outcome.value), 1);
+  if (outcome.status == GBD_ERROR_CONFLICT && outcome.version)
+    assert_int_equal (json_integer_value (outcome.value), 1);
+
+  fixture_switch (&fixture, SWITCH_OFF);
+  json_t *left = fixture_read (&fixture, KIND, NAME);
+  assert_int_equal (json_integer_value (left) != 1, row->has_effect);
+  json_decref (left);
+  json_decref (outcome.value);
+  fixture_close (&fixture);
+}
+
+static void
+calls_report_the_truth_under_faults (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    check_row (&rows[i]);
+}
+
+static void
+call_to_a_closed_port_has_no_effect (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  outcome_t outcome;
+  fixture_open (&fixture, 0);
+  fixture.address.port = 1; /* nobody listens on tcpmux */
+  gbd_platform_t *platform = make_platform (&fixture);
+  json_t *value = json_integer (2);
+  begin (platform, PUT, 0, value, fixture.now, &outcome);
+  while (!outcome.is_done)
+    fixture_step (&fixture);
+  assert_int_equal (outcome.status, GBD_ERROR_UNAVAILABLE);
+  json_decref (value);
+  fixture_close (&fixture);
+}
+
+static void
+write_over_the_rate_is_refused (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  outcome_t outcomes[2];
+  fixture_open (&fixture, 1);
+  gbd_platform_t *platform = make_platform (&fixture);
+  json_t *value = json_integer (2);
+  for (int i = 0; i < 2; i++)
+    {
+      begin (platform, PUT, (uint64_t)i, value, fixture.now, &outcomes[i]);
+      while (!outcomes[i].is_done)
+        fixture_step (&fixture);
+    }
+  assert_int_equal (outcomes[0].status, GBD_OK);
+  assert_int_equal (outcomes[1].status, GBD_ERROR_UNAVAILABLE);
+  json_decref (value);
+  fixture_close (&fixture);
+}
+
+static void
+value_over_the_limit_is_not_sent (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  outcome_t outcome;
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  char *text = g_strnfill (PLATFORM_VALUE_MAX, 'x');
+  for (size_t extra = 0; extra < 2; extra++)
+    {
+      /* Two quotation marks are part of the value. */
+      text[PLATFORM_VALUE_MAX - 2 + extra] = '\0';
+      json_t *value = json_string (text);
+      text[PLATFORM_VALUE_MAX - 2 + extra] = 'x';
+      begin (platform, PUT, 0, value, fixture.now, &outcome);
+      while (!outcome.is_done)
+        fixture_step (&fixture);
+      assert_int_equal (outcome.status, extra ? GBD_ERROR_RANGE : GBD_OK);
+      json_decref (value);
+    }
+  assert_int_equal (fixture_count_calls (&fixture, KIND, "put"), 1);
+  g_free (text);
+  fixture_close (&fixture);
+}
+
+static void
+older_version_than_seen_is_ignored (void **state)
+{
+  (void)state;
+  for (int is_mended = 0; is_mended < 2; is_mended++)
+    {
+      fixture_t fixture;
+      outcome_t outcome;
+      fixture_open (&fixture, 0);
+      gbd_platform_t *platform = make_platform (&fixture);
+      fixture_write (&fixture, KIND, NAME, "1");
+      fixture_switch (&fixture, "{\"stale_reads\":true}");
+      json_t *value = json_integer (2);
+      begin (platform, PUT, 1, value, fixture.now, &outcome);
+      json_decref (value);
+      while (!outcome.is_done)
+        fixture_step (&fixture);
+      assert_int_equal (outcome.status, GBD_OK);
+
+      begin (platform, GET, 0, NULL, fixture.now, &outcome);
+      while (fixture_count_calls (&fixture, KIND, "get") == 0)
+        fixture_step (&fixture);
+      if (is_mended)
+        fixture_switch (&fixture, SWITCH_OFF);
+      while (!outcome.is_done)
+        fixture_step (&fixture);
+      assert_int_equal (outcome.status, is_mended ? GBD_OK : GBD_ERROR_STALE);
+      assert_int_equal (json_integer_value (outcome.value), is_mended ? 2 : 0);
+      json_decref (outcome.value);
+      fixture_close (&fixture);
+    }
+}
+
+static void
+breaker_stops_calls_while_down (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  fixture_switch (&fixture, "{\"down\":true}");
+  outcome_t outcome;
+  for (int i = 0; i < 200; i++)
+    {
+      begin (platform, GET, 0, NULL, fixture.now, &outcome);
+      while (!outcome.is_done)
+        fixture_step (&fixture);
+      assert_int_equal (outcome.status, GBD_ERROR_UNAVAILABLE);
+    }
+  gbd_platform_stats_t stats;
+  gbd_platform_get_stats (platform, &stats);
+  assert_true (stats.is_open);
+  assert_true (fixture_count_calls (&fixture, KIND, "get") < 60);
+
+  fixture_switch (&fixture, SWITCH_OFF);
+  fixture.now += 10 * GBD_SECOND;
+  begin (platform, GET, 0, NULL, fixture.now, &outcome);
+  while (!outcome.is_done)
+    fixture_step (&fixture);
+  assert_int_equal (outcome.status, GBD_ERROR_NOT_FOUND);
+  fixture_close (&fixture);
+}
+
+/* What a watch has told, as its user would keep it. */
+typedef struct
+{
+  json_t *view;
+  uint64_t newest;
+  int resets;
+  int changes;
+  int confirmations;
+  gbd_time_t asked_at;
+} view_t;
+
+static void
+note_reset (void *data)
+{
+  view_t *view = data;
+  view->resets++;
+  json_object_clear (view->view);
+}
+
+static void
+note_change (void *data, const char *name, uint64_t version, json_t *value)
+{
+  view_t *view = data;
+  view->changes++;
+  view->newest = MAX (view->newest, version);
+  if (value)
+    json_object_set (view->view, name, value);
+  else
+    json_object_del (view->view, name);
+}
+
+static void
+note_confirmation (void *data, gbd_time_t asked_at)
+{
+  view_t *view = data;
+  view->confirmations++;
+  assert_true (asked_at >= view->asked_at);
+  view->asked_at = asked_at;
+}
+
+static const gbd_platform_watch_callbacks_t view_callbacks
+    = { note_reset, note_change, note_confirmation };
+
+static void
+run_until_confirmed (fixture_t *fixture, const view_t *view)
+{
+  /* The answer must be to a request that was sent after now. */
+  gbd_time_t start = fixture->now;
+  while (view->asked_at <= start)
+    fixture_step (fixture);
+}
+
+/* One thing that happens to a watch, and how much of it is reported. */
+typedef struct
+{
+  const char *label;
+  const char *switches;
+  const char *name; /* written to, if not NULL */
+  const char *value;
+  const char *then; /* switches after some steps */
+  int changes;
+  int resets;
+} watch_row_t;
+
+static const watch_row_t watch_rows[] = {
+  { "write", NULL, "a", "1", NULL, 1, 0 },
+  { "other prefix", NULL, "b", "1", NULL, 0, 0 },
+  { "deletion", NULL, "a", NULL, NULL, 1, 0 },
+  { "creation after deletion", NULL, "a", "2", NULL, 1, 0 },
+  { "cut", "{\"cut_watches\":true}", "a", "3", SWITCH_OFF, 1, 0 },
+  { "down", "{\"down\":true}", "a", "4", SWITCH_OFF, 1, 0 },
+  { "replayed", "{\"replay_watches\":true}", "a", "5", SWITCH_OFF, 1, 0 },
+  { "replayed deletion", "{\"replay_watches\":true}", "a", NULL, SWITCH_OFF, 1,
+    0 },
+  { "deletion replayed later", "{\"replay_watches\":true}", "ab", "1",
+    SWITCH_OFF, 1, 0 },
+  { "stale", "{\"stale_reads\":true}", "a", "6", SWITCH_OFF, 1, 0 },
+  { "too slow", "{\"slow_ms\":90000}", "a", "7", SWITCH_OFF, 1, 0 },
+  { "garbled", "{\"garble_answers\":3}", "a", "8", NULL, 1, 0 },
+  { "cut and replayed", "{\"cut_watches\":true,\"replay_watches\":true}", "a",
+    "9", "{\"cut_watches\":false}", 1, 0 },
+  { "quiet", SWITCH_OFF, NULL, NULL, NULL, 0, 0 },
+};
+
+static void
+watch_reports_each_change_once (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  view_t view = { .view = json_object () };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  gbd_platform_watch_t *watch = gbd_platform_watch_new (
+      platform, KIND, "a", fixture.now, &view_callbacks, &view);
+  run_until_confirmed (&fixture, &view);
+  assert_int_equal (view.resets, 1);
+  for (size_t i = 0; i < G_N_ELEMENTS (watch_rows); i++)
+    {
+      const watch_row_t *row = &watch_rows[i];
+      int changes = view.changes;
+      int resets = view.resets;
+      print_message ("%s\n", row->label);
+      if (row->switches)
+        fixture_switch (&fixture, row->switches);
+      if (row->name)
+        fixture_write (&fixture, KIND, row->name, row->value);
+      for (int step = 0; row->then && step < 300; step++)
+        fixture_step (&fixture);
+      if (row->then)
+        fixture_switch (&fixture, row->then);
+      run_until_confirmed (&fixture, &view);
+      assert_int_equal (view.changes - changes, row->changes);
+      assert_int_equal (view.resets - resets, row->resets);
+    }
+  gbd_platform_watch_delete (watch);
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
+static void
+watch_lists_again_when_the_platform_forgot (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  view_t view = { .view = json_object () };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  fixture_write (&fixture, KIND, "gone", "1");
+  fixture_write (&fixture, KIND, "kept", "1");
+  gbd_platform_watch_new (platform, KIND, "", fixture.now, &view_callbacks,
+                          &view);
+  run_until_confirmed (&fixture, &view);
+  fixture_switch (&fixture, "{\"cut_watches\":true}");
+  fixture_step (&fixture);
+  fixture_write (&fixture, KIND, "gone", NULL);
+  for (int i = 0; i <= PLATFORM_DELETED_MAX; i++)
+    {
+      fixture_write (&fixture, KIND, "passing", "1");
+      fixture_write (&fixture, KIND, "passing", NULL);
+    }
+  fixture_switch (&fixture, SWITCH_OFF);
+  run_until_confirmed (&fixture, &view);
+  assert_int_equal (view.resets, 2);
+  assert_null (json_object_get (view.view, "gone"));
+  assert_non_null (json_object_get (view.view, "kept"));
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
+static void
+watch_ends_with_the_state_of_the_platform (void **state)
+{
+  (void)state;
+  static const char *const faults[] = { SWITCH_OFF,
+                                        "{\"down\":true}",
+                                        "{\"cut_watches\":true}",
+                                        "{\"stale_reads\":true}",
+                                        "{\"stale_reads\":false}",
+                                        "{\"slow_ms\":900}",
+                                        "{\"replay_watches\":true}",
+                                        "{\"garble_answers\":2}" };
+  static const char *const names[] = { "a", "b", "c" };
+  fixture_t fixture;
+  view_t view = { .view = json_object () };
+  GRand *random = g_rand_new_with_seed (20261203);
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  gbd_platform_watch_new (platform, KIND, "", fixture.now, &view_callbacks,
+                          &view);
+  for (int i = 0; i < 400; i++)
+    {
+      fixture_switch (&fixture, faults[g_rand_int_range (random, 0, 8)]);
+      char value[16];
+      g_snprintf (value, sizeof value, "%d", i);
+      bool is_kept = g_rand_int_range (random, 0, 3) > 0;
+      fixture_write (&fixture, KIND, names[g_rand_int_range (random, 0, 3)],
+                     is_kept ? value : NULL);
+      for (int step = g_rand_int_range (random, 0, 60); step > 0; step--)
+        fixture_step (&fixture);
+    }
+  fixture_switch (&fixture, SWITCH_OFF);
+  run_until_confirmed (&fixture, &view);
+  json_t *expected = json_object ();
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    {
+      json_t *value = fixture_read (&fixture, KIND, names[i]);
+      if (value)
+        json_object_set_new (expected, names[i], value);
+    }
+  assert_true (json_equal (expected, view.view));
+  json_decref (expected);
+  json_decref (view.view);
+  g_rand_free (random);
+  fixture_close (&fixture);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (calls_report_the_truth_under_faults),
+    cmocka_unit_test (call_to_a_closed_port_has_no_effect),
+    cmocka_unit_test (write_over_the_rate_is_refused),
+    cmocka_unit_test (value_over_the_limit_is_not_sent),
+    cmocka_unit_test (older_version_than_seen_is_ignored),
+    cmocka_unit_test (breaker_stops_calls_while_down),
+    cmocka_unit_test (watch_reports_each_change_once),
+    cmocka_unit_test (watch_lists_again_when_the_platform_forgot),
+    cmocka_unit_test (watch_ends_with_the_state_of_the_platform),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
