Measure the data path against a bare relay

Cause: the data path's cost must show beside what no relay can do without.

Change: bench_datapath measures decisions of known and new flows for each policy, and the data path through loopback sockets by turns with a bare relay, with 400,000 flows and 3,900 addresses. Only the work of the measured side is timed; medians and the 5th percentile of the batches are given, for other work disturbs single ones. Instructions are null where the kernel does not count them.

--- /dev/null
+++ b/bench/bench_datapath.c
@@ -0,0 +1,573 @@
+/* Cost of the data path on one core, one JSON row a measurement:
+   decision  parse, route and commit of one packet of a known flow
+   open      the same for packets that open flows
+   relay     the data path through loopback sockets against a bare relay of
+             recvmmsg and sendmmsg, taking turns in the same run
+   Only the work of the side that is measured is timed: packets are made,
+   sent to it and taken from the backend servers' sockets in between.
+
+   usage: bench_datapath [ROUNDS] */
+#define _GNU_SOURCE /* NOLINT: the C library's name, for recvmmsg */
+#include <errno.h>
+#include <linux/perf_event.h>
+#include <sched.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "../src/gooseberrydrum/datapath.h"
+#include "share/udp.h"
+#include "standins/inner.h"
+
+#define FLOWS 400000u
+#define ADDRESSES 3900u
+#define SERVICES 39u
+#define BACKENDS 14u
+#define BUCKETS 2048u
+#define CACHE_CAPACITY (1u << 20)
+#define MEMBERS 8u
+#define BATCH 64u
+#define BURST (8 * BATCH) /* datagrams that wait when a side is called */
+#define DECISION_BATCHES 2000u
+#define ROUNDS 400u
+#define SAMPLES_MAX 8192u
+#define SOCKET_BUFFER (4u << 20)
+#define NOW (1000 * GBD_SECOND)
+
+/** Sums, and the time a packet of each sample for the median: other work on
+ *  the machine disturbs single samples. */
+typedef struct
+{
+  uint64_t nanoseconds;
+  uint64_t instructions;
+  uint64_t packets;
+  uint32_t sample_count;
+  float samples[SAMPLES_MAX];
+} cost_t;
+
+typedef struct
+{
+  gbd_catalog_t *catalog;
+  gbd_engine_t *engine;
+  gbd_address_t backends[BACKENDS];
+  int sinks[BACKENDS];
+  int counter; /* of instructions, or -1 */
+  uint64_t random;
+  size_t payload;
+} bench_t;
+
+static bool set_up (bench_t *bench, const gbd_policy_t *policy);
+static void clear (bench_t *bench);
+static bool make_catalog (bench_t *bench);
+static bool make_engine (bench_t *bench, const gbd_policy_t *policy);
+static gbd_table_t *make_table (const bench_t *bench, uint32_t service);
+static bool open_sinks (bench_t *bench);
+static void drain_sinks (const bench_t *bench);
+static int open_counter (void);
+static void pin_to_core (void);
+static gbd_address_t address_of (uint32_t number);
+static size_t make_packet (const bench_t *bench, uint32_t flow, uint8_t flags,
+                           uint8_t *bytes);
+static uint32_t next_random (bench_t *bench, uint32_t below);
+static void decide (bench_t *bench, const uint8_t (*packets)[INNER_LENGTH_MAX],
+                    const size_t *lengths, cost_t *cost);
+static void open_flows (bench_t *bench, cost_t *cost);
+static void measure_decisions (bench_t *bench, const char *policy);
+static void measure_openings (bench_t *bench);
+static void measure_relay (bench_t *bench, unsigned rounds);
+static void send_burst (bench_t *bench, int from, const gbd_address_t *to);
+static void run_bare (const bench_t *bench, int fd, cost_t *cost);
+static gbd_time_t fixed_clock (void *data);
+static uint64_t nanoseconds (void);
+static uint64_t instructions (const bench_t *bench);
+static void add_sample (cost_t *cost, uint64_t took, uint64_t counted,
+                        uint64_t packets);
+static double quantile (cost_t *cost, double share);
+static int compare (const void *a, const void *b);
+static void print_row (const char *row, const char *detail, cost_t *cost);
+
+int
+main (int argc, char **argv)
+{
+  unsigned rounds = ROUNDS;
+  if (argc > 1)
+    rounds = (unsigned)strtoul (argv[1], NULL, 10);
+  static const char *const policies[]
+      = { "keepers", "cached", "rendezvous", "modulo" };
+  pin_to_core ();
+  for (size_t i = 0; i < sizeof policies / sizeof policies[0]; i++)
+    {
+      bench_t bench = { .payload = 64, .random = 20261203 };
+      bool is_ready = set_up (&bench, gbd_policy_find (policies[i]));
+      if (is_ready)
+        {
+          measure_decisions (&bench, policies[i]);
+          if (i == 0)
+            {
+              measure_openings (&bench);
+              measure_relay (&bench, rounds);
+              bench.payload = 1200;
+              measure_relay (&bench, rounds);
+            }
+        }
+      clear (&bench);
+      if (!is_ready)
+        {
+          fprintf (stderr, "bench_datapath: cannot set up; see the limits of "
+                           "memory and of open files\n");
+          return EXIT_FAILURE;
+        }
+    }
+  return EXIT_SUCCESS;
+}
+
+static bool
+set_up (bench_t *bench, const gbd_policy_t *policy)
+{
+  for (uint32_t i = 0; i < BACKENDS; i++)
+    bench->sinks[i] = -1;
+  bench->counter = open_counter ();
+  if (!open_sinks (bench) || !make_catalog (bench)
+      || !make_engine (bench, policy))
+    return false;
+  static cost_t ignored;
+  open_flows (bench, &ignored);
+  return true;
+}
+
+static void
+clear (bench_t *bench)
+{
+  gbd_engine_delete (bench->engine);
+  gbd_catalog_delete (bench->catalog);
+  for (uint32_t i = 0; i < BACKENDS; i++)
+    if (bench->sinks[i] >= 0)
+      close (bench->sinks[i]);
+  if (bench->counter >= 0)
+    close (bench->counter);
+}
+
+static bool
+make_catalog (bench_t *bench)
+{
+  const gbd_plan_t plan = { .name = "plan",
+                            .open_flows = 2 * FLOWS,
+                            .new_flows_per_second = 100000,
+                            .idle_limit_s = 3600 };
+  bench->catalog = gbd_catalog_new (1);
+  if (!bench->catalog)
+    return false;
+  gbd_catalog_add_plan (bench->catalog, &plan);
+  gbd_catalog_add_customer (bench->catalog, "customer", 0);
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      char name[GBD_NAME_MAX + 1];
+      snprintf (name, sizeof name, "service-%u", i);
+      gbd_catalog_add_service (bench->catalog, name, 0);
+    }
+  for (uint32_t i = 0; i < ADDRESSES; i++)
+    {
+      gbd_address_t address = address_of (i);
+      if (gbd_catalog_add_address (bench->catalog, &address, i % SERVICES)
+          != GBD_OK)
+        return false;
+    }
+  return true;
+}
+
+static bool
+make_engine (bench_t *bench, const gbd_policy_t *policy)
+{
+  gbd_engine_settings_t settings = { .self = 1,
+                                     .zone = 1,
+                                     .flow_key = 0x5eed,
+                                     .cache_capacity = CACHE_CAPACITY,
+                                     .registry_capacity = 65536,
+                                     .teach_per_second = 100,
+                                     .policy = policy };
+  bench->engine = gbd_engine_new (&settings);
+  if (!bench->engine
+      || gbd_engine_set_catalog (bench->engine, bench->catalog) != GBD_OK)
+    return false;
+  for (uint32_t i = 0; i < SERVICES; i++)
+    {
+      gbd_table_t *table = make_table (bench, i);
+      if (!table || gbd_engine_set_table (bench->engine, table, NOW) != GBD_OK)
+        return false;
+      gbd_engine_set_complete (bench->engine,
+                               gbd_catalog_get_service (bench->catalog, i)->id,
+                               true);
+    }
+  gbd_engine_set_touch (bench->engine, GBD_TOUCH_FULL);
+  gbd_engine_set_joined (bench->engine, true);
+  return true;
+}
+
+static gbd_table_t *
+make_table (const bench_t *bench, uint32_t service)
+{
+  gbd_backend_t backends[BACKENDS] = { 0 };
+  gbd_member_t roster[MEMBERS];
+  for (uint32_t i = 0; i < BACKENDS; i++)
+    {
+      backends[i].id = service * BACKENDS + i + 1;
+      backends[i].address = bench->backends[i];
+      backends[i].zone = 1 + i % 4;
+    }
+  for (uint32_t i = 0; i < MEMBERS; i++)
+    roster[i] = (gbd_member_t){ 1 + i, 1 + i % 4 };
+  gbd_table_t *table
+      = gbd_table_new (gbd_catalog_get_service (bench->catalog, service)->id,
+                       BUCKETS, backends, BACKENDS, roster, MEMBERS);
+  if (table)
+    table->version = 1;
+  return table;
+}
+
+static bool
+open_sinks (bench_t *bench)
+{
+  for (uint32_t i = 0; i < BACKENDS; i++)
+    {
+      gbd_address_t any = { .family = 4, .ip = { 127, 0, 0, 1 } };
+      bench->sinks[i] = gbd_udp_listen (&any, SOCKET_BUFFER);
+      if (bench->sinks[i] < 0)
+        return false;
+      gbd_udp_get_address (bench->sinks[i], &bench->backends[i]);
+    }
+  return true;
+}
+
+static void
+drain_sinks (const bench_t *bench)
+{
+  uint8_t byte;
+  for (uint32_t i = 0; i < BACKENDS; i++)
+    while (recv (bench->sinks[i], &byte, 1, MSG_DONTWAIT) >= 0)
+      ;
+}
+
+static gbd_address_t
+address_of (uint32_t number)
+{
+  gbd_address_t address
+      = { .family = 4,
+          .port = 443,
+          .ip = { 10, 200, (uint8_t)(number >> 8), (uint8_t)number } };
+  return address;
+}
+
+static size_t
+make_packet (const bench_t *bench, uint32_t flow, uint8_t flags,
+             uint8_t *bytes)
+{
+  static const uint8_t payload[INNER_LENGTH_MAX] = { 0 };
+  gbd_address_t service = address_of (flow % ADDRESSES);
+  gbd_address_t caller = { .family = 4,
+                           .port = (uint16_t)(1024 + flow % 50000),
+                           .ip = { 100, (uint8_t)(flow >> 16),
+                                   (uint8_t)(flow >> 8), (uint8_t)flow } };
+  size_t length = flags & INNER_SYN ? 0 : bench->payload;
+  return inner_build (&caller, &service, flow, 1, flags, payload, length,
+                      bytes);
+}
+
+/* Marsaglia's xorshift; the same flows in each run. */
+static uint32_t
+next_random (bench_t *bench, uint32_t below)
+{
+  bench->random ^= bench->random << 13;
+  bench->random ^= bench->random >> 7;
+  bench->random ^= bench->random << 17;
+  return (uint32_t)(bench->random >> 32) % below;
+}
+
+static void
+decide (bench_t *bench, const uint8_t (*packets)[INNER_LENGTH_MAX],
+        const size_t *lengths, cost_t *cost)
+{
+  static gbd_packet_t parsed[BATCH];
+  uint64_t counted = instructions (bench);
+  uint64_t started = nanoseconds ();
+  for (uint32_t i = 0; i < BATCH; i++)
+    {
+      if (gbd_packet_parse (packets[i], lengths[i], &parsed[i])
+          != GBD_DROP_NONE)
+        abort ();
+    }
+  gbd_engine_prefetch (bench->engine, parsed, BATCH);
+  for (uint32_t i = 0; i < BATCH; i++)
+    {
+      gbd_decision_t decision;
+      gbd_engine_route (bench->engine, &parsed[i], NULL, NOW, &decision);
+      gbd_engine_commit (bench->engine, &parsed[i], &decision, NOW);
+      if (decision.kind != GBD_ACTION_BACKEND)
+        abort ();
+    }
+  uint64_t took = nanoseconds () - started;
+  add_sample (cost, took, instructions (bench) - counted, BATCH);
+}
+
+static void
+open_flows (bench_t *bench, cost_t *cost)
+{
+  static uint8_t packets[BATCH][INNER_LENGTH_MAX];
+  size_t lengths[BATCH];
+  for (uint32_t flow = 0; flow + BATCH <= FLOWS; flow += BATCH)
+    {
+      for (uint32_t i = 0; i < BATCH; i++)
+        lengths[i] = make_packet (bench, flow + i, INNER_SYN, packets[i]);
+      decide (bench, (const uint8_t (*)[INNER_LENGTH_MAX])packets, lengths,
+              cost);
+    }
+}
+
+static void
+measure_decisions (bench_t *bench, const char *policy)
+{
+  static uint8_t packets[BATCH][INNER_LENGTH_MAX];
+  size_t lengths[BATCH];
+  static cost_t cost;
+  memset (&cost, 0, sizeof cost);
+  for (uint32_t batch = 0; batch < DECISION_BATCHES; batch++)
+    {
+      for (uint32_t i = 0; i < BATCH; i++)
+        lengths[i] = make_packet (bench, next_random (bench, FLOWS), INNER_ACK,
+                                  packets[i]);
+      decide (bench, (const uint8_t (*)[INNER_LENGTH_MAX])packets, lengths,
+              &cost);
+    }
+  print_row ("decision", policy, &cost);
+}
+
+/* Into an empty engine, so that every flow is new. */
+static void
+measure_openings (bench_t *bench)
+{
+  bench_t fresh = *bench;
+  static cost_t cost;
+  memset (&cost, 0, sizeof cost);
+  fresh.engine = NULL;
+  if (make_engine (&fresh, &gbd_policy_keepers))
+    {
+      open_flows (&fresh, &cost);
+      print_row ("open", "keepers", &cost);
+    }
+  gbd_engine_delete (fresh.engine);
+}
+
+static void
+measure_relay (bench_t *bench, unsigned rounds)
+{
+  gbd_datapath_settings_t settings
+      = { .fabric_listen = { .family = 4, .ip = { 127, 0, 0, 1 } },
+          .peer_listen = { .family = 4, .ip = { 127, 0, 0, 1 } },
+          .socket_buffer = SOCKET_BUFFER,
+          .clock = fixed_clock };
+  const char *error = NULL;
+  gbd_datapath_t *datapath
+      = gbd_datapath_new (&settings, bench->engine, &error);
+  int bare = gbd_udp_listen (&settings.fabric_listen, SOCKET_BUFFER);
+  int from = gbd_udp_open (4, SOCKET_BUFFER);
+  if (!datapath || bare < 0 || from < 0)
+    {
+      fprintf (stderr, "bench_datapath: %s\n", error ? error : "no socket");
+      goto out;
+    }
+
+  gbd_address_t to_datapath;
+  gbd_address_t to_bare;
+  int fabric = gbd_datapath_get_fabric_fd (datapath);
+  gbd_udp_get_address (fabric, &to_datapath);
+  gbd_udp_get_address (bare, &to_bare);
+  static cost_t product;
+  static cost_t relay;
+  memset (&product, 0, sizeof product);
+  memset (&relay, 0, sizeof relay);
+  for (unsigned round = 0; round < rounds; round++)
+    {
+      send_burst (bench, from, &to_datapath);
+      uint64_t counted = instructions (bench);
+      uint64_t started = nanoseconds ();
+      uint32_t handled = gbd_datapath_receive (datapath, fabric);
+      uint64_t took = nanoseconds () - started;
+      add_sample (&product, took, instructions (bench) - counted, handled);
+      drain_sinks (bench);
+
+      send_burst (bench, from, &to_bare);
+      run_bare (bench, bare, &relay);
+      drain_sinks (bench);
+    }
+  gbd_datapath_stats_t stats;
+  gbd_datapath_get_stats (datapath, &stats);
+  if (stats.to_backend_packets != product.packets)
+    fprintf (stderr, "bench_datapath: packets were dropped\n");
+  print_row ("relay", bench->payload > 64 ? "datapath-1200" : "datapath-64",
+             &product);
+  print_row ("relay", bench->payload > 64 ? "bare-1200" : "bare-64", &relay);
+  printf ("{\"bench\":\"datapath\",\"row\":\"share\",\"payload\":%zu,"
+          "\"of_bare\":%.3f}\n",
+          bench->payload, quantile (&relay, 0.5) / quantile (&product, 0.5));
+
+out:
+  gbd_datapath_delete (datapath);
+  if (bare >= 0)
+    close (bare);
+  if (from >= 0)
+    close (from);
+}
+
+static void
+send_burst (bench_t *bench, int from, const gbd_address_t *to)
+{
+  struct sockaddr_storage name;
+  socklen_t name_length = gbd_udp_to_sockaddr (to, &name);
+  for (uint32_t i = 0; i < BURST; i++)
+    {
+      uint8_t bytes[INNER_LENGTH_MAX];
+      size_t length
+          = make_packet (bench, next_random (bench, FLOWS), INNER_ACK, bytes);
+      sendto (from, bytes, length, 0, (const struct sockaddr *)&name,
+              name_length);
+    }
+}
+
+/* What no relay of this kind can do without. */
+static void
+run_bare (const bench_t *bench, int fd, cost_t *cost)
+{
+  static uint8_t buffers[BATCH][9216 + 64];
+  static struct sockaddr_storage names[BACKENDS];
+  struct mmsghdr messages[BATCH];
+  struct iovec parts[BATCH];
+  socklen_t name_length = 0;
+  for (uint32_t i = 0; i < BACKENDS; i++)
+    name_length = gbd_udp_to_sockaddr (&bench->backends[i], &names[i]);
+
+  uint64_t packets = 0;
+  uint64_t counted = instructions (bench);
+  uint64_t started = nanoseconds ();
+  for (uint32_t batch = 0; batch < BURST / BATCH; batch++)
+    {
+      memset (messages, 0, sizeof messages);
+      for (uint32_t i = 0; i < BATCH; i++)
+        {
+          parts[i] = (struct iovec){ buffers[i], sizeof buffers[i] };
+          messages[i].msg_hdr.msg_iov = &parts[i];
+          messages[i].msg_hdr.msg_iovlen = 1;
+        }
+      int count = recvmmsg (fd, messages, BATCH, MSG_DONTWAIT, NULL);
+      if (count <= 0)
+        break;
+      for (int i = 0; i < count; i++)
+        {
+          parts[i].iov_len = messages[i].msg_len;
+          messages[i].msg_hdr.msg_name
+              = &names[((uint32_t)i + batch) % BACKENDS];
+          messages[i].msg_hdr.msg_namelen = name_length;
+        }
+      int sent = sendmmsg (fd, messages, (unsigned)count, MSG_DONTWAIT);
+      packets += sent > 0 ? (uint64_t)sent : 0;
+    }
+  uint64_t took = nanoseconds () - started;
+  add_sample (cost, took, instructions (bench) - counted, packets);
+}
+
+static gbd_time_t
+fixed_clock (void *data)
+{
+  (void)data;
+  return NOW;
+}
+
+static void
+pin_to_core (void)
+{
+  cpu_set_t set;
+  CPU_ZERO (&set);
+  CPU_SET ((unsigned)sched_getcpu (), &set);
+  if (sched_setaffinity (0, sizeof set, &set) < 0)
+    fprintf (stderr, "bench_datapath: not pinned to one core\n");
+}
+
+/* Instructions in user mode; the kernel may not allow it. */
+static int
+open_counter (void)
+{
+  struct perf_event_attr attributes = { .type = PERF_TYPE_HARDWARE,
+                                        .size = sizeof attributes,
+                                        .config = PERF_COUNT_HW_INSTRUCTIONS,
+                                        .exclude_kernel = 1,
+                                        .exclude_hv = 1 };
+  return (int)syscall (SYS_perf_event_open, &attributes, 0, -1, -1, 0);
+}
+
+static uint64_t
+nanoseconds (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (uint64_t)now.tv_sec * 1000000000u + (uint64_t)now.tv_nsec;
+}
+
+static uint64_t
+instructions (const bench_t *bench)
+{
+  uint64_t count = 0;
+  if (bench->counter >= 0
+      && read (bench->counter, &count, sizeof count) != sizeof count)
+    count = 0;
+  return count;
+}
+
+static void
+add_sample (cost_t *cost, uint64_t took, uint64_t counted, uint64_t packets)
+{
+  if (!packets)
+    return;
+  cost->nanoseconds += took;
+  cost->instructions += counted;
+  cost->packets += packets;
+  if (cost->sample_count < SAMPLES_MAX)
+    cost->samples[cost->sample_count++] = (float)took / (float)packets;
+}
+
+static double
+quantile (cost_t *cost, double share)
+{
+  if (!cost->sample_count)
+    return 0;
+  qsort (cost->samples, cost->sample_count, sizeof *cost->samples, compare);
+  return (double)cost->samples[(uint32_t)(cost->sample_count * share)];
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  const float *left = a;
+  const float *right = b;
+  return (*left > *right) - (*left < *right);
+}
+
+static void
+print_row (const char *row, const char *detail, cost_t *cost)
+{
+  double packets = cost->packets ? (double)cost->packets : 1;
+  double mean = (double)cost->nanoseconds / packets;
+  double typical = quantile (cost, 0.5);
+  printf ("{\"bench\":\"datapath\",\"row\":\"%s\",\"of\":\"%s\","
+          "\"flows\":%u,\"addresses\":%u,\"packets\":%.0f,"
+          "\"ns_p5\":%.1f,\"ns_median\":%.1f,\"ns_mean\":%.1f,"
+          "\"per_second\":%.0f,"
+          "\"instructions\":",
+          row, detail, FLOWS, ADDRESSES, packets, quantile (cost, 0.05),
+          typical, mean, 1e9 / typical);
+  if (cost->instructions)
+    printf ("%.0f}\n", (double)cost->instructions / packets);
+  else
+    printf ("null}\n");
+  fflush (stdout);
+}
