--- /dev/null
+++ b/src/gooseberrydrum/commands.h
@@ -0,0 +1,10 @@
+/** @file commands.h
+ *  Entry points of the subcommands; each returns a gbd_exit_t.
+ */
+#ifndef PROGRAM_COMMANDS_H
+#define PROGRAM_COMMANDS_H
+
+int gbd_command_customers (int argc, char **argv);
+int gbd_command_plans (int argc, char **argv);
+
+#endif
--- a/src/gooseberrydrum/main.c
+++ b/src/gooseberrydrum/main.c
@@ -1,8 +1,12 @@
 #include "command.h"
+#include "commands.h"
 
 #include <stddef.h>
 
 static const gbd_command_t commands[] = {
+  { "customers", "read, check and change the list of customers",
+    gbd_command_customers },
+  { "plans", "read, check and change the list of plans", gbd_command_plans },
   { NULL, NULL, NULL },
 };
 
--- a/src/test_gooseberrydrum/platform_fixture.h
+++ b/src/test_gooseberrydrum/platform_fixture.h
@@ -19,6 +19,7 @@
   gbd_platform_t *platform; /* set by the test */
   gbd_address_t address;
   gbd_time_t now;
+  bool is_down_after_write; /* the platform goes down at its first write */
 } fixture_t;
 
 /* Outcome of a call, as note_outcome stores it. */
@@ -58,6 +59,15 @@
   platform_store_delete (fixture->store);
 }
 
+static inline void
+fixture_switch (fixture_t *fixture, const char *text)
+{
+  json_t *switches = json_loads (text, 0, NULL);
+  assert_int_equal (platform_store_set_switches (fixture->store, switches),
+                    GBD_OK);
+  json_decref (switches);
+}
+
 static inline void
 fixture_step (fixture_t *fixture)
 {
@@ -67,18 +77,12 @@
   if (platform_server_get_held_count (fixture->server) >= open)
     fixture->now += FIXTURE_STEP;
   platform_server_tick (fixture->server, fixture->now);
+  if (fixture->is_down_after_write
+      && platform_store_find (fixture->store, "accepted", "main"))
+    fixture_switch (fixture, "{\"down\":true}");
   gbd_platform_tick (fixture->platform, fixture->now);
 }
 
-static inline void
-fixture_switch (fixture_t *fixture, const char *text)
-{
-  json_t *switches = json_loads (text, 0, NULL);
-  assert_int_equal (platform_store_set_switches (fixture->store, switches),
-                    GBD_OK);
-  json_decref (switches);
-}
-
 /* Switches do not hold for the two below. */
 static inline void
 fixture_write (fixture_t *fixture, const char *kind, const char *name,
