Mend five faults of the engine that random histories found

prop_engine plays histories of six engines whose tables are a version apart, with lost packets, late messages, instances out of touch, a death and roster changes. What it found, and the change: - a repeated opening packet of a cached flow did not reach the keepers, who later registered it elsewhere: it goes along the chain with the known slot; - an out-of-touch keeper delivered what it had decided but not passed on: it drops opening packets of moving buckets; - a slot decided by a keeper was cached although the packet was lost on the way: only what is delivered is cached; - a keeper by another roster delivered without the keepers after it: it drops; - a correction could come after the flow's next packet: the packet is dropped after queueing it, and the caller sends again. Closed flows that linger stay exceptions until they are over.

The property assumes that a caller's opening packet is repeated within the time that a bucket stays ANNOUNCED.

--- a/src/libgooseberrydrum/engine.c
+++ b/src/libgooseberrydrum/engine.c
@@ -154,7 +154,8 @@
   gbd_instance_id_t fresh[GBD_LIVES_MAX];
   uint32_t fresh_count = 0;
   for (uint32_t i = 0; i < count; i++)
-    if (!gbd_engine_is_live (engine, live[i].id))
+    if (live[i].id != engine->settings.self
+        && !gbd_engine_is_live (engine, live[i].id))
       fresh[fresh_count++] = live[i].id;
 
   memcpy (engine->live, live, count * sizeof *live);
--- a/src/libgooseberrydrum/engine_cache.c
+++ b/src/libgooseberrydrum/engine_cache.c
@@ -8,8 +8,8 @@
 #define EXPIRE_CACHE_PLACES 8192u
 #define EXPIRE_REGISTRY_PLACES 2048u
 
-/* Time after which a closed flow may leave the cache. */
-#define CLOSED_LINGER_MS 60000u
+/* Time without a packet after which a closed flow leaves the cache. */
+#define CLOSED_LINGER_MS GBD_REGISTRY_LINGER_MS
 
 static void expire_cache (gbd_engine_t *engine, gbd_time_t now);
 static bool is_over (void *data, const gbd_registered_flow_t *flow);
@@ -67,6 +67,16 @@
   flow->flags &= (uint8_t) ~(GBD_CACHED_OPENED | GBD_CACHED_ADMITTED);
 }
 
+bool
+gbd_engine_is_cached_over (const gbd_engine_t *engine,
+                           const gbd_cached_flow_t *flow, gbd_time_t now)
+{
+  bool is_lingering
+      = gbd_flow_cache_get_age_ms (flow, now) <= CLOSED_LINGER_MS;
+  return gbd_flow_cache_is_idle (engine->cache, flow, now)
+         || ((flow->flags & GBD_CACHED_CLOSED) && !is_lingering);
+}
+
 void
 gbd_engine_expire (gbd_engine_t *engine, gbd_time_t now)
 {
@@ -116,11 +126,7 @@
       gbd_cached_flow_t *flow = gbd_flow_cache_at (engine->cache, index);
       if (!(flow->flags & GBD_CACHED_USED))
         continue;
-      bool is_closed = flow->flags & GBD_CACHED_CLOSED;
-      bool is_lingered
-          = gbd_flow_cache_get_age_ms (flow, now) > CLOSED_LINGER_MS;
-      if (!gbd_flow_cache_is_idle (engine->cache, flow, now)
-          && !(is_closed && is_lingered))
+      if (!gbd_engine_is_cached_over (engine, flow, now))
         continue;
       gbd_engine_end_cached (engine, flow, GBD_FLOW_END_IDLE, now);
       gbd_flow_cache_remove (engine->cache, flow);
--- a/src/libgooseberrydrum/engine_commit.c
+++ b/src/libgooseberrydrum/engine_commit.c
@@ -30,24 +30,22 @@
                    const gbd_decision_t *decision, gbd_time_t now)
 {
   count (engine, packet, decision);
-  if (decision->kind == GBD_ACTION_RESET && engine->admission)
-    {
-      /* Refused flows count as demand. */
-      uint16_t index = engine->index_of[decision->service];
-      engine->admission->opened (engine->admission_data,
-                                 engine->services[index].customer, now);
-    }
-  bool is_sent = decision->kind == GBD_ACTION_BACKEND
-                 || decision->kind == GBD_ACTION_PEER;
-  if (!is_sent || decision->service == GBD_SERVICE_NONE)
+  if (decision->service == GBD_SERVICE_NONE)
     return;
-
   commit_t commit = { .engine = engine,
                       .packet = packet,
                       .decision = decision,
                       .now = now,
                       .index = engine->index_of[decision->service] };
   commit.service = &engine->services[commit.index];
+  if (decision->corrects)
+    correct_earlier (&commit);
+  /* Refused flows count as demand. */
+  if (decision->kind == GBD_ACTION_RESET && engine->admission)
+    engine->admission->opened (engine->admission_data,
+                               commit.service->customer, now);
+  if (decision->kind == GBD_ACTION_DROP || decision->kind == GBD_ACTION_RESET)
+    return;
   if (decision->kind == GBD_ACTION_BACKEND
       && decision->slot < commit.service->slot_count)
     commit.service->loads[decision->slot].bytes += packet->length;
@@ -57,17 +55,18 @@
     register_flow (&commit);
 
   bool is_opening = packet->kind == GBD_PACKET_OPENING;
-  /* A packet that others answer for makes an entry only if it opens. */
-  bool is_asked = decision->slot == GBD_SLOT_NONE;
+  /* What was passed on may not arrive: only its opening leaves an entry, and
+     that without a slot, as nothing is known to be delivered. */
+  bool is_passed = decision->kind == GBD_ACTION_PEER;
   gbd_cached_flow_t *flow
       = gbd_engine_find_cached (engine, commit.index, decision->hash);
-  if (!flow && is_asked
+  if (!flow && is_passed
       && (!is_opening || decision->rule != GBD_RULE_OPEN_KEEPER))
     return;
   bool is_cached = flow && flow->slot == decision->slot;
-  if (!flow || (!is_asked && !is_cached) || (is_opening && decision->is_new))
+  if (!flow || (!is_passed && !is_cached) || (is_opening && decision->is_new))
     flow = gbd_engine_cache (engine, commit.index, decision->hash,
-                             decision->slot, now);
+                             is_passed ? GBD_SLOT_NONE : decision->slot, now);
   if (is_opening)
     record_opening (&commit, flow);
   record_passing (&commit, flow);
@@ -104,8 +103,6 @@
       = gbd_engine_need_registry (engine, &commit->service->registered);
   if (registry)
     gbd_registry_set (registry, decision->hash, decision->slot, commit->now);
-  if (decision->corrects)
-    correct_earlier (commit);
   if (decision->kind == GBD_ACTION_BACKEND)
     tell_skipped (commit);
 }
@@ -130,9 +127,11 @@
     return;
   gbd_registry_find (registry, decision->hash)->flags |= GBD_REGISTERED_LOCAL;
   for (uint32_t i = 0; i < engine->live_count; i++)
-    gbd_engine_tell (engine, engine->live[i].id, commit->index,
-                     is_exception ? GBD_FLOWS_EXCEPTION : GBD_FLOWS_REGISTERED,
-                     decision->hash, decision->slot);
+    if (engine->live[i].id != engine->settings.self)
+      gbd_engine_tell (engine, engine->live[i].id, commit->index,
+                       is_exception ? GBD_FLOWS_EXCEPTION
+                                    : GBD_FLOWS_REGISTERED,
+                       decision->hash, decision->slot);
 }
 
 static void
@@ -219,10 +218,7 @@
 
   if (gbd_registry_find (service->exceptions, hash))
     {
-      gbd_registry_close (service->exceptions, hash, commit->now);
-      for (uint32_t i = 0; i < engine->live_count; i++)
-        gbd_engine_tell (engine, engine->live[i].id, commit->index,
-                         GBD_FLOWS_CLOSED, hash, flow->slot);
+      gbd_engine_close_exception (engine, commit->index, hash, commit->now);
       return;
     }
   const gbd_bucket_t *bucket
--- a/src/libgooseberrydrum/engine_flows.c
+++ b/src/libgooseberrydrum/engine_flows.c
@@ -16,8 +16,8 @@
 static bool stays_behind (const gbd_table_t *table, gbd_flow_hash_t hash,
                           gbd_slot_t slot);
 static void visit_behind (const gbd_registry_t *registry,
-                          const gbd_table_t *table, gbd_flow_visit_t visit,
-                          void *data);
+                          const gbd_table_t *table, gbd_time_t now,
+                          gbd_flow_visit_t visit, void *data);
 static int compare_told (const void *a, const void *b);
 
 gbd_status_t
@@ -68,16 +68,15 @@
     {
       const gbd_cached_flow_t *flow = gbd_flow_cache_at (engine->cache, i);
       if (!(flow->flags & GBD_CACHED_USED) || flow->service != index
-          || (flow->flags & GBD_CACHED_CLOSED)
+          || gbd_engine_is_cached_over (engine, flow, now)
           || gbd_engine_find_cached (engine, index, flow->hash) != flow
-          || gbd_flow_cache_is_idle (engine->cache, flow, now)
           || !stays_behind (state->table, flow->hash, flow->slot))
         continue;
       gbd_flow_entry_t entry = { flow->hash, flow->slot };
       visit (data, &entry);
     }
-  visit_behind (state->registered, state->table, visit, data);
-  visit_behind (state->exceptions, state->table, visit, data);
+  visit_behind (state->registered, state->table, now, visit, data);
+  visit_behind (state->exceptions, state->table, now, visit, data);
 }
 
 void
@@ -110,6 +109,21 @@
   return *registry;
 }
 
+void
+gbd_engine_close_exception (gbd_engine_t *engine, uint16_t index,
+                            gbd_flow_hash_t hash, gbd_time_t now)
+{
+  const gbd_registry_t *exceptions = engine->services[index].exceptions;
+  const gbd_registered_flow_t *flow = gbd_registry_find (exceptions, hash);
+  if (!flow || (flow->flags & GBD_REGISTERED_CLOSED))
+    return;
+  gbd_registry_close (engine->services[index].exceptions, hash, now);
+  for (uint32_t i = 0; i < engine->live_count; i++)
+    if (engine->live[i].id != engine->settings.self)
+      gbd_engine_tell (engine, engine->live[i].id, index, GBD_FLOWS_CLOSED,
+                       hash, flow->slot);
+}
+
 /* False when the bound of a registry is reached. */
 static bool
 merge_one (gbd_engine_t *engine, uint16_t index, gbd_flows_kind_t kind,
@@ -202,13 +216,13 @@
 
 static void
 visit_behind (const gbd_registry_t *registry, const gbd_table_t *table,
-              gbd_flow_visit_t visit, void *data)
+              gbd_time_t now, gbd_flow_visit_t visit, void *data)
 {
   for (uint32_t i = 0; i < gbd_registry_get_capacity (registry); i++)
     {
       const gbd_registered_flow_t *flow = gbd_registry_at (registry, i);
       if (!(flow->flags & GBD_REGISTERED_USED)
-          || (flow->flags & GBD_REGISTERED_CLOSED)
+          || gbd_registry_is_over (flow, now)
           || !stays_behind (table, flow->hash, flow->slot))
         continue;
       gbd_flow_entry_t entry = { flow->hash, flow->slot };
--- a/src/libgooseberrydrum/engine_state.h
+++ b/src/libgooseberrydrum/engine_state.h
@@ -93,6 +93,14 @@
 void gbd_engine_end_cached (gbd_engine_t *engine, gbd_cached_flow_t *flow,
                             gbd_flow_end_t end, gbd_time_t now);
 
+/** Whether a cached flow is idle past the limit, or closed and lingered. */
+bool gbd_engine_is_cached_over (const gbd_engine_t *engine,
+                                const gbd_cached_flow_t *flow, gbd_time_t now);
+
+/** Close an exception here and tell every live instance. */
+void gbd_engine_close_exception (gbd_engine_t *engine, uint16_t index,
+                                 gbd_flow_hash_t hash, gbd_time_t now);
+
 /** Registry to write to, made when it is missing; NULL if memory is short. */
 gbd_registry_t *gbd_engine_need_registry (const gbd_engine_t *engine,
                                           gbd_registry_t **registry);
--- a/src/libgooseberrydrum/engine_table.c
+++ b/src/libgooseberrydrum/engine_table.c
@@ -15,7 +15,8 @@
 /* The flows that stay behind when buckets invert. */
 typedef struct
 {
-  gbd_registry_t *exceptions;
+  gbd_engine_t *engine;
+  uint16_t index;
   const gbd_table_t *table;
   gbd_time_t now;
   gbd_status_t status;
@@ -34,6 +35,7 @@
 static bool inverts (const gbd_table_t *former, const gbd_table_t *table);
 static gbd_status_t keep_exceptions (gbd_engine_t *engine, uint16_t index,
                                      const gbd_table_t *table, gbd_time_t now);
+static bool is_closed (const inversion_t *inversion, gbd_flow_hash_t hash);
 static void keep_exception (void *data, const gbd_flow_entry_t *entry);
 
 gbd_status_t
@@ -176,7 +178,7 @@
   gbd_engine_service_t *service = &engine->services[index];
   if (!gbd_engine_need_registry (engine, &service->exceptions))
     return GBD_ERROR_MEMORY;
-  inversion_t inversion = { service->exceptions, table, now, GBD_OK };
+  inversion_t inversion = { engine, index, table, now, GBD_OK };
   gbd_engine_visit_exceptions (engine, service->id, now, keep_exception,
                                &inversion);
   return inversion.status;
@@ -190,8 +192,24 @@
   uint32_t bucket = gbd_table_bucket_of (table, entry->hash);
   if (table->buckets[bucket].phase != GBD_BUCKET_INVERTED)
     return;
-  gbd_status_t status = gbd_registry_merge (inversion->exceptions, entry->hash,
+  gbd_engine_service_t *service
+      = &inversion->engine->services[inversion->index];
+  gbd_status_t status = gbd_registry_merge (service->exceptions, entry->hash,
                                             entry->slot, inversion->now);
   if (status != GBD_OK)
     inversion->status = status;
+  else if (is_closed (inversion, entry->hash))
+    gbd_engine_close_exception (inversion->engine, inversion->index,
+                                entry->hash, inversion->now);
+}
+
+static bool
+is_closed (const inversion_t *inversion, gbd_flow_hash_t hash)
+{
+  const gbd_cached_flow_t *cached
+      = gbd_engine_find_cached (inversion->engine, inversion->index, hash);
+  const gbd_registered_flow_t *registered = gbd_registry_find (
+      inversion->engine->services[inversion->index].registered, hash);
+  return (cached && (cached->flags & GBD_CACHED_CLOSED))
+         || (registered && (registered->flags & GBD_REGISTERED_CLOSED));
 }
--- a/src/libgooseberrydrum/policy_open.c
+++ b/src/libgooseberrydrum/policy_open.c
@@ -13,6 +13,9 @@
 static gbd_slot_t get_decided_slot (const gbd_route_t *route);
 static void open_by_keepers (gbd_route_t *route, const gbd_keepers_t *keepers,
                              int position);
+static int find_first_live (const gbd_route_t *route,
+                            const gbd_keepers_t *keepers);
+static void correct (gbd_route_t *route, const choice_t *choice);
 static bool pass_to_first (gbd_route_t *route, const gbd_keepers_t *keepers);
 static bool choose_known (const gbd_route_t *route, choice_t *choice);
 static bool make_room (gbd_route_t *route, choice_t *choice);
@@ -33,9 +36,12 @@
       position = find_in_chain (&keepers, route->engine->settings.self);
     }
 
-  /* A keeper passes a repeated opening packet along the chain again, as the
-     next keeper may have missed it. */
-  if (is_known (route) && position < 0)
+  /* A known flow goes straight on, but for moving buckets: there a repeated
+     opening packet goes along the chain as well, since a keeper may have
+     missed the first one, or it came before the bucket moved; and what this
+     instance decided as a keeper may not have been delivered. */
+  if (is_known (route)
+      && (!is_registering || route->engine->touch == GBD_TOUCH_ZONE))
     {
       gbd_route_to_backend (route, GBD_RULE_CACHED, route->cached->slot);
       return;
@@ -118,6 +124,13 @@
   gbd_slot_t decided = get_decided_slot (route);
   if (decided == GBD_SLOT_NONE && pass_to_first (route, keepers))
     return;
+  if (position < 0)
+    {
+      /* Another roster counts this instance as a keeper; which keepers come
+         after it is not known here. */
+      gbd_route_drop (route, GBD_RULE_OPEN_KEEPER, GBD_DROP_UNCERTAIN);
+      return;
+    }
 
   choice_t choice;
   if (!choose_known (route, &choice))
@@ -127,32 +140,50 @@
                         ? decided
                         : gbd_bucket_open_slot (route->bucket);
     }
-  if (make_room (route, &choice))
-    {
-      route->decision->corrects
-          = decided != GBD_SLOT_NONE && decided != choice.slot;
-      pass_on (route, keepers, position, &choice);
-    }
+  if (decided != GBD_SLOT_NONE && decided != choice.slot)
+    correct (route, &choice);
+  else if (make_room (route, &choice))
+    pass_on (route, keepers, position, &choice);
+}
+
+/* The earlier keepers have to know first: the caller sends again. */
+static void
+correct (gbd_route_t *route, const choice_t *choice)
+{
+  gbd_route_drop (route, choice->rule, GBD_DROP_UNCERTAIN);
+  route->decision->slot = choice->slot;
+  route->decision->corrects = true;
 }
 
 /* Send an undecided packet to the first keeper, unless that is this one. */
 static bool
 pass_to_first (gbd_route_t *route, const gbd_keepers_t *keepers)
 {
-  for (int i = 0; i < keepers->count; i++)
+  int first = find_first_live (route, keepers);
+  if (first < 0)
     {
-      if (keepers->chain[i] == route->engine->settings.self)
-        return false;
-      if (!gbd_engine_is_live (route->engine, keepers->chain[i]))
-        continue;
-      gbd_route_to_peer (route, GBD_RULE_OPEN_KEEPER, keepers->chain[i],
-                         GBD_SHIM_OPEN, GBD_SLOT_NONE);
+      gbd_route_drop (route, GBD_RULE_OPEN_KEEPER, GBD_DROP_UNCERTAIN);
       return true;
     }
-  gbd_route_drop (route, GBD_RULE_OPEN_KEEPER, GBD_DROP_UNCERTAIN);
+  if (keepers->chain[first] == route->engine->settings.self)
+    return false;
+  gbd_slot_t known = is_known (route) ? route->cached->slot : GBD_SLOT_NONE;
+  gbd_route_to_peer (route, GBD_RULE_OPEN_KEEPER, keepers->chain[first],
+                     GBD_SHIM_OPEN, known);
   return true;
 }
 
+/* Position of the first keeper that is heard or this instance itself. */
+static int
+find_first_live (const gbd_route_t *route, const gbd_keepers_t *keepers)
+{
+  for (int i = 0; i < keepers->count; i++)
+    if (keepers->chain[i] == route->engine->settings.self
+        || gbd_engine_is_live (route->engine, keepers->chain[i]))
+      return i;
+  return -1;
+}
+
 /* The slot of a flow that is open as far as this instance knows. */
 static bool
 choose_known (const gbd_route_t *route, choice_t *choice)
@@ -208,7 +239,7 @@
       gbd_route_drop (route, GBD_RULE_GONE, GBD_DROP_NO_BACKEND);
       return;
     }
-  for (int i = position + 1; position >= 0 && i < keepers->count; i++)
+  for (int i = position + 1; i < keepers->count; i++)
     if (gbd_engine_is_live (route->engine, keepers->chain[i]))
       {
         gbd_route_to_peer (route, GBD_RULE_OPEN_KEEPER, keepers->chain[i],
--- a/src/test_libgooseberrydrum/test_engine.c
+++ b/src/test_libgooseberrydrum/test_engine.c
@@ -315,8 +315,10 @@
   gbd_engine_merge (c->engines[m->k2], c->service, GBD_FLOWS_REGISTERED,
                     &entry, 1, c->now);
   set_table_everywhere (c, m->active);
-  assert_backend (open_at (m, m->stranger), X);
+  assert_dropped (open_at (m, m->stranger), GBD_RULE_REGISTERED,
+                  GBD_DROP_UNCERTAIN);
   assert_int_equal (tell_from (c, m->k2), 1);
+  assert_backend (open_at (m, m->stranger), X);
   set_dead (c, m->k2);
   assert_backend (middle_at (m, m->k1), X);
   assert_backend (middle_at (m, m->stranger), X);
@@ -374,9 +376,10 @@
   uint32_t closed = caller_on (c, m->stable, X, 1);
   uint32_t young = caller_on (c, m->stable, X, 2);
   uint32_t elsewhere = caller_on (c, m->stable, 2, 0);
-  open_at (m, m->stranger);
   send_kind (c, m->stranger, GBD_PACKET_OPENING, closed);
   send_kind (c, m->stranger, GBD_PACKET_CLOSING, closed);
+  c->now += 61 * GBD_SECOND;
+  open_at (m, m->stranger);
   send_kind (c, m->stranger, GBD_PACKET_OPENING, elsewhere);
   set_table_everywhere (c, m->announced);
   set_table_everywhere (c, m->active);
