Copy no live instances from a null list

Cause: gbd_engine_set_live() with no instance passed a null pointer to memcpy(), which the undefined-behaviour sanitizer reports in test_engine.

Change: nothing is copied when the list is empty.

--- a/src/libgooseberrydrum/engine.c
+++ b/src/libgooseberrydrum/engine.c
@@ -158,7 +158,8 @@
         && !gbd_engine_is_live (engine, live[i].id))
       fresh[fresh_count++] = live[i].id;
 
-  memcpy (engine->live, live, count * sizeof *live);
+  if (count)
+    memcpy (engine->live, live, count * sizeof *live);
   engine->live_count = count;
   for (uint32_t i = 0; i < fresh_count; i++)
     tell_local_flows (engine, fresh[i]);
