--- a/src/standins/platform_store.c
+++ b/src/standins/platform_store.c
@@ -6,31 +6,15 @@
 #include <glib.h>
 
 #include "gooseberrydrum/retry.h"
+#include "standins/platform_state.h"
 
 const char *const platform_verb_strings[PLATFORM_VERB_COUNT]
     = { "get", "list", "watch", "put", "delete" };
 
-typedef struct
-{
-  char *kind;
-  char *name;
-  uint64_t version;
-  json_t *value; /* NULL once deleted */
-} object_t;
-
-/* One state of all objects; the second one serves stale reads. */
-typedef struct
-{
-  GHashTable *objects; /* "kind/name" -> object_t */
-  uint64_t version;    /* newest change */
-  uint64_t forgotten;  /* newest deletion that is no longer known */
-} state_t;
-
 struct platform_store
 {
-  state_t now;
-  state_t stale;   /* objects NULL unless reads are stale */
-  GQueue *deleted; /* keys of deleted objects, oldest first */
+  platform_state_t *present;
+  platform_state_t *stale; /* NULL unless reads are stale */
   bool is_limiting_writes;
   bool is_limiting_reads;
   gbd_token_bucket_t writes;
@@ -64,18 +48,11 @@
 static bool is_version_right (platform_store_t *store,
                               const platform_request_t *request,
                               platform_reply_t *reply);
-static void forget_oldest_deletion (platform_store_t *store);
-static json_t *collect (const state_t *state, const char *kind, uint64_t since,
-                        bool with_deleted);
-static const state_t *get_read_state (const platform_store_t *store);
+static const platform_state_t *get_read_state (const platform_store_t *store);
 static void set_stale (platform_store_t *store, bool is_stale);
 static void count (json_t *counts, const char *key);
 static void count_call (platform_store_t *store,
                         const platform_request_t *request);
-static char *make_key (const char *kind, const char *name);
-static object_t *object_new (const char *kind, const char *name,
-                             uint64_t version, json_t *value);
-static void object_delete (gpointer data);
 
 static const handler_t handlers[PLATFORM_VERB_COUNT]
     = { handle_get, handle_list, handle_watch, handle_put, handle_delete };
@@ -85,9 +62,7 @@
                     gbd_time_t now)
 {
   platform_store_t *store = g_new0 (platform_store_t, 1);
-  store->now.objects
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_delete);
-  store->deleted = g_queue_new ();
+  store->present = platform_state_new (PLATFORM_DELETED_MAX);
   store->calls = json_object ();
   store->refused = json_object ();
   store->is_limiting_writes = writes_per_second > 0;
@@ -104,9 +79,8 @@
 {
   if (!store)
     return;
-  set_stale (store, false);
-  g_hash_table_destroy (store->now.objects);
-  g_queue_free_full (store->deleted, g_free);
+  platform_state_delete (store->present);
+  platform_state_delete (store->stale);
   json_decref (store->calls);
   json_decref (store->refused);
   g_free (store);
@@ -135,25 +109,15 @@
 platform_store_write (platform_store_t *store, const char *kind,
                       const char *name, json_t *value)
 {
-  uint64_t version = ++store->now.version;
-  g_hash_table_replace (store->now.objects, make_key (kind, name),
-                        object_new (kind, name, version, value));
-  if (!value)
-    {
-      g_queue_push_tail (store->deleted, make_key (kind, name));
-      if (g_queue_get_length (store->deleted) > PLATFORM_DELETED_MAX)
-        forget_oldest_deletion (store);
-    }
-  return version;
+  return platform_state_write (store->present, kind, name, value);
 }
 
 const json_t *
 platform_store_find (const platform_store_t *store, const char *kind,
                      const char *name)
 {
-  char *key = make_key (kind, name);
-  const object_t *object = g_hash_table_lookup (store->now.objects, key);
-  g_free (key);
+  const platform_object_t *object
+      = platform_state_find (store->present, kind, name);
   return object ? object->value : NULL;
 }
 
@@ -219,16 +183,17 @@
     return;
   reply->flags = 0;
   reply->status = 200;
-  reply->body
-      = json_pack ("{s:I, s:[]}", "version",
-                   (json_int_t)get_read_state (store)->version, "changes");
+  reply->body = json_pack (
+      "{s:I, s:[]}", "version",
+      (json_int_t)platform_state_get_version (get_read_state (store)),
+      "changes");
 }
 
 gbd_status_t
 platform_store_set_switches (platform_store_t *store, const json_t *switches)
 {
   int down = store->is_down;
-  int stale = store->stale.objects != NULL;
+  int stale = store->stale != NULL;
   int cut = store->is_cutting_watches;
   int replay = store->is_replaying_watches;
   json_int_t slow_ms = store->slow_ms;
@@ -249,7 +214,7 @@
   store->garble_answers = (uint32_t)garble;
   store->slow_ms = (uint32_t)slow_ms;
   store->lose_answers = (uint32_t)lose;
-  if ((store->stale.objects != NULL) != (stale != 0))
+  if ((store->stale != NULL) != (stale != 0))
     set_stale (store, stale);
   return GBD_OK;
 }
@@ -257,21 +222,19 @@
 json_t *
 platform_store_get_stats (const platform_store_t *store)
 {
-  return json_pack ("{s:O, s:O, s:I, s:I}", "calls", store->calls, "refused",
-                    store->refused, "version", (json_int_t)store->now.version,
-                    "objects",
-                    (json_int_t)g_hash_table_size (store->now.objects));
+  return json_pack (
+      "{s:O, s:O, s:I, s:I}", "calls", store->calls, "refused", store->refused,
+      "version", (json_int_t)platform_state_get_version (store->present),
+      "objects", (json_int_t)platform_state_get_count (store->present));
 }
 
 static void
 handle_get (platform_store_t *store, const platform_request_t *request,
             platform_reply_t *reply)
 {
-  char *key = make_key (request->kind, request->name);
-  const object_t *object
-      = g_hash_table_lookup (get_read_state (store)->objects, key);
-  g_free (key);
-  if (!object || !object->value)
+  const platform_object_t *object = platform_state_find (
+      get_read_state (store), request->kind, request->name);
+  if (!object)
     {
       reply->status = 404;
       return;
@@ -286,23 +249,25 @@
 handle_list (platform_store_t *store, const platform_request_t *request,
              platform_reply_t *reply)
 {
-  const state_t *state = get_read_state (store);
+  const platform_state_t *state = get_read_state (store);
   reply->status = 200;
-  reply->body = json_pack ("{s:I, s:o}", "version", (json_int_t)state->version,
-                           "items", collect (state, request->kind, 0, false));
+  reply->body = json_pack (
+      "{s:I, s:o}", "version", (json_int_t)platform_state_get_version (state),
+      "items", platform_state_collect (state, request->kind, 0, false));
 }
 
 static void
 handle_watch (platform_store_t *store, const platform_request_t *request,
               platform_reply_t *reply)
 {
-  const state_t *state = get_read_state (store);
-  if (request->version < state->forgotten)
+  const platform_state_t *state = get_read_state (store);
+  if (request->version < platform_state_get_forgotten (state))
     {
       reply->status = 410;
       return;
     }
-  json_t *changes = collect (state, request->kind, request->version, true);
+  json_t *changes
+      = platform_state_collect (state, request->kind, request->version, true);
   if (json_array_size (changes) == 0)
     {
       json_decref (changes);
@@ -312,10 +277,11 @@
   if (store->is_replaying_watches)
     {
       json_decref (changes);
-      changes = collect (state, request->kind, 0, true);
+      changes = platform_state_collect (state, request->kind, 0, true);
     }
   reply->status = 200;
-  reply->body = json_pack ("{s:I, s:o}", "version", (json_int_t)state->version,
+  reply->body = json_pack ("{s:I, s:o}", "version",
+                           (json_int_t)platform_state_get_version (state),
                            "changes", changes);
 }
 
@@ -385,103 +351,29 @@
 is_version_right (platform_store_t *store, const platform_request_t *request,
                   platform_reply_t *reply)
 {
-  char *key = make_key (request->kind, request->name);
-  const object_t *object = g_hash_table_lookup (store->now.objects, key);
-  g_free (key);
-  bool exists = object && object->value;
-  uint64_t version = exists ? object->version : 0;
+  const platform_object_t *object
+      = platform_state_find (store->present, request->kind, request->name);
+  uint64_t version = object ? object->version : 0;
   if (request->version == version)
     return true;
   reply->status = 409;
-  reply->body = json_pack ("{s:I, s:O?}", "version", (json_int_t)version,
-                           "value", exists ? object->value : NULL);
-  if (!exists && reply->body)
-    json_object_set_new (reply->body, "value", json_null ());
+  json_t *value = object ? json_incref (object->value) : json_null ();
+  reply->body = json_pack ("{s:I, s:o}", "version", (json_int_t)version,
+                           "value", value);
   return false;
 }
 
-static void
-forget_oldest_deletion (platform_store_t *store)
-{
-  char *key = g_queue_pop_head (store->deleted);
-  const object_t *object = g_hash_table_lookup (store->now.objects, key);
-  /* It may have been created again since. */
-  if (object && !object->value)
-    {
-      store->now.forgotten = MAX (store->now.forgotten, object->version);
-      g_hash_table_remove (store->now.objects, key);
-    }
-  g_free (key);
-}
-
-static gint
-compare_versions (gconstpointer a, gconstpointer b)
-{
-  uint64_t first = (*(object_t *const *)a)->version;
-  uint64_t second = (*(object_t *const *)b)->version;
-  return first < second ? -1 : first > second;
-}
-
-static json_t *
-collect (const state_t *state, const char *kind, uint64_t since,
-         bool with_deleted)
-{
-  GPtrArray *found = g_ptr_array_new ();
-  GHashTableIter iter;
-  gpointer data;
-  g_hash_table_iter_init (&iter, state->objects);
-  while (g_hash_table_iter_next (&iter, NULL, &data))
-    {
-      object_t *object = data;
-      if (object->version > since && strcmp (object->kind, kind) == 0
-          && (object->value || with_deleted))
-        g_ptr_array_add (found, object);
-    }
-  g_ptr_array_sort (found, compare_versions);
-
-  json_t *items = json_array ();
-  for (guint i = 0; i < found->len; i++)
-    {
-      object_t *object = g_ptr_array_index (found, i);
-      json_t *value
-          = object->value ? json_incref (object->value) : json_null ();
-      json_array_append_new (
-          items, json_pack ("{s:s, s:I, s:o}", "name", object->name, "version",
-                            (json_int_t)object->version, "value", value));
-    }
-  g_ptr_array_free (found, TRUE);
-  return items;
-}
-
-static const state_t *
+static const platform_state_t *
 get_read_state (const platform_store_t *store)
 {
-  return store->stale.objects ? &store->stale : &store->now;
+  return store->stale ? store->stale : store->present;
 }
 
 static void
 set_stale (platform_store_t *store, bool is_stale)
 {
-  if (store->stale.objects)
-    g_hash_table_destroy (store->stale.objects);
-  store->stale = (state_t){ 0 };
-  if (!is_stale)
-    return;
-  store->stale = store->now;
-  store->stale.objects
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, object_delete);
-  GHashTableIter iter;
-  gpointer key;
-  gpointer data;
-  g_hash_table_iter_init (&iter, store->now.objects);
-  while (g_hash_table_iter_next (&iter, &key, &data))
-    {
-      const object_t *object = data;
-      g_hash_table_insert (store->stale.objects, g_strdup (key),
-                           object_new (object->kind, object->name,
-                                       object->version,
-                                       json_incref (object->value)));
-    }
+  platform_state_delete (store->stale);
+  store->stale = is_stale ? platform_state_copy (store->present) : NULL;
 }
 
 static void
@@ -502,31 +394,3 @@
     }
   count (verbs, platform_verb_strings[request->verb]);
 }
-
-static char *
-make_key (const char *kind, const char *name)
-{
-  return g_strconcat (kind, "/", name, NULL);
-}
-
-static object_t *
-object_new (const char *kind, const char *name, uint64_t version,
-            json_t *value)
-{
-  object_t *object = g_new0 (object_t, 1);
-  object->kind = g_strdup (kind);
-  object->name = g_strdup (name);
-  object->version = version;
-  object->value = value;
-  return object;
-}
-
-static void
-object_delete (gpointer data)
-{
-  object_t *object = data;
-  g_free (object->kind);
-  g_free (object->name);
-  json_decref (object->value);
-  g_free (object);
-}
