Run the links over mutual TLS

Anybody who reaches the link address could claim to be an instance.

Both sides show a certificate that the authority has signed; TLS 1.3 only. raw-skt clients of libwebsockets 4.1.6 start TLS before their socket exists (SSL_connect fails with EBADF), so that the links run OpenSSL over buffers above plain raw sockets. The HELLO time-out and the bound of strangers thus cover the handshake too. gbd_links_reload makes a new context for later links; open links keep the former one, and files that do not load change nothing.

--- a/src/gooseberrydrum/link.c
+++ b/src/gooseberrydrum/link.c
@@ -4,17 +4,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "links_tls.h"
-
 #define WRITE_LENGTH_MAX ((size_t)1 << 14) /* bytes of one write */
 #define STRANGERS_MAX 32                   /* connections without HELLO */
 
-static gbd_link_t *make_link (gbd_links_t *links);
+static gbd_link_t *make_link (gbd_links_t *links, bool is_outbound);
 static int accept_link (struct lws *wsi);
 static int greet (gbd_link_t *link);
 static gbd_status_t send_hello (gbd_link_t *link);
 static void close_oldest_stranger (gbd_links_t *links);
 static int receive (gbd_link_t *link, const uint8_t *bytes, size_t length);
+static gbd_status_t receive_plain (void *data, const uint8_t *bytes,
+                                   size_t length);
 static gbd_status_t receive_frame (void *data, const uint8_t *content,
                                    size_t length);
 static gbd_status_t receive_message (gbd_link_t *link,
@@ -24,6 +24,9 @@
 static bool is_id_taken (const gbd_links_t *links, gbd_instance_id_t id,
                          const gbd_address_t *listen);
 static int write_queue (gbd_link_t *link);
+static bool write_plain (gbd_link_t *link);
+static bool write_encrypted (gbd_link_t *link);
+static bool write_socket (gbd_link_t *link, uint8_t *bytes, size_t length);
 
 int
 gbd_link_callback (struct lws *wsi, enum lws_callback_reasons reason,
@@ -57,10 +60,9 @@
 void
 gbd_link_open (gbd_links_t *links, gbd_link_peer_t *peer)
 {
-  gbd_link_t *link = make_link (links);
+  gbd_link_t *link = make_link (links, true);
   if (!link)
     return;
-  link->is_outbound = true;
   link->state = GBD_LINK_CONNECTING;
   link->address = peer->address;
   peer->link = link;
@@ -76,7 +78,6 @@
     .port = peer->address.port,
     .method = "RAW",
     .local_protocol_name = "gooseberrydrum-link",
-    .ssl_connection = gbd_links_tls_client_flags (&links->settings),
     .opaque_user_data = link,
     .pwsi = &link->wsi,
   };
@@ -97,6 +98,8 @@
   link->state = GBD_LINK_CLOSED;
   gbd_frames_clear (&link->frames);
   gbd_outbox_clear (&link->outbox);
+  gbd_tls_delete (link->tls);
+  link->tls = NULL;
   if (link->wsi)
     {
       /* Its last callbacks find no link and have no effect. */
@@ -154,12 +157,22 @@
 }
 
 static gbd_link_t *
-make_link (gbd_links_t *links)
+make_link (gbd_links_t *links, bool is_outbound)
 {
   gbd_link_t *link = calloc (1, sizeof *link);
   if (!link)
     return NULL;
+  if (links->tls)
+    {
+      link->tls = gbd_tls_new (links->tls, is_outbound);
+      if (!link->tls)
+        {
+          free (link);
+          return NULL;
+        }
+    }
   link->links = links;
+  link->is_outbound = is_outbound;
   link->opened_at = links->now;
   link->heard_at = links->now;
   link->frames.length_max = GBD_HELLO_LENGTH_MAX;
@@ -177,7 +190,7 @@
   if (!links)
     return -1;
   close_oldest_stranger (links);
-  gbd_link_t *link = make_link (links);
+  gbd_link_t *link = make_link (links, false);
   if (!link)
     return -1;
   link->wsi = wsi;
@@ -187,7 +200,8 @@
   return 0;
 }
 
-/* The connecting side speaks first. */
+/* The connecting side speaks first; TLS holds the HELLO back until it is
+   ready. */
 static int
 greet (gbd_link_t *link)
 {
@@ -245,16 +259,29 @@
   gbd_links_t *links = link->links;
   links->stats.bytes_received += length;
   link->heard_at = links->now;
-  gbd_status_t status
-      = gbd_frames_feed (&link->frames, bytes, length, receive_frame, link);
+  gbd_status_t status = link->tls ? gbd_tls_receive (link->tls, bytes, length,
+                                                     receive_plain, link)
+                                  : receive_plain (link, bytes, length);
   if (status == GBD_OK)
-    return 0;
+    {
+      /* The handshake may have an answer, or have let the queue go. */
+      if (link->tls)
+        lws_callback_on_writable (link->wsi);
+      return 0;
+    }
   if (status == GBD_ERROR_FORMAT)
     links->stats.refused++;
   gbd_link_close (link);
   return -1;
 }
 
+static gbd_status_t
+receive_plain (void *data, const uint8_t *bytes, size_t length)
+{
+  gbd_link_t *link = data;
+  return gbd_frames_feed (&link->frames, bytes, length, receive_frame, link);
+}
+
 static gbd_status_t
 receive_frame (void *data, const uint8_t *content, size_t length)
 {
@@ -331,19 +358,59 @@
 static int
 write_queue (gbd_link_t *link)
 {
-  size_t length;
-  uint8_t *bytes = gbd_outbox_peek (&link->outbox, WRITE_LENGTH_MAX, &length);
-  if (!bytes)
-    return 0;
-  int written = lws_write (link->wsi, bytes, length, LWS_WRITE_RAW);
-  if (written < (int)length)
+  bool is_written = link->tls ? write_encrypted (link) : write_plain (link);
+  if (!is_written)
     {
       gbd_link_close (link);
       return -1;
     }
-  link->links->stats.bytes_sent += length;
-  gbd_outbox_pop (&link->outbox, length);
-  if (link->outbox.first)
+  bool is_waiting
+      = link->tls ? gbd_tls_has_output (link->tls)
+                        || (link->outbox.first && gbd_tls_is_ready (link->tls))
+                  : link->outbox.first != NULL;
+  if (is_waiting)
     lws_callback_on_writable (link->wsi);
   return 0;
 }
+
+static bool
+write_plain (gbd_link_t *link)
+{
+  size_t length;
+  uint8_t *bytes = gbd_outbox_peek (&link->outbox, WRITE_LENGTH_MAX, &length);
+  if (!bytes)
+    return true;
+  if (!write_socket (link, bytes, length))
+    return false;
+  gbd_outbox_pop (&link->outbox, length);
+  return true;
+}
+
+/* No more is encrypted than one write takes, so that the queue's bound is the
+   bound of what waits. */
+static bool
+write_encrypted (gbd_link_t *link)
+{
+  uint8_t buffer[LWS_PRE + WRITE_LENGTH_MAX];
+  size_t length;
+  uint8_t *bytes = gbd_outbox_peek (&link->outbox, WRITE_LENGTH_MAX, &length);
+  bool encrypts = bytes && gbd_tls_is_ready (link->tls)
+                  && !gbd_tls_has_output (link->tls);
+  if (encrypts)
+    {
+      if (gbd_tls_send (link->tls, bytes, length) != GBD_OK)
+        return false;
+      gbd_outbox_pop (&link->outbox, length);
+    }
+  length = gbd_tls_take_output (link->tls, buffer + LWS_PRE, WRITE_LENGTH_MAX);
+  return length == 0 || write_socket (link, buffer + LWS_PRE, length);
+}
+
+static bool
+write_socket (gbd_link_t *link, uint8_t *bytes, size_t length)
+{
+  if (lws_write (link->wsi, bytes, length, LWS_WRITE_RAW) < (int)length)
+    return false;
+  link->links->stats.bytes_sent += length;
+  return true;
+}
--- a/src/gooseberrydrum/link.h
+++ b/src/gooseberrydrum/link.h
@@ -7,6 +7,7 @@
 #include "frames.h"
 #include "links.h"
 #include "outbox.h"
+#include "tls.h"
 
 #include "gooseberrydrum/retry.h"
 
@@ -38,6 +39,7 @@
   char name[GBD_NAME_MAX + 1];
   gbd_time_t opened_at;
   gbd_time_t heard_at; /**< newest bytes from the other side */
+  gbd_tls_t *tls;      /**< NULL on a plain link */
   gbd_frames_t frames;
   gbd_outbox_t outbox;
 } gbd_link_t;
@@ -65,6 +67,7 @@
 {
   struct lws_context *context;
   struct lws_vhost *vhost;
+  SSL_CTX *tls;             /**< of new links; NULL for plain ones */
   gbd_links_owner_t *owner; /**< freed with the vhost */
   gbd_links_settings_t settings;
   gbd_links_callbacks_t callbacks;
--- a/src/gooseberrydrum/links.c
+++ b/src/gooseberrydrum/links.c
@@ -6,7 +6,6 @@
 #include <string.h>
 
 #include "link.h"
-#include "links_tls.h"
 
 #define BACKOFF_FIRST (100 * GBD_MILLISECOND)
 #define BACKOFF_LONGEST (5 * GBD_SECOND)
@@ -16,6 +15,8 @@
 /** A longer time between two ticks means that this process was paused. */
 #define PAUSE_MIN GBD_SECOND
 
+static gbd_status_t load_tls (const gbd_links_settings_t *settings,
+                              SSL_CTX **context);
 static struct lws_vhost *make_vhost (gbd_links_t *links);
 static void free_owner (struct lws_vhost *vhost, void *owner);
 static void forgive_pause (gbd_links_t *links, gbd_time_t gap);
@@ -53,6 +54,14 @@
   links->data = data;
   links->now = GBD_TIME_NEVER;
 
+  if (load_tls (settings, &links->tls) != GBD_OK)
+    {
+      *error = "the certificate files do not load; check that the PEM files "
+               "of --tls-certificate, --tls-key and --tls-authority belong "
+               "together";
+      free (links);
+      return NULL;
+    }
   links->owner = calloc (1, sizeof *links->owner);
   if (links->owner)
     {
@@ -63,6 +72,7 @@
     {
       *error = "cannot listen for links; choose a free address of this "
                "instance with --link-listen";
+      SSL_CTX_free (links->tls);
       free (links);
       return NULL;
     }
@@ -80,11 +90,13 @@
         lws_set_opaque_user_data (link->wsi, NULL);
       gbd_frames_clear (&link->frames);
       gbd_outbox_clear (&link->outbox);
+      gbd_tls_delete (link->tls);
       link->state = GBD_LINK_CLOSED;
     }
   links->owner->links = NULL;
   lws_vhost_destroy (links->vhost);
   free_closed (links);
+  SSL_CTX_free (links->tls);
   free (links);
 }
 
@@ -145,6 +157,19 @@
   open_due (links);
 }
 
+gbd_status_t
+gbd_links_reload (gbd_links_t *links)
+{
+  SSL_CTX *context = NULL;
+  gbd_status_t status = load_tls (&links->settings, &context);
+  if (status != GBD_OK)
+    return status;
+  /* Open links keep the former one alive until they end. */
+  SSL_CTX_free (links->tls);
+  links->tls = context;
+  return GBD_OK;
+}
+
 void
 gbd_links_get_stats (const gbd_links_t *links, gbd_links_stats_t *stats)
 {
@@ -162,6 +187,19 @@
   return NULL;
 }
 
+/* No context and GBD_OK for plain links; some of the files are an error. */
+static gbd_status_t
+load_tls (const gbd_links_settings_t *settings, SSL_CTX **context)
+{
+  gbd_tls_files_t files
+      = { settings->certificate, settings->key, settings->authority };
+  if (!files.certificate && !files.key && !files.authority)
+    return GBD_OK;
+  if (!files.certificate || !files.key || !files.authority)
+    return GBD_ERROR_FORMAT;
+  return gbd_tls_load (&files, context);
+}
+
 static struct lws_vhost *
 make_vhost (gbd_links_t *links)
 {
--- a/src/gooseberrydrum/links.h
+++ b/src/gooseberrydrum/links.h
@@ -19,7 +19,8 @@
   gbd_zone_id_t zone;
   char name[GBD_NAME_MAX + 1];
   gbd_address_t listen;
-  const char *certificate; /**< PEM files; all NULL for plain links */
+  /** PEM files; all NULL for plain links.  The texts are kept, not copied. */
+  const char *certificate;
   const char *key;
   const char *authority;
   uint32_t queue_bytes_max; /**< of one link; over it the link is closed */
--- /dev/null
+++ b/src/gooseberrydrum/tls.c
@@ -0,0 +1,159 @@
+#include "tls.h"
+
+#include <stdlib.h>
+
+#include <openssl/err.h>
+
+#define PLAIN_LENGTH_MAX 16384 /* bytes of one record */
+#define CHAIN_LENGTH_MAX 32768 /* bytes of the other side's certificates */
+#define OUTPUT_LENGTH_MAX                                                     \
+  65536 /* bytes that answers to the other side take                          \
+         */
+
+struct gbd_tls
+{
+  SSL *ssl;
+  BIO *input;  /* from the socket; belongs to ssl */
+  BIO *output; /* for the socket; belongs to ssl */
+};
+
+static gbd_status_t load_files (SSL_CTX *context,
+                                const gbd_tls_files_t *files);
+static gbd_status_t read_plain (gbd_tls_t *tls, gbd_tls_visit_t visit,
+                                void *data);
+
+gbd_status_t
+gbd_tls_load (const gbd_tls_files_t *files, SSL_CTX **context)
+{
+  SSL_CTX *made = SSL_CTX_new (TLS_method ());
+  if (!made)
+    return GBD_ERROR_MEMORY;
+  SSL_CTX_set_min_proto_version (made, TLS1_3_VERSION);
+  SSL_CTX_set_session_cache_mode (made, SSL_SESS_CACHE_OFF);
+  SSL_CTX_set_num_tickets (made, 0);
+  SSL_CTX_set_max_cert_list (made, CHAIN_LENGTH_MAX);
+  SSL_CTX_set_verify (made, SSL_VERIFY_PEER | SSL_VERIFY_FAIL_IF_NO_PEER_CERT,
+                      NULL);
+
+  gbd_status_t status = load_files (made, files);
+  if (status != GBD_OK)
+    {
+      SSL_CTX_free (made);
+      ERR_clear_error ();
+      return status;
+    }
+  *context = made;
+  return GBD_OK;
+}
+
+gbd_tls_t *
+gbd_tls_new (SSL_CTX *context, bool connects)
+{
+  gbd_tls_t *tls = calloc (1, sizeof *tls);
+  if (!tls)
+    return NULL;
+  tls->ssl = SSL_new (context);
+  tls->input = BIO_new (BIO_s_mem ());
+  tls->output = BIO_new (BIO_s_mem ());
+  if (!tls->ssl || !tls->input || !tls->output)
+    {
+      BIO_free (tls->input);
+      BIO_free (tls->output);
+      SSL_free (tls->ssl);
+      free (tls);
+      return NULL;
+    }
+  SSL_set_bio (tls->ssl, tls->input, tls->output);
+  if (connects)
+    SSL_set_connect_state (tls->ssl);
+  else
+    SSL_set_accept_state (tls->ssl);
+  SSL_do_handshake (tls->ssl);
+  return tls;
+}
+
+void
+gbd_tls_delete (gbd_tls_t *tls)
+{
+  if (!tls)
+    return;
+  SSL_free (tls->ssl);
+  free (tls);
+}
+
+gbd_status_t
+gbd_tls_receive (gbd_tls_t *tls, const uint8_t *bytes, size_t length,
+                 gbd_tls_visit_t visit, void *data)
+{
+  size_t written;
+  if (BIO_write_ex (tls->input, bytes, length, &written) != 1
+      || written != length)
+    return GBD_ERROR_MEMORY;
+  return read_plain (tls, visit, data);
+}
+
+bool
+gbd_tls_is_ready (const gbd_tls_t *tls)
+{
+  return SSL_is_init_finished (tls->ssl);
+}
+
+gbd_status_t
+gbd_tls_send (gbd_tls_t *tls, const uint8_t *bytes, size_t length)
+{
+  size_t written;
+  ERR_clear_error ();
+  if (SSL_write_ex (tls->ssl, bytes, length, &written) != 1
+      || written != length)
+    return GBD_ERROR_MEMORY;
+  return GBD_OK;
+}
+
+bool
+gbd_tls_has_output (const gbd_tls_t *tls)
+{
+  return BIO_ctrl_pending (tls->output) > 0;
+}
+
+size_t
+gbd_tls_take_output (gbd_tls_t *tls, uint8_t *bytes, size_t size)
+{
+  size_t taken;
+  return BIO_read_ex (tls->output, bytes, size, &taken) == 1 ? taken : 0;
+}
+
+static gbd_status_t
+load_files (SSL_CTX *context, const gbd_tls_files_t *files)
+{
+  bool is_loaded
+      = SSL_CTX_load_verify_file (context, files->authority) == 1
+        && SSL_CTX_use_certificate_chain_file (context, files->certificate)
+               == 1
+        && SSL_CTX_use_PrivateKey_file (context, files->key, SSL_FILETYPE_PEM)
+               == 1
+        && SSL_CTX_check_private_key (context) == 1;
+  return is_loaded ? GBD_OK : GBD_ERROR_FORMAT;
+}
+
+static gbd_status_t
+read_plain (gbd_tls_t *tls, gbd_tls_visit_t visit, void *data)
+{
+  for (;;)
+    {
+      uint8_t plain[PLAIN_LENGTH_MAX];
+      size_t length;
+      ERR_clear_error ();
+      if (SSL_read_ex (tls->ssl, plain, sizeof plain, &length) != 1)
+        {
+          int error = SSL_get_error (tls->ssl, 0);
+          /* One that asks for answers but does not read them is cut off. */
+          bool is_open
+              = error == SSL_ERROR_WANT_READ
+                && BIO_ctrl_pending (tls->output) <= OUTPUT_LENGTH_MAX;
+          return is_open ? GBD_OK : GBD_ERROR_FORMAT;
+        }
+      gbd_status_t status = visit (data, plain, length);
+      if (status != GBD_OK)
+        return status;
+    }
+}
--- a/src/test_gooseberrydrum/links_fixture.h
+++ b/src/test_gooseberrydrum/links_fixture.h
@@ -108,8 +108,7 @@
 {
   struct lws_context_creation_info info
       = { .port = CONTEXT_PORT_NO_LISTEN,
-          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS
-                     | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT };
+          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS };
   struct lws_context *context = lws_create_context (&info);
   assert_non_null (context);
   return context;
