--- /dev/null
+++ b/src/test_libgooseberrydrum/fuzz_message.c
@@ -0,0 +1,49 @@
+/* Entry of libFuzzer; test_fuzz_message.c runs it over a generated corpus.
+   By itself: clang -fsanitize=fuzzer,address,undefined -Iinclude -Isrc
+   fuzz_message.c message.c message_decode.c message_scan.c types.c
+   -lmsgpackc -lxxhash */
+#include <assert.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gooseberrydrum/message.h"
+
+/* NOLINTBEGIN(readability-identifier-naming): the name is libFuzzer's. */
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+/* NOLINTEND(readability-identifier-naming) */
+{
+  /* A copy of its own size lets the address sanitizer see a byte too far. */
+  uint8_t *bytes = malloc (size ? size : 1);
+  assert (bytes);
+  if (size)
+    memcpy (bytes, data, size);
+
+  gbd_message_t message;
+  gbd_status_t status = gbd_message_decode (bytes, size, &message);
+  free (bytes);
+  assert (status == GBD_OK || status == GBD_ERROR_FORMAT
+          || status == GBD_ERROR_NOT_FOUND);
+  if (status != GBD_OK)
+    return 0;
+
+  /* What was accepted is within the bounds that encoding checks, and reads
+     back as the same bytes. */
+  size_t length;
+  size_t again_length;
+  gbd_message_t again;
+  uint8_t *encoded = gbd_message_encode (&message, &length);
+  assert (encoded);
+  status = gbd_message_decode (encoded + 4, length - 4, &again);
+  assert (status == GBD_OK);
+  uint8_t *encoded_again = gbd_message_encode (&again, &again_length);
+  assert (encoded_again && again_length == length);
+  assert (memcmp (encoded, encoded_again, length) == 0);
+  free (encoded_again);
+  free (encoded);
+  gbd_message_clear (&again);
+  gbd_message_clear (&message);
+  return 0;
+}
