Measure the policies under one trace; tell each exception once

bench_policies drives eight engines with one seeded trace (short flows and feeds) through a drain, a new backend server, a planned replacement and a crash of an instance, for modulo, rendezvous, cached, replicated and keepers.

A mark, cleared with each table, says that an exception was told to all under the table in force: only such a one need not be told again, also after a member died in the middle of telling.

--- /dev/null
+++ b/bench/bench_policies.c
@@ -0,0 +1,463 @@
+/* The policies under one seeded trace and the same changes: a drain, a new
+   backend server, a planned replacement of an instance, and a crash of one,
+   in ten simulated minutes.  Prints a row of JSON for each policy. */
+#include <getopt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "group.h"
+
+#define INSTANCES 8
+#define SERVERS 14
+#define FULL_NEW_FLOWS_PER_SECOND 24000
+#define FULL_TEACH_PER_SECOND 100
+
+#define TICK (10 * GBD_MILLISECOND)
+#define TICKS_PER_SECOND 100
+#define DRAIN_AT 60
+#define ADD_SERVER_AT 200
+#define REPLACE_AT 340
+#define STOP_SPRAY_AT 350
+#define CRASH_AT 500
+#define CRASH_SEEN_AT 501
+#define END_AT 660
+
+#define SHORT_GAP_TICKS 8
+#define LONG_GAP_TICKS (10 * TICKS_PER_SECOND)
+#define LONG_MEAN_PACKETS 30
+#define LONG_PER_THOUSAND 30
+#define OPEN_RETRY_TICKS TICKS_PER_SECOND
+#define RETRY_TICKS 30
+#define TRIES_MAX 8
+
+/* One flow of the trace; its next packet is linked into a tick. */
+typedef struct
+{
+  gbd_backend_id_t server;
+  uint32_t next;
+  uint16_t left; /* packets to come */
+  uint8_t tries;
+  uint8_t is_open : 1;
+  uint8_t is_broken : 1;
+  uint8_t is_long : 1;
+} trace_flow_t;
+
+typedef struct
+{
+  uint64_t packets;
+  uint64_t detoured;
+} share_t;
+
+typedef struct
+{
+  group_t group;
+  uint64_t arrivals; /* random state of the arrivals */
+  uint64_t seed;
+  bool is_drain_only;
+  uint32_t scale;
+  uint32_t tick;
+  uint32_t *ticks; /* first flow of each tick, UINT32_MAX for none */
+  trace_flow_t *flows;
+  uint32_t flow_count;
+  uint32_t flow_capacity;
+  uint32_t open[GROUP_SERVERS];
+  uint64_t broken;
+  uint64_t broken_planned;
+  share_t steady;
+  share_t after_drain;
+  share_t all;
+  uint64_t detoured_bytes;
+  double imbalance_sum;
+  uint32_t imbalance_count;
+  uint64_t registrations_max;
+  uint64_t exceptions_max;
+} run_t;
+
+typedef struct
+{
+  const char *name;
+  const gbd_policy_t *policy;
+  bool is_replicated;
+  uint32_t idle_limit_s;
+  bool is_drain_only;
+} row_t;
+
+static void run_row (const row_t *row, uint32_t scale, uint64_t seed);
+static void run_tick (run_t *run);
+static void apply_changes (run_t *run, uint32_t second);
+static void add_flows (run_t *run);
+static void schedule (run_t *run, uint32_t flow, uint32_t delay);
+static void send_packet (run_t *run, uint32_t index);
+static void deliver_flow (run_t *run, trace_flow_t *flow,
+                          const delivery_t *delivery);
+static void break_flow (run_t *run, trace_flow_t *flow);
+static uint32_t spray (const run_t *run, uint32_t index);
+static uint64_t throw_dice (const run_t *run, uint32_t index,
+                            uint64_t purpose);
+static gbd_packet_t make_packet (const run_t *run, uint32_t index);
+static void sample (run_t *run);
+static void print_row (const run_t *run, const row_t *row, uint64_t seed);
+static double get_share (const share_t *share);
+
+int
+main (int argc, char **argv)
+{
+  uint32_t scale = 40;
+  uint64_t seed = 1;
+  const char *only = NULL;
+  int option;
+  while ((option = getopt (argc, argv, "s:r:p:")) != -1)
+    switch (option)
+      {
+      case 's':
+        scale = (uint32_t)strtoul (optarg, NULL, 10);
+        break;
+      case 'r':
+        seed = strtoull (optarg, NULL, 10);
+        break;
+      case 'p':
+        only = optarg;
+        break;
+      default:
+        fprintf (stderr, "usage: bench_policies [-s SCALE] [-r SEED]"
+                         " [-p POLICY]\n");
+        return 2;
+      }
+  static const row_t rows[] = {
+    { "modulo", &gbd_policy_modulo, false, 120, false },
+    { "rendezvous", &gbd_policy_rendezvous, false, 120, false },
+    { "cached", &gbd_policy_cached, false, 120, false },
+    { "replicated", &gbd_policy_cached, true, 120, false },
+    { "keepers", &gbd_policy_keepers, false, 120, false },
+    { "keepers", &gbd_policy_keepers, false, 3600, false },
+    { "keepers", &gbd_policy_keepers, false, 120, true },
+    { "keepers", &gbd_policy_keepers, false, 3600, true },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    if (!only || strcmp (only, rows[i].name) == 0)
+      run_row (&rows[i], scale ? scale : 1, seed);
+  return 0;
+}
+
+static void
+run_row (const row_t *row, uint32_t scale, uint64_t seed)
+{
+  static run_t run;
+  memset (&run, 0, sizeof run);
+  run.scale = scale;
+  run.seed = seed;
+  run.arrivals = seed;
+  run.is_drain_only = row->is_drain_only;
+  uint32_t ticks = END_AT * TICKS_PER_SECOND;
+  run.ticks = malloc (ticks * sizeof *run.ticks);
+  memset (run.ticks, 0xff, ticks * sizeof *run.ticks);
+  uint32_t capacity = 1 << 20;
+  while (capacity / 2 * scale > 1 << 20 && capacity > 1 << 12)
+    capacity /= 2;
+  group_settings_t settings
+      = { .policy = row->policy,
+          .is_replicated = row->is_replicated,
+          .idle_limit_s = row->idle_limit_s,
+          .teach_per_second = (FULL_TEACH_PER_SECOND + scale - 1) / scale,
+          .cache_capacity = capacity * 8,
+          .registry_capacity = capacity };
+  group_open (&run.group, &settings, seed, INSTANCES, SERVERS);
+  for (run.tick = 0; run.tick < ticks; run.tick++)
+    run_tick (&run);
+  print_row (&run, row, seed);
+  group_close (&run.group);
+  free (run.ticks);
+  free (run.flows);
+}
+
+static void
+run_tick (run_t *run)
+{
+  run->group.now = GBD_SECOND + (gbd_time_t)run->tick * TICK;
+  if (run->tick % TICKS_PER_SECOND == 0)
+    {
+      apply_changes (run, run->tick / TICKS_PER_SECOND);
+      sample (run);
+    }
+  if (run->tick % (GROUP_CONTROL_INTERVAL / TICK) == 0)
+    group_control (&run->group);
+  add_flows (run);
+  uint32_t index = run->ticks[run->tick];
+  while (index != UINT32_MAX)
+    {
+      uint32_t next = run->flows[index].next;
+      send_packet (run, index);
+      index = next;
+    }
+}
+
+static void
+apply_changes (run_t *run, uint32_t second)
+{
+  group_t *group = &run->group;
+  if (run->is_drain_only && second != DRAIN_AT)
+    return;
+  switch (second)
+    {
+    case DRAIN_AT:
+      group_drain (group, 3);
+      break;
+    case ADD_SERVER_AT:
+      group_add_server (group);
+      break;
+    case REPLACE_AT:
+      group_add_instance (group, INSTANCES);
+      group_leave (group, 2);
+      break;
+    case CRASH_AT:
+      group_crash (group, 5);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+add_flows (run_t *run)
+{
+  /* The fraction of a flow a tick is carried over by the trace's dice. */
+  uint64_t per_tick_scaled = FULL_NEW_FLOWS_PER_SECOND / TICKS_PER_SECOND;
+  uint32_t count = (uint32_t)(per_tick_scaled / run->scale);
+  if (group_random (&run->arrivals) % run->scale
+      < per_tick_scaled % run->scale)
+    count++;
+  while (count--)
+    {
+      if (run->flow_count == run->flow_capacity)
+        {
+          run->flow_capacity = run->flow_capacity * 2 + 1024;
+          run->flows
+              = realloc (run->flows, run->flow_capacity * sizeof *run->flows);
+        }
+      trace_flow_t *flow = &run->flows[run->flow_count];
+      memset (flow, 0, sizeof *flow);
+      uint64_t dice = group_random (&run->arrivals);
+      flow->is_long = dice % 1000 < LONG_PER_THOUSAND;
+      flow->left = (uint16_t)(5 + (dice >> 20) % 6);
+      if (flow->is_long)
+        flow->left
+            = (uint16_t)(10 + (dice >> 20) % (2 * LONG_MEAN_PACKETS - 20));
+      schedule (run, run->flow_count++, 0);
+    }
+}
+
+static void
+schedule (run_t *run, uint32_t flow, uint32_t delay)
+{
+  uint32_t at = run->tick + delay;
+  if (at >= END_AT * TICKS_PER_SECOND)
+    return;
+  run->flows[flow].next = run->ticks[at];
+  run->ticks[at] = flow;
+}
+
+static void
+send_packet (run_t *run, uint32_t index)
+{
+  trace_flow_t *flow = &run->flows[index];
+  gbd_packet_t packet = make_packet (run, index);
+  delivery_t delivery
+      = group_deliver (&run->group, spray (run, index), &packet);
+
+  share_t *window = run->tick < DRAIN_AT * TICKS_PER_SECOND
+                        ? &run->steady
+                        : &run->after_drain;
+  window->packets++;
+  run->all.packets++;
+  if (delivery.peers)
+    {
+      window->detoured++;
+      run->all.detoured++;
+      run->detoured_bytes += (uint64_t)packet.length * delivery.peers;
+    }
+
+  if (delivery.kind == GBD_ACTION_BACKEND)
+    {
+      deliver_flow (run, flow, &delivery);
+      flow->left--;
+      flow->tries = 0;
+      uint64_t dice = throw_dice (run, index, 1);
+      uint32_t mean = flow->is_long ? LONG_GAP_TICKS : SHORT_GAP_TICKS;
+      if (flow->left && !flow->is_broken)
+        schedule (run, index, 1 + (uint32_t)(dice % (2 * mean)));
+      else if (flow->is_open)
+        {
+          run->open[flow->server - 1000]--;
+          flow->is_open = 0;
+        }
+      return;
+    }
+  if (++flow->tries < TRIES_MAX)
+    schedule (run, index, flow->is_open ? RETRY_TICKS : OPEN_RETRY_TICKS);
+  else
+    break_flow (run, flow);
+}
+
+static void
+deliver_flow (run_t *run, trace_flow_t *flow, const delivery_t *delivery)
+{
+  if (!flow->server)
+    {
+      flow->server = delivery->server;
+      flow->is_open = 1;
+      run->open[flow->server - 1000]++;
+    }
+  else if (flow->server != delivery->server)
+    break_flow (run, flow);
+}
+
+static void
+break_flow (run_t *run, trace_flow_t *flow)
+{
+  if (flow->is_broken)
+    return;
+  flow->is_broken = 1;
+  run->broken++;
+  if (run->tick < CRASH_AT * TICKS_PER_SECOND)
+    run->broken_planned++;
+  if (flow->is_open)
+    run->open[flow->server - 1000]--;
+  flow->is_open = 0;
+}
+
+/* The fabric sprays over all but those it has noticed to be gone. */
+static uint32_t
+spray (const run_t *run, uint32_t index)
+{
+  uint32_t second = run->tick / TICKS_PER_SECOND;
+  for (uint64_t attempt = 2;; attempt++)
+    {
+      uint32_t life
+          = (uint32_t)(throw_dice (run, index, attempt) % (INSTANCES + 1));
+      bool is_before = run->is_drain_only || second < REPLACE_AT;
+      bool is_out
+          = (life == INSTANCES && is_before)
+            || (life == 2 && !run->is_drain_only && second >= STOP_SPRAY_AT)
+            || (life == 5 && !run->is_drain_only && second >= CRASH_SEEN_AT);
+      if (!is_out)
+        return life;
+    }
+}
+
+/* Random numbers that depend on the flow's packet alone, so that all policies
+   get the same trace. */
+static uint64_t
+throw_dice (const run_t *run, uint32_t index, uint64_t purpose)
+{
+  const trace_flow_t *flow = &run->flows[index];
+  uint64_t state = run->seed + ((uint64_t)index << 24)
+                   + ((uint64_t)flow->left << 12)
+                   + ((uint64_t)flow->tries << 8) + purpose;
+  state = group_random (&state);
+  return group_random (&state);
+}
+
+static gbd_packet_t
+make_packet (const run_t *run, uint32_t index)
+{
+  const trace_flow_t *flow = &run->flows[index];
+  gbd_packet_t packet = { .kind = GBD_PACKET_MIDDLE,
+                          .sequence = index * 2654435761u,
+                          .length = 400 };
+  if (!flow->is_open)
+    {
+      packet.kind = GBD_PACKET_OPENING;
+      packet.length = 60;
+    }
+  else if (flow->left == 1)
+    {
+      packet.kind = GBD_PACKET_CLOSING;
+      packet.length = 40;
+    }
+  packet.flow.service = run->group.address;
+  packet.flow.caller.family = 4;
+  packet.flow.caller.port = (uint16_t)(1024 + index % 60000);
+  uint32_t ip = 0x0b000000u + index / 60000;
+  memcpy (packet.flow.caller.ip, &ip, sizeof ip);
+  return packet;
+}
+
+/* Largest share of open flows over the mean of the ready backend servers. */
+static void
+sample (run_t *run)
+{
+  const group_t *group = &run->group;
+  uint32_t ready = 0;
+  uint32_t sum = 0;
+  uint32_t most = 0;
+  for (uint32_t i = 0; i < group->server_count; i++)
+    {
+      if (group->servers[i].state != GBD_BACKEND_READY)
+        continue;
+      ready++;
+      sum += run->open[i];
+      most = run->open[i] > most ? run->open[i] : most;
+    }
+  if (run->tick >= DRAIN_AT * TICKS_PER_SECOND && sum)
+    {
+      run->imbalance_sum += (double)most * ready / sum;
+      run->imbalance_count++;
+    }
+  for (uint32_t i = 0; i < GROUP_LIVES; i++)
+    {
+      if (!group->engines[i])
+        continue;
+      gbd_engine_stats_t stats;
+      gbd_engine_get_stats (group->engines[i], &stats);
+      if (stats.registrations > run->registrations_max)
+        run->registrations_max = stats.registrations;
+      if (stats.exceptions > run->exceptions_max)
+        run->exceptions_max = stats.exceptions;
+    }
+}
+
+static void
+print_row (const run_t *run, const row_t *row, uint64_t seed)
+{
+  const group_t *group = &run->group;
+  double entry;
+  double message;
+  group_get_encoded_sizes (&entry, &message);
+  double instance_seconds = (double)INSTANCES * (END_AT - DRAIN_AT);
+  double flows = ((double)group->flow_entries * entry * run->scale
+                  + (double)group->flow_messages * message)
+                 / instance_seconds;
+  double heartbeats
+      = (double)group->heartbeat_bytes / ((double)INSTANCES * END_AT);
+  double tables = (double)group->table_bytes / instance_seconds;
+  printf (
+      "{\"bench\":\"policies\",\"policy\":\"%s\",\"idle_limit_s\":%u,"
+      "\"changes\":\"%s\","
+      "\"scale\":%u,\"seed\":%llu,\"flows\":%u,\"broken\":%llu,"
+      "\"broken_planned\":%llu,\"imbalance\":%.3f,"
+      "\"detoured_share\":%.4f,\"detoured_bytes\":%llu,"
+      "\"detoured_share_10min_after_drain\":%.4f,"
+      "\"steady_detoured_share\":%.4f,\"control_bytes_per_s\":%.0f,"
+      "\"flow_bytes_per_s\":%.0f,\"heartbeat_bytes_per_s\":%.0f,"
+      "\"table_bytes_per_s\":%.0f,\"registrations\":%llu,"
+      "\"exceptions\":%llu,\"table_version\":%llu}\n",
+      row->name, row->idle_limit_s, row->is_drain_only ? "drain" : "all",
+      run->scale, (unsigned long long)seed, run->flow_count,
+      (unsigned long long)run->broken, (unsigned long long)run->broken_planned,
+      run->imbalance_count ? run->imbalance_sum / run->imbalance_count : 0.0,
+      get_share (&run->all), (unsigned long long)run->detoured_bytes,
+      get_share (&run->after_drain), get_share (&run->steady),
+      flows + heartbeats + tables, flows, heartbeats, tables,
+      (unsigned long long)run->registrations_max * run->scale,
+      (unsigned long long)run->exceptions_max * run->scale,
+      (unsigned long long)group->newest->version);
+  fflush (stdout);
+}
+
+static double
+get_share (const share_t *share)
+{
+  return share->packets ? (double)share->detoured / (double)share->packets
+                        : 0.0;
+}
--- a/include/gooseberrydrum/engine.h
+++ b/include/gooseberrydrum/engine.h
@@ -231,7 +231,8 @@
                                     gbd_service_id_t service, gbd_time_t now,
                                     gbd_flow_visit_t visit, void *data);
 
-  /** Whether an exception for this flow is held here. */
+  /** Whether an exception for this flow is held here that was told to all
+   *  while its bucket settles under the table in force. */
   bool gbd_engine_holds_exception (const gbd_engine_t *engine,
                                    gbd_service_id_t service,
                                    gbd_flow_hash_t hash);
--- a/src/libgooseberrydrum/engine_flows.c
+++ b/src/libgooseberrydrum/engine_flows.c
@@ -5,6 +5,10 @@
 static bool merge_one (gbd_engine_t *engine, uint16_t index,
                        gbd_flows_kind_t kind, const gbd_flow_entry_t *entry,
                        gbd_time_t now);
+static bool merge_fact (const gbd_engine_t *engine, gbd_registry_t **registry,
+                        const gbd_flow_entry_t *entry, gbd_time_t now);
+static void mark_told (const gbd_engine_service_t *service,
+                       gbd_flow_hash_t hash);
 static void learn (gbd_engine_t *engine, uint16_t index,
                    const gbd_flow_entry_t *entry, gbd_time_t now);
 static bool correct (gbd_engine_t *engine, uint16_t index,
@@ -15,9 +19,10 @@
                        void *data);
 static bool stays_behind (const gbd_table_t *table, gbd_flow_hash_t hash,
                           gbd_slot_t slot);
-static void visit_behind (const gbd_registry_t *registry,
-                          const gbd_table_t *table, gbd_time_t now,
-                          gbd_flow_visit_t visit, void *data);
+static bool is_behind (const gbd_registered_flow_t *flow,
+                       const gbd_table_t *table, gbd_time_t now);
+static void visit_flow (const gbd_registered_flow_t *flow,
+                        gbd_flow_visit_t visit, void *data);
 static int compare_told (const void *a, const void *b);
 
 gbd_status_t
@@ -59,8 +64,11 @@
                             gbd_service_id_t service, gbd_flow_hash_t hash)
 {
   uint16_t index = gbd_engine_find_index (engine, service);
-  return index != UINT16_MAX
-         && gbd_registry_find (engine->services[index].exceptions, hash);
+  if (index == UINT16_MAX)
+    return false;
+  const gbd_registered_flow_t *flow
+      = gbd_registry_find (engine->services[index].exceptions, hash);
+  return flow && (flow->flags & GBD_REGISTERED_TOLD);
 }
 
 void
@@ -71,7 +79,16 @@
   uint16_t index = gbd_engine_find_index (engine, service);
   if (index == UINT16_MAX || !engine->services[index].table)
     return;
-  const gbd_engine_service_t *state = &engine->services[index];
+  gbd_engine_visit_behind (engine, index, engine->services[index].table, now,
+                           visit, data);
+}
+
+void
+gbd_engine_visit_behind (const gbd_engine_t *engine, uint16_t index,
+                         const gbd_table_t *table, gbd_time_t now,
+                         gbd_flow_visit_t visit, void *data)
+{
+  const gbd_engine_service_t *service = &engine->services[index];
   uint32_t capacity = gbd_flow_cache_get_capacity (engine->cache);
   for (uint32_t i = 0; i < capacity; i++)
     {
@@ -79,13 +96,29 @@
       if (!(flow->flags & GBD_CACHED_USED) || flow->service != index
           || gbd_engine_is_cached_over (engine, flow, now)
           || gbd_engine_find_cached (engine, index, flow->hash) != flow
-          || !stays_behind (state->table, flow->hash, flow->slot))
+          || !stays_behind (table, flow->hash, flow->slot)
+          || gbd_registry_find (service->exceptions, flow->hash))
         continue;
       gbd_flow_entry_t entry = { flow->hash, flow->slot };
       visit (data, &entry);
     }
-  visit_behind (state->registered, state->table, now, visit, data);
-  visit_behind (state->exceptions, state->table, now, visit, data);
+  for (uint32_t i = 0; i < gbd_registry_get_capacity (service->registered);
+       i++)
+    {
+      const gbd_registered_flow_t *flow
+          = gbd_registry_at (service->registered, i);
+      if (is_behind (flow, table, now)
+          && !gbd_registry_find (service->exceptions, flow->hash))
+        visit_flow (flow, visit, data);
+    }
+  for (uint32_t i = 0; i < gbd_registry_get_capacity (service->exceptions);
+       i++)
+    {
+      const gbd_registered_flow_t *flow
+          = gbd_registry_at (service->exceptions, i);
+      if (is_behind (flow, table, now) && !(flow->flags & GBD_REGISTERED_TOLD))
+        visit_flow (flow, visit, data);
+    }
 }
 
 void
@@ -139,17 +172,16 @@
            const gbd_flow_entry_t *entry, gbd_time_t now)
 {
   gbd_engine_service_t *service = &engine->services[index];
-  gbd_registry_t **registry = kind == GBD_FLOWS_REGISTERED
-                                  ? &service->registered
-                                  : &service->exceptions;
   switch (kind)
     {
     case GBD_FLOWS_REGISTERED:
+      return merge_fact (engine, &service->registered, entry, now);
     case GBD_FLOWS_EXCEPTION:
     case GBD_FLOWS_PART:
-      return gbd_engine_need_registry (engine, registry)
-             && gbd_registry_merge (*registry, entry->hash, entry->slot, now)
-                    == GBD_OK;
+      if (!merge_fact (engine, &service->exceptions, entry, now))
+        return false;
+      mark_told (service, entry->hash);
+      return true;
     case GBD_FLOWS_LEARNED:
       learn (engine, index, entry, now);
       return true;
@@ -162,6 +194,28 @@
   return true;
 }
 
+static bool
+merge_fact (const gbd_engine_t *engine, gbd_registry_t **registry,
+            const gbd_flow_entry_t *entry, gbd_time_t now)
+{
+  return gbd_engine_need_registry (engine, registry)
+         && gbd_registry_merge (*registry, entry->hash, entry->slot, now)
+                == GBD_OK;
+}
+
+/* While a bucket settles, whoever tells an exception tells it to all; should
+   that fail, the version ends and the mark with it. */
+static void
+mark_told (const gbd_engine_service_t *service, gbd_flow_hash_t hash)
+{
+  const gbd_table_t *table = service->table;
+  if (!table
+      || table->buckets[gbd_table_bucket_of (table, hash)].phase
+             != GBD_BUCKET_SETTLING)
+    return;
+  gbd_registry_find (service->exceptions, hash)->flags |= GBD_REGISTERED_TOLD;
+}
+
 static void
 learn (gbd_engine_t *engine, uint16_t index, const gbd_flow_entry_t *entry,
        gbd_time_t now)
@@ -207,10 +261,8 @@
   for (uint32_t i = 0; i < gbd_registry_get_capacity (registry); i++)
     {
       const gbd_registered_flow_t *flow = gbd_registry_at (registry, i);
-      if (!(flow->flags & GBD_REGISTERED_USED))
-        continue;
-      gbd_flow_entry_t entry = { flow->hash, flow->slot };
-      visit (data, &entry);
+      if (flow->flags & GBD_REGISTERED_USED)
+        visit_flow (flow, visit, data);
     }
 }
 
@@ -224,20 +276,21 @@
          && gbd_engine_get_slot_state (table, slot) != GBD_BACKEND_GONE;
 }
 
+static bool
+is_behind (const gbd_registered_flow_t *flow, const gbd_table_t *table,
+           gbd_time_t now)
+{
+  return (flow->flags & GBD_REGISTERED_USED)
+         && !gbd_registry_is_over (flow, now)
+         && stays_behind (table, flow->hash, flow->slot);
+}
+
 static void
-visit_behind (const gbd_registry_t *registry, const gbd_table_t *table,
-              gbd_time_t now, gbd_flow_visit_t visit, void *data)
+visit_flow (const gbd_registered_flow_t *flow, gbd_flow_visit_t visit,
+            void *data)
 {
-  for (uint32_t i = 0; i < gbd_registry_get_capacity (registry); i++)
-    {
-      const gbd_registered_flow_t *flow = gbd_registry_at (registry, i);
-      if (!(flow->flags & GBD_REGISTERED_USED)
-          || gbd_registry_is_over (flow, now)
-          || !stays_behind (table, flow->hash, flow->slot))
-        continue;
-      gbd_flow_entry_t entry = { flow->hash, flow->slot };
-      visit (data, &entry);
-    }
+  gbd_flow_entry_t entry = { flow->hash, flow->slot };
+  visit (data, &entry);
 }
 
 static int
--- a/src/libgooseberrydrum/engine_state.h
+++ b/src/libgooseberrydrum/engine_state.h
@@ -98,6 +98,12 @@
 bool gbd_engine_is_cached_over (const gbd_engine_t *engine,
                                 const gbd_cached_flow_t *flow, gbd_time_t now);
 
+/** List the flows known here that are not on the target of buckets which
+ *  settle in a table; not those that another instance has told. */
+void gbd_engine_visit_behind (const gbd_engine_t *engine, uint16_t index,
+                              const gbd_table_t *table, gbd_time_t now,
+                              gbd_flow_visit_t visit, void *data);
+
 /** Close an exception here and tell every live instance. */
 void gbd_engine_close_exception (gbd_engine_t *engine, uint16_t index,
                                  gbd_flow_hash_t hash, gbd_time_t now);
--- a/src/libgooseberrydrum/engine_table.c
+++ b/src/libgooseberrydrum/engine_table.c
@@ -19,7 +19,7 @@
   uint16_t index;
   const gbd_table_t *table;
   gbd_time_t now;
-  gbd_status_t status;
+  bool is_kept;
 } inversion_t;
 
 static bool reserve_slots (gbd_engine_service_t *service, uint32_t count);
@@ -32,9 +32,10 @@
 static bool is_stale_exception (void *data, const gbd_registered_flow_t *flow);
 static void find_kept_buckets (const gbd_engine_t *engine,
                                const gbd_table_t *table, uint8_t *keeps);
-static bool inverts (const gbd_table_t *former, const gbd_table_t *table);
-static gbd_status_t keep_exceptions (gbd_engine_t *engine, uint16_t index,
-                                     const gbd_table_t *table, gbd_time_t now);
+static bool keep_exceptions (gbd_engine_t *engine, uint16_t index,
+                             const gbd_table_t *settling,
+                             const gbd_table_t *table, gbd_time_t now);
+static bool has_settling (const gbd_table_t *table);
 static bool is_closed (const inversion_t *inversion, gbd_flow_hash_t hash);
 static void keep_exception (void *data, const gbd_flow_entry_t *entry);
 
@@ -49,8 +50,7 @@
       free (keeps);
       return GBD_ERROR_MEMORY;
     }
-  if (service->table && inverts (service->table, table)
-      && keep_exceptions (engine, index, table, now) != GBD_OK)
+  if (!keep_exceptions (engine, index, service->table, table, now))
     {
       free (keeps);
       return GBD_ERROR_MEMORY;
@@ -62,8 +62,11 @@
     gbd_registry_sweep (service->registered, &service->registered_cursor,
                         UINT32_MAX, is_stale_registration, &adoption);
   if (service->exceptions)
-    gbd_registry_sweep (service->exceptions, &service->exception_cursor,
-                        UINT32_MAX, is_stale_exception, &adoption);
+    {
+      gbd_registry_sweep (service->exceptions, &service->exception_cursor,
+                          UINT32_MAX, is_stale_exception, &adoption);
+      gbd_registry_clear_flag (service->exceptions, GBD_REGISTERED_TOLD);
+    }
   count_lives (service, table);
   free (keeps);
   return GBD_OK;
@@ -158,49 +161,51 @@
     }
 }
 
+/* What this instance learns while a bucket settles holds for itself, too.
+   False when memory or the bound is short. */
 static bool
-inverts (const gbd_table_t *former, const gbd_table_t *table)
+keep_exceptions (gbd_engine_t *engine, uint16_t index,
+                 const gbd_table_t *settling, const gbd_table_t *table,
+                 gbd_time_t now)
 {
-  if (former->bucket_count != table->bucket_count)
+  if (!settling || settling->bucket_count != table->bucket_count
+      || !has_settling (settling))
+    return true;
+  if (!gbd_engine_need_registry (engine, &engine->services[index].exceptions))
     return false;
-  for (uint32_t bucket = 0; bucket < table->bucket_count; bucket++)
-    if (former->buckets[bucket].phase == GBD_BUCKET_SETTLING
-        && table->buckets[bucket].phase == GBD_BUCKET_INVERTED)
-      return true;
-  return false;
+  inversion_t inversion = { engine, index, table, now, true };
+  gbd_engine_visit_behind (engine, index, settling, now, keep_exception,
+                           &inversion);
+  return inversion.is_kept;
 }
 
-/* What this instance tells the others as exceptions holds for itself too. */
-static gbd_status_t
-keep_exceptions (gbd_engine_t *engine, uint16_t index,
-                 const gbd_table_t *table, gbd_time_t now)
+static bool
+has_settling (const gbd_table_t *table)
 {
-  gbd_engine_service_t *service = &engine->services[index];
-  if (!gbd_engine_need_registry (engine, &service->exceptions))
-    return GBD_ERROR_MEMORY;
-  inversion_t inversion = { engine, index, table, now, GBD_OK };
-  gbd_engine_visit_exceptions (engine, service->id, now, keep_exception,
-                               &inversion);
-  return inversion.status;
+  for (uint32_t bucket = 0; bucket < table->bucket_count; bucket++)
+    if (table->buckets[bucket].phase == GBD_BUCKET_SETTLING)
+      return true;
+  return false;
 }
 
 static void
 keep_exception (void *data, const gbd_flow_entry_t *entry)
 {
   inversion_t *inversion = data;
+  gbd_engine_t *engine = inversion->engine;
+  gbd_engine_service_t *service = &engine->services[inversion->index];
   const gbd_table_t *table = inversion->table;
-  uint32_t bucket = gbd_table_bucket_of (table, entry->hash);
-  if (table->buckets[bucket].phase != GBD_BUCKET_INVERTED)
+  uint8_t phase
+      = table->buckets[gbd_table_bucket_of (table, entry->hash)].phase;
+  if (phase != GBD_BUCKET_INVERTED)
     return;
-  gbd_engine_service_t *service
-      = &inversion->engine->services[inversion->index];
-  gbd_status_t status = gbd_registry_merge (service->exceptions, entry->hash,
-                                            entry->slot, inversion->now);
-  if (status != GBD_OK)
-    inversion->status = status;
+  if (gbd_registry_merge (service->exceptions, entry->hash, entry->slot,
+                          inversion->now)
+      != GBD_OK)
+    inversion->is_kept = false;
   else if (is_closed (inversion, entry->hash))
-    gbd_engine_close_exception (inversion->engine, inversion->index,
-                                entry->hash, inversion->now);
+    gbd_engine_close_exception (engine, inversion->index, entry->hash,
+                                inversion->now);
 }
 
 static bool
--- a/src/libgooseberrydrum/policy_open.c
+++ b/src/libgooseberrydrum/policy_open.c
@@ -18,6 +18,7 @@
 static void correct (gbd_route_t *route, const choice_t *choice);
 static bool pass_to_first (gbd_route_t *route, const gbd_keepers_t *keepers);
 static bool choose_known (const gbd_route_t *route, choice_t *choice);
+static bool choose_stable (const gbd_route_t *route, choice_t *choice);
 static bool make_room (gbd_route_t *route, choice_t *choice);
 static void pass_on (gbd_route_t *route, const gbd_keepers_t *keepers,
                      int position, const choice_t *choice);
@@ -40,19 +41,11 @@
      opening packet goes along the chain as well, since a keeper may have
      missed the first one, or it came before the bucket moved; and what this
      instance decided as a keeper may not have been delivered. */
-  if (is_known (route)
-      && (!is_registering || route->engine->touch == GBD_TOUCH_ZONE))
-    {
-      gbd_route_to_backend (route, GBD_RULE_CACHED, route->cached->slot);
-      return;
-    }
-  const gbd_registered_flow_t *exception
-      = gbd_registry_find (route->service->exceptions, decision->hash);
-  if (exception
-      && gbd_engine_get_slot_state (route->table, exception->slot)
-             != GBD_BACKEND_GONE)
+  choice_t known;
+  bool is_direct = !is_registering || route->engine->touch == GBD_TOUCH_ZONE;
+  if (is_direct && choose_stable (route, &known))
     {
-      gbd_route_to_backend (route, GBD_RULE_EXCEPTION, exception->slot);
+      gbd_route_to_backend (route, known.rule, known.slot);
       return;
     }
   if (route->engine->touch == GBD_TOUCH_NONE)
@@ -61,7 +54,6 @@
       return;
     }
 
-  choice_t known;
   bool is_repeated = gbd_route_is_repeated (route)
                      && !(route->cached->flags & GBD_CACHED_CLOSED);
   decision->is_new = !is_repeated && !choose_known (route, &known);
@@ -167,9 +159,10 @@
     }
   if (keepers->chain[first] == route->engine->settings.self)
     return false;
-  gbd_slot_t known = is_known (route) ? route->cached->slot : GBD_SLOT_NONE;
+  choice_t known = { GBD_SLOT_NONE, GBD_RULE_NONE };
+  choose_known (route, &known);
   gbd_route_to_peer (route, GBD_RULE_OPEN_KEEPER, keepers->chain[first],
-                     GBD_SHIM_OPEN, known);
+                     GBD_SHIM_OPEN, known.slot);
   return true;
 }
 
@@ -197,10 +190,27 @@
       choice->rule = GBD_RULE_REGISTERED;
       return true;
     }
-  if (!is_known (route))
+  return choose_stable (route, choice);
+}
+
+/* The slot of a flow that is cached or an exception. */
+static bool
+choose_stable (const gbd_route_t *route, choice_t *choice)
+{
+  if (is_known (route))
+    {
+      choice->slot = route->cached->slot;
+      choice->rule = GBD_RULE_CACHED;
+      return true;
+    }
+  const gbd_registered_flow_t *flow
+      = gbd_registry_find (route->service->exceptions, route->decision->hash);
+  if (!flow
+      || gbd_engine_get_slot_state (route->table, flow->slot)
+             == GBD_BACKEND_GONE)
     return false;
-  choice->slot = route->cached->slot;
-  choice->rule = GBD_RULE_CACHED;
+  choice->slot = flow->slot;
+  choice->rule = GBD_RULE_EXCEPTION;
   return true;
 }
 
--- a/src/libgooseberrydrum/registry.c
+++ b/src/libgooseberrydrum/registry.c
@@ -128,6 +128,13 @@
     }
 }
 
+void
+gbd_registry_clear_flag (gbd_registry_t *registry, uint8_t flag)
+{
+  for (uint32_t i = 0; i < registry->capacity; i++)
+    registry->flows[i].flags &= (uint8_t)~flag;
+}
+
 bool
 gbd_registry_is_over (const gbd_registered_flow_t *flow, gbd_time_t now)
 {
--- a/src/libgooseberrydrum/registry.h
+++ b/src/libgooseberrydrum/registry.h
@@ -15,6 +15,9 @@
 #define GBD_REGISTERED_USED 1u
 #define GBD_REGISTERED_CLOSED 2u
 #define GBD_REGISTERED_LOCAL 4u /**< opened here while out of full touch */
+#define GBD_REGISTERED_TOLD                                                   \
+  8u /**< told by another instance to all others                              \
+          under the table in force */
 
 /** Time without a packet after which a closed flow is forgotten. */
 #define GBD_REGISTRY_LINGER_MS 60000u
@@ -67,6 +70,9 @@
                                          const gbd_registered_flow_t *flow),
                          void *data);
 
+/** Clear a flag of all flows. */
+void gbd_registry_clear_flag (gbd_registry_t *registry, uint8_t flag);
+
 /** Whether a closed flow has had no packet for the linger time. */
 bool gbd_registry_is_over (const gbd_registered_flow_t *flow, gbd_time_t now);
 
--- a/src/test_libgooseberrydrum/prop_engine.cc
+++ b/src/test_libgooseberrydrum/prop_engine.cc
@@ -115,7 +115,7 @@
             },
             &entries);
         for (uint32_t to = 0; to < INSTANCES; to++)
-          if (to != i && !c.is_dead[to])
+          if (!c.is_dead[to])
             gbd_engine_merge (c.engines[to], c.service, kind, entries.data (),
                               (uint32_t)entries.size (), c.now);
       }
--- a/src/test_libgooseberrydrum/test_engine.c
+++ b/src/test_libgooseberrydrum/test_engine.c
@@ -392,6 +392,48 @@
   assert_int_equal (seen.slot, X);
 }
 
+static void
+count_entries (void *data, const gbd_flow_entry_t *entry)
+{
+  (void)entry;
+  ++*(uint32_t *)data;
+}
+
+/* Two instances know an old flow: the first to tell it remembers it even when
+   its own cache forgets, the second needs not tell it again in this version.
+ */
+static void
+exceptions_are_told_once_and_kept (void **state)
+{
+  move_t *m = *state;
+  cluster_t *c = &m->cluster;
+  uint32_t first = m->stranger;
+  uint32_t second = stranger_to (&m->keepers, 1);
+  open_at (m, first);
+  middle_at (m, second);
+  set_table_everywhere (c, m->announced);
+  set_table_everywhere (c, m->active);
+  set_table_everywhere (c, m->settling);
+  uint32_t count = 0;
+  gbd_engine_visit_exceptions (c->engines[first], c->service, c->now,
+                               count_entries, &count);
+  assert_int_equal (count, 1);
+  gbd_flow_entry_t entry = { hash_of (c, m->caller), X };
+  gbd_engine_merge (c->engines[first], c->service, GBD_FLOWS_EXCEPTION, &entry,
+                    1, c->now);
+  gbd_engine_merge (c->engines[second], c->service, GBD_FLOWS_PART, &entry, 1,
+                    c->now);
+  count = 0;
+  gbd_engine_visit_exceptions (c->engines[second], c->service, c->now,
+                               count_entries, &count);
+  assert_int_equal (count, 0);
+
+  c->now += 61 * GBD_SECOND;
+  gbd_engine_expire (c->engines[first], c->now);
+  set_table (c, first, m->inverted);
+  assert_backend (middle_at (m, first), X);
+}
+
 /* The catalog gives the address to another service than the table's. */
 static void
 isolation_holds_when_a_table_is_wrong (void **state)
@@ -672,6 +714,7 @@
     ROW (later_keeper_corrects_the_first),
     ROW (inversion_keeps_old_flows),
     ROW (closed_and_moved_flows_are_no_exceptions),
+    ROW (exceptions_are_told_once_and_kept),
     ROW (isolation_holds_when_a_table_is_wrong),
     ROW (port_reuse),
     ROW (idle_flow_is_opened_anew),
