Share limits and balance over the running group

Cause: serve admitted every flow; limits.h and balance.h stood unused.

Change: load.h joins both for one instance. Limit reports go to every heard peer once a second, as GBD_MESSAGE_LOAD without entries; loads of backend servers go every five seconds to the instances that watch. Entries within 10 percent of what was last reported are left out, and a full report is sent once a minute and when the watchers change. Bytes are smoothed by the reporter, so that a left out entry does not leave a half-smoothed number with the receiver. Counters and status show use per customer and per service.

--- a/src/gooseberrydrum/cmd_serve.c
+++ b/src/gooseberrydrum/cmd_serve.c
@@ -201,9 +201,11 @@
   };
   serve->node = gbd_node_new (&node, serve->engine, &node_actions, serve,
                               gbd_serve_now ());
-  if (!serve->node)
+  serve->load = gbd_load_new (serve->self, serve->engine, node_send_message,
+                              serve, gbd_serve_now ());
+  if (!serve->node || !serve->load)
     gbd_log (GBD_EVENT_FATAL, gbd_status_strings[GBD_ERROR_MEMORY]);
-  return serve->node != NULL;
+  return serve->node && serve->load;
 }
 
 static bool
@@ -279,6 +281,7 @@
   if (serve->context)
     lws_context_destroy (serve->context);
   gbd_node_delete (serve->node);
+  gbd_load_delete (serve->load);
   gbd_datapath_delete (serve->datapath);
   gbd_engine_delete (serve->engine);
   gbd_catalog_delete (serve->catalog);
@@ -410,6 +413,7 @@
   gbd_platform_tick (serve->platform, now);
   gbd_links_tick (serve->links, now);
   gbd_node_tick (serve->node, now);
+  gbd_serve_tick_load (serve, now);
   if (!serve->is_stopping && gbd_node_is_joined (serve->node))
     gbd_serve_set_state (serve, "live");
   gbd_serve_write_state (serve, now);
--- a/src/gooseberrydrum/serve.h
+++ b/src/gooseberrydrum/serve.h
@@ -1,8 +1,8 @@
 /** @file serve.h
  *  State of one running instance, shared by the files of `serve`:
  *  cmd_serve.c start, loop and stop; serve_platform.c objects of the
- *  platform; serve_peers.c links to other instances; serve_report.c what the
- *  administration interface shows.
+ *  platform; serve_peers.c links to other instances; serve_load.c limits and
+ *  balance; serve_report.c what the administration interface shows.
  */
 #ifndef PROGRAM_SERVE_H
 #define PROGRAM_SERVE_H
@@ -11,11 +11,13 @@
 #include <libwebsockets.h>
 
 #include "admin.h"
+#include "counters.h"
 #include "datapath.h"
 #include "links.h"
 #include "platform_client.h"
 #include "settings.h"
 
+#include "gooseberrydrum/load.h"
 #include "gooseberrydrum/node.h"
 
 /** An endpoint object of the platform. */
@@ -60,6 +62,8 @@
   gbd_zone_id_t zone;
   gbd_engine_t *engine;
   gbd_node_t *node;
+  gbd_load_t *load;
+  gbd_time_t weigh_due; /**< weights are decided anew */
   gbd_datapath_t *datapath;
   gbd_links_t *links;
   gbd_platform_t *platform;
@@ -103,6 +107,9 @@
  *  @param value the accepted object; borrowed */
 gbd_status_t gbd_serve_take_accepted (gbd_serve_t *serve, json_t *value,
                                       gbd_time_t now);
+/** Hand each service its backend servers, with the weights decided now. */
+void gbd_serve_apply_backends (gbd_serve_t *serve, gbd_time_t now);
+
 /** Take the instance list: name to value. */
 void gbd_serve_take_instances (gbd_serve_t *serve, json_t *values);
 
@@ -113,6 +120,14 @@
 /** Tell the data path where linked instances receive packets. */
 void gbd_serve_map_peers (gbd_serve_t *serve);
 
+/* serve_load.c */
+/** Report what is due, and decide weights. */
+void gbd_serve_tick_load (gbd_serve_t *serve, gbd_time_t now);
+void gbd_serve_add_load_counters (gbd_counters_t *counters,
+                                  const gbd_serve_t *serve);
+/** Use of each customer's limits here. */
+json_t *gbd_serve_make_customers (const gbd_serve_t *serve);
+
 /* serve_report.c */
 extern const gbd_admin_callbacks_t gbd_serve_admin_callbacks;
 /** Write the dump to standard error. */
--- a/src/gooseberrydrum/serve_peers.c
+++ b/src/gooseberrydrum/serve_peers.c
@@ -84,6 +84,8 @@
   gbd_serve_t *serve = data;
   if (message->type == GBD_MESSAGE_CONFIG)
     receive_config (serve, message);
+  else if (message->type == GBD_MESSAGE_LOAD)
+    gbd_load_receive (serve->load, message, gbd_serve_now ());
   else
     gbd_node_receive (serve->node, message, gbd_serve_now ());
 }
--- a/src/gooseberrydrum/serve_platform.c
+++ b/src/gooseberrydrum/serve_platform.c
@@ -49,7 +49,6 @@
                            gbd_listed_instance_t *instance);
 static void remove_endpoint (gbd_serve_t *serve, const char *name);
 static bool add_endpoint (gbd_serve_t *serve, const gbd_endpoint_t *endpoint);
-static void apply_backends (gbd_serve_t *serve);
 static void restart_table_watch (gbd_serve_t *serve);
 static bool object_service (const gbd_serve_t *serve, const char *name,
                             gbd_service_id_t *service);
@@ -162,6 +161,9 @@
       gbd_catalog_delete (catalog);
       return status;
     }
+  status = gbd_load_set_catalog (serve->load, catalog);
+  if (status != GBD_OK)
+    gbd_log (GBD_EVENT_FATAL, gbd_status_strings[status]);
   gbd_catalog_delete (serve->catalog);
   serve->catalog = catalog;
   serve->generation = (uint64_t)generation;
@@ -170,7 +172,7 @@
   gbd_log (GBD_EVENT_IN_FORCE, (long long)generation,
            gbd_catalog_get_service_count (catalog),
            gbd_catalog_get_address_count (catalog));
-  apply_backends (serve);
+  gbd_serve_apply_backends (serve, now);
   restart_table_watch (serve);
   return GBD_OK;
 }
@@ -206,6 +208,34 @@
   gbd_serve_map_peers (serve);
 }
 
+void
+gbd_serve_apply_backends (gbd_serve_t *serve, gbd_time_t now)
+{
+  /* A listing that is under way, or empty, says nothing about servers. */
+  if (!serve->catalog || !serve->is_endpoints_known || !serve->endpoint_count)
+    return;
+  gbd_backend_t *backends = calloc (serve->endpoint_count, sizeof *backends);
+  uint16_t *weights = calloc (serve->endpoint_count, sizeof *weights);
+  uint32_t services = gbd_catalog_get_service_count (serve->catalog);
+  for (uint32_t s = 0; backends && weights && s < services; s++)
+    {
+      gbd_service_id_t id = gbd_catalog_get_service (serve->catalog, s)->id;
+      uint32_t count = 0;
+      for (uint32_t i = 0; i < serve->endpoint_count; i++)
+        {
+          if (serve->endpoints[i].service != id)
+            continue;
+          backends[count] = serve->endpoints[i].backend;
+          weights[count] = serve->endpoints[i].weight;
+          count++;
+        }
+      gbd_load_decide (serve->load, id, backends, count, now, weights);
+      gbd_node_set_backends (serve->node, id, backends, weights, count);
+    }
+  free (backends);
+  free (weights);
+}
+
 static gbd_platform_watch_t *
 start_watch (gbd_serve_t *serve, gbd_watch_kind_t kind)
 {
@@ -264,7 +294,7 @@
   (void)asked_at;
   gbd_serve_t *serve = data;
   serve->is_endpoints_known = true;
-  apply_backends (serve);
+  gbd_serve_apply_backends (serve, gbd_serve_now ());
 }
 
 static void
@@ -472,34 +502,6 @@
   return true;
 }
 
-/* Hand each service its backend servers. */
-static void
-apply_backends (gbd_serve_t *serve)
-{
-  /* A listing that is under way, or empty, says nothing about servers. */
-  if (!serve->catalog || !serve->is_endpoints_known || !serve->endpoint_count)
-    return;
-  gbd_backend_t *backends = calloc (serve->endpoint_count, sizeof *backends);
-  uint16_t *weights = calloc (serve->endpoint_count, sizeof *weights);
-  uint32_t services = gbd_catalog_get_service_count (serve->catalog);
-  for (uint32_t s = 0; backends && weights && s < services; s++)
-    {
-      gbd_service_id_t id = gbd_catalog_get_service (serve->catalog, s)->id;
-      uint32_t count = 0;
-      for (uint32_t i = 0; i < serve->endpoint_count; i++)
-        {
-          if (serve->endpoints[i].service != id)
-            continue;
-          backends[count] = serve->endpoints[i].backend;
-          weights[count] = serve->endpoints[i].weight;
-          count++;
-        }
-      gbd_node_set_backends (serve->node, id, backends, weights, count);
-    }
-  free (backends);
-  free (weights);
-}
-
 /* Service whose table an object of kind tables holds. */
 static bool
 object_service (const gbd_serve_t *serve, const char *name,
--- a/src/gooseberrydrum/serve_report.c
+++ b/src/gooseberrydrum/serve_report.c
@@ -5,7 +5,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "counters.h"
 #include "gooseberrydrum/packet.h"
 
 static char *write_counters (void *data);
@@ -77,6 +76,7 @@
   add_datapath_counters (counters, &datapath);
   add_engine_counters (counters, &engine);
   add_control_counters (counters, serve);
+  gbd_serve_add_load_counters (counters, serve);
   char *text = gbd_counters_format (counters);
   gbd_counters_delete (counters);
   return text;
@@ -89,8 +89,8 @@
   gbd_time_t now = gbd_serve_now ();
   uint32_t covered_ms = gbd_node_get_covered_ms (serve->node, now);
   return json_pack (
-      "{s:s, s:s, s:s, s:o, s:s, s:b, s:b, s:b, s:I, s:o, s:o, s:o}", "name",
-      serve->settings->name, "zone", serve->settings->zone, "group",
+      "{s:s, s:s, s:s, s:o, s:s, s:b, s:b, s:b, s:I, s:o, s:o, s:o, s:o}",
+      "name", serve->settings->name, "zone", serve->settings->zone, "group",
       serve->settings->group, "identity", hex (serve->self), "touch",
       touch_strings[gbd_node_get_touch (serve->node)], "joined",
       gbd_node_is_joined (serve->node), "watching",
@@ -99,7 +99,8 @@
       (json_int_t)serve->generation, "covered_s",
       covered_ms == UINT32_MAX ? json_null ()
                                : json_integer (covered_ms / 1000),
-      "peers", make_peers (serve, now), "services", make_services (serve));
+      "peers", make_peers (serve, now), "customers",
+      gbd_serve_make_customers (serve), "services", make_services (serve));
 }
 
 static json_t *
@@ -344,14 +345,24 @@
       gbd_address_format (&backend->address, address);
       gbd_engine_get_load (serve->engine, table->service, (gbd_slot_t)i,
                            &load);
-      json_array_append_new (
-          backends, json_pack ("{s:i, s:s, s:s, s:I, s:I, s:I, s:I}", "slot",
-                               (int)i, "address", address, "state",
-                               state_strings[backend->state], "buckets",
-                               (json_int_t)shares[i], "new_flows",
-                               (json_int_t)load.new_flows, "open_flows_here",
-                               (json_int_t)load.open_flows, "bytes",
-                               (json_int_t)load.bytes));
+      json_t *object = json_pack (
+          "{s:i, s:s, s:s, s:I, s:I, s:I, s:I}", "slot", (int)i, "address",
+          address, "state", state_strings[backend->state], "buckets",
+          (json_int_t)shares[i], "new_flows", (json_int_t)load.new_flows,
+          "open_flows_here", (json_int_t)load.open_flows, "bytes",
+          (json_int_t)load.bytes);
+      gbd_balance_info_t group;
+      if (gbd_load_get_backend (serve->load, table->service, backend->id,
+                                &group)
+          == GBD_OK)
+        json_object_set_new (
+            object, "group",
+            json_pack ("{s:I, s:I, s:I, s:i}", "open_flows",
+                       (json_int_t)group.open_flows, "new_flows",
+                       (json_int_t)group.new_flows, "kilobytes",
+                       (json_int_t)group.kilobytes, "factor_percent",
+                       (int)group.factor_percent));
+      json_array_append_new (backends, object);
     }
   free (shares);
   return backends;
--- a/src/libgooseberrydrum/balance.c
+++ b/src/libgooseberrydrum/balance.c
@@ -17,7 +17,7 @@
   gbd_instance_id_t from;
   uint32_t new_flows;
   uint32_t open_flows;
-  uint32_t kilobytes; /* smoothed over rounds */
+  uint32_t kilobytes;
 } part_t;
 
 typedef struct
@@ -89,7 +89,7 @@
         return GBD_ERROR_MEMORY;
       part->new_flows = entries[i].new_flows;
       part->open_flows = entries[i].open_flows;
-      part->kilobytes = (part->kilobytes + entries[i].kilobytes) / 2;
+      part->kilobytes = entries[i].kilobytes;
     }
   return GBD_OK;
 }
@@ -120,6 +120,8 @@
       balance->has_started = true;
       balance->started_at = now;
       balance->adjusted_at = now;
+      for (uint32_t i = 0; i < balance->count; i++)
+        balance->servers[i].first_seen = now;
     }
   for (uint32_t i = 0; i < balance->count; i++)
     balance->servers[i].is_wanted = false;
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_load.c
@@ -0,0 +1,271 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include "engine_fixture.h"
+#include "gooseberrydrum/load.h"
+
+#define LOADS 2
+#define PLAN_RATE 100
+
+/* Instances that report to each other through the codec. */
+typedef struct
+{
+  gbd_catalog_t *catalog;
+  gbd_service_id_t service;
+  gbd_engine_t *engines[LOADS];
+  gbd_load_t *loads[LOADS];
+  gbd_backend_t backends[2];
+  uint16_t base[2];
+  gbd_time_t now;
+  uint32_t sent;
+  uint32_t entries; /* of the newest message */
+} fixture_t;
+
+static fixture_t fixture;
+
+static gbd_instance_id_t
+load_id (uint32_t i)
+{
+  return 1000 + i;
+}
+
+static void
+pass_message (void *data, gbd_instance_id_t to, const gbd_message_t *message)
+{
+  (void)data;
+  size_t length;
+  uint8_t *bytes = gbd_message_encode (message, &length);
+  assert_non_null (bytes);
+  gbd_message_t received;
+  assert_int_equal (gbd_message_decode (bytes + 4, length - 4, &received),
+                    GBD_OK);
+  fixture.sent++;
+  fixture.entries = received.body.load.count;
+  assert_int_equal (gbd_load_receive (fixture.loads[to - load_id (0)],
+                                      &received, fixture.now),
+                    GBD_OK);
+  gbd_message_clear (&received);
+  free (bytes);
+}
+
+static int
+setup (void **state)
+{
+  (void)state;
+  memset (&fixture, 0, sizeof fixture);
+  fixture.now = 100 * GBD_SECOND;
+  fixture.service = gbd_id_from_name ("readings");
+  fixture.catalog = gbd_catalog_new (1);
+  gbd_plan_t plan = { .name = "small",
+                      .open_flows = 1000,
+                      .new_flows_per_second = PLAN_RATE,
+                      .idle_limit_s = 60,
+                      .balance_percent = 100 };
+  gbd_catalog_add_plan (fixture.catalog, &plan);
+  gbd_catalog_add_customer (fixture.catalog, "maji-laini", 0);
+  gbd_catalog_add_service (fixture.catalog, "readings", 0);
+  gbd_address_t address = service_address (1);
+  gbd_catalog_add_address (fixture.catalog, &address, 0);
+
+  gbd_member_t members[LOADS];
+  for (uint32_t i = 0; i < LOADS; i++)
+    members[i] = (gbd_member_t){ load_id (i), i + 1 };
+  for (uint32_t i = 0; i < 2; i++)
+    {
+      fixture.backends[i].id = 500 + i;
+      fixture.backends[i].address = service_address ((uint8_t)(100 + i));
+      fixture.base[i] = 10000;
+    }
+  for (uint32_t i = 0; i < LOADS; i++)
+    {
+      gbd_engine_settings_t settings = { .self = load_id (i),
+                                         .zone = i + 1,
+                                         .flow_key = FLOW_KEY,
+                                         .cache_capacity = 4096,
+                                         .registry_capacity = 1024,
+                                         .policy = &gbd_policy_keepers };
+      fixture.engines[i] = gbd_engine_new (&settings);
+      fixture.loads[i] = gbd_load_new (load_id (i), fixture.engines[i],
+                                       pass_message, NULL, fixture.now);
+      assert_int_equal (
+          gbd_engine_set_catalog (fixture.engines[i], fixture.catalog),
+          GBD_OK);
+      assert_int_equal (
+          gbd_load_set_catalog (fixture.loads[i], fixture.catalog), GBD_OK);
+      gbd_table_t *table = gbd_table_new (fixture.service, 64,
+                                          fixture.backends, 2, members, LOADS);
+      table->version = 1;
+      assert_int_equal (
+          gbd_engine_set_table (fixture.engines[i], table, fixture.now),
+          GBD_OK);
+      gbd_engine_set_touch (fixture.engines[i], GBD_TOUCH_FULL);
+      gbd_engine_set_joined (fixture.engines[i], true);
+      gbd_engine_set_live (fixture.engines[i], members, LOADS);
+    }
+  return 0;
+}
+
+static int
+teardown (void **state)
+{
+  (void)state;
+  for (uint32_t i = 0; i < LOADS; i++)
+    {
+      gbd_load_delete (fixture.loads[i]);
+      gbd_engine_delete (fixture.engines[i]);
+    }
+  gbd_catalog_delete (fixture.catalog);
+  return 0;
+}
+
+/* Let time pass; instance 0 watches. */
+static void
+tick (gbd_time_t later)
+{
+  fixture.now += later;
+  for (uint32_t i = 0; i < LOADS; i++)
+    {
+      gbd_load_peer_t peer = { load_id (1 - i), i == 1 };
+      gbd_load_tick (fixture.loads[i], i == 0, &peer, 1, fixture.now);
+    }
+}
+
+/* @return whether instance i let the packet pass. */
+static bool
+pass (uint32_t i, gbd_packet_kind_t kind, uint32_t caller, uint16_t length,
+      gbd_slot_t *slot)
+{
+  gbd_address_t service = service_address (1);
+  gbd_packet_t packet = make_packet (kind, caller, &service, 1);
+  packet.length = length;
+  gbd_decision_t decision;
+  gbd_engine_route (fixture.engines[i], &packet, NULL, fixture.now, &decision);
+  gbd_engine_commit (fixture.engines[i], &packet, &decision, fixture.now);
+  *slot = decision.slot;
+  return decision.kind == GBD_ACTION_BACKEND;
+}
+
+static uint32_t
+open_flows (uint32_t i, uint32_t first, uint32_t count)
+{
+  uint32_t passed = 0;
+  gbd_slot_t slot;
+  for (uint32_t n = 0; n < count; n++)
+    passed += pass (i, GBD_PACKET_OPENING, first + n, 60, &slot);
+  return passed;
+}
+
+/* All load is at one instance: its share grows towards the whole limit, and
+   the other knows of its open flows. */
+static void
+limits_follow_demand_over_the_wire (void **state)
+{
+  (void)state;
+  uint32_t admitted = 0;
+  for (uint32_t second = 0; second < 10; second++)
+    {
+      for (uint32_t part = 0; part < 10; part++)
+        {
+          admitted
+              += open_flows (0, second * 1000 + part * 100, PLAN_RATE / 5);
+          tick (GBD_SECOND / 10);
+        }
+    }
+  gbd_limits_info_t here;
+  gbd_limits_info_t there;
+  gbd_limits_get (gbd_load_get_limits (fixture.loads[0]), 0, &here);
+  gbd_limits_get (gbd_load_get_limits (fixture.loads[1]), 0, &there);
+  assert_int_equal (here.admitted, admitted);
+  assert_int_equal (here.share_per_second, PLAN_RATE);
+  assert_true (here.refused > 0);
+  assert_true (admitted <= 10 * PLAN_RATE);
+  assert_true (admitted >= 7 * PLAN_RATE);
+  assert_true (there.open_flows >= admitted);
+  assert_int_equal (there.admitted, 0);
+}
+
+/* Bulky flows on one server lower its weight at the watcher. */
+static void
+bytes_lower_the_weight_of_their_server (void **state)
+{
+  (void)state;
+  uint16_t weights[2];
+  for (uint32_t round = 0; round < 8; round++)
+    {
+      for (uint32_t caller = 0; caller < 12; caller++)
+        {
+          gbd_slot_t slot;
+          pass (1, GBD_PACKET_OPENING, caller, 60, &slot);
+          for (uint32_t n = 0; n < 100; n++)
+            pass (1, GBD_PACKET_MIDDLE, caller, slot == 0 ? 1400 : 60, &slot);
+        }
+      tick (GBD_BALANCE_ROUND);
+      memcpy (weights, fixture.base, sizeof weights);
+      gbd_load_decide (fixture.loads[0], fixture.service, fixture.backends, 2,
+                       fixture.now, weights);
+    }
+  assert_true (weights[0] < fixture.base[0]);
+  assert_true (weights[1] > fixture.base[1]);
+  gbd_balance_info_t info;
+  assert_int_equal (gbd_load_get_backend (fixture.loads[0], fixture.service,
+                                          fixture.backends[0].id, &info),
+                    GBD_OK);
+  assert_true (info.kilobytes > 0);
+  assert_int_equal (gbd_load_get_backend (fixture.loads[1], fixture.service,
+                                          fixture.backends[0].id, &info),
+                    GBD_ERROR_NOT_FOUND);
+}
+
+/* What did not change is not sent again before the next full report. */
+static void
+steady_load_is_left_out (void **state)
+{
+  (void)state;
+  open_flows (1, 0, 20);
+  tick (GBD_BALANCE_ROUND);
+  tick (GBD_BALANCE_ROUND);
+  tick (GBD_BALANCE_ROUND);
+  fixture.sent = 0;
+  tick (GBD_BALANCE_ROUND);
+  assert_int_equal (fixture.sent, 0);
+  for (uint32_t i = 0; i < GBD_LOAD_FULL_ROUNDS; i++)
+    tick (GBD_BALANCE_ROUND);
+  assert_int_equal (fixture.sent, 1);
+  assert_int_equal (fixture.entries, 2);
+}
+
+/* A table with fewer slots than the report names. */
+static void
+foreign_slot_is_an_error (void **state)
+{
+  (void)state;
+  gbd_load_entry_t entry = { .slot = 9, .open_flows = 1 };
+  gbd_message_t message = { .type = GBD_MESSAGE_LOAD, .from = load_id (1) };
+  message.body.load.service = fixture.service;
+  message.body.load.count = 1;
+  message.body.load.entries = &entry;
+  assert_int_equal (gbd_load_receive (fixture.loads[0], &message, fixture.now),
+                    GBD_ERROR_RANGE);
+  message.body.load.service++;
+  assert_int_equal (gbd_load_receive (fixture.loads[0], &message, fixture.now),
+                    GBD_ERROR_NOT_FOUND);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (limits_follow_demand_over_the_wire, setup,
+                                     teardown),
+    cmocka_unit_test_setup_teardown (bytes_lower_the_weight_of_their_server,
+                                     setup, teardown),
+    cmocka_unit_test_setup_teardown (steady_load_is_left_out, setup, teardown),
+    cmocka_unit_test_setup_teardown (foreign_slot_is_an_error, setup,
+                                     teardown),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
