Serve operators over TLS and load certificates again on SIGHUP

The admin address got the certificate files but could not load them again, and SIGHUP only logged that loading had failed.

gbd_admin_reload tries the files in a context of their own first, as the links do, so that files which do not load change nothing; TLS 1.2 at least. A server whose files do not load is refused rather than run in the clear.

--- a/src/gooseberrydrum/admin.c
+++ b/src/gooseberrydrum/admin.c
@@ -4,6 +4,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <openssl/err.h>
+#include <openssl/ssl.h>
+
 #include "admin_response.h"
 
 #define TOKEN_LENGTH_MAX 128 /* characters */
@@ -22,6 +25,9 @@
 {
   struct lws_vhost *vhost;
   owner_t *owner;
+  SSL_CTX *tls; /* belongs to the vhost; NULL for plain HTTP */
+  const char *certificate;
+  const char *key;
   gbd_admin_callbacks_t callbacks;
   void *data;
   char token[TOKEN_LENGTH_MAX + 1]; /* zero-padded; empty for none */
@@ -51,6 +57,7 @@
 static void answer_explain (gbd_admin_t *admin, struct lws *wsi,
                             gbd_admin_response_t *response);
 static bool is_authorized (const gbd_admin_t *admin, struct lws *wsi);
+static bool load_files (const gbd_admin_t *admin, SSL_CTX *context);
 static bool is_loopback (const gbd_address_t *address);
 static struct lws_vhost *make_vhost (struct lws_context *context,
                                      const gbd_admin_settings_t *settings,
@@ -99,11 +106,20 @@
   admin->owner = owner;
   admin->callbacks = *callbacks;
   admin->data = data;
+  admin->certificate = settings->certificate;
+  admin->key = settings->key;
   snprintf (admin->token, sizeof admin->token, "%s", token);
   owner->admin = admin;
   admin->vhost = make_vhost (context, settings, owner);
-  if (admin->vhost)
+  bool is_as_set = !settings->certificate || admin->tls;
+  if (admin->vhost && is_as_set)
     return admin;
+  if (admin->vhost)
+    {
+      /* The library drops TLS when it cannot load the files. */
+      owner->admin = NULL;
+      lws_vhost_destroy (admin->vhost);
+    }
   /* The library has freed the owner with the vhost that it gave up. */
   owner = NULL;
   *error = "cannot listen for operators; choose a free address of this "
@@ -125,6 +141,20 @@
   free (admin);
 }
 
+gbd_status_t
+gbd_admin_reload (gbd_admin_t *admin)
+{
+  if (!admin->tls)
+    return GBD_OK;
+  /* A trial first, so that files which do not load change nothing. */
+  SSL_CTX *trial = SSL_CTX_new (TLS_server_method ());
+  bool is_loaded
+      = trial && load_files (admin, trial) && load_files (admin, admin->tls);
+  SSL_CTX_free (trial);
+  ERR_clear_error ();
+  return is_loaded ? GBD_OK : GBD_ERROR_FORMAT;
+}
+
 gbd_status_t
 gbd_flow_parse (const char *text, gbd_flow_t *flow)
 {
@@ -153,6 +183,12 @@
   gbd_admin_t *admin = owner ? owner->admin : NULL;
   switch (reason)
     {
+    case LWS_CALLBACK_OPENSSL_LOAD_EXTRA_SERVER_VERIFY_CERTS:
+      if (!admin)
+        return -1;
+      admin->tls = user;
+      SSL_CTX_set_min_proto_version (admin->tls, TLS1_2_VERSION);
+      return 0;
     case LWS_CALLBACK_HTTP:
       return admin ? handle_request (admin, wsi, response, in) : -1;
     case LWS_CALLBACK_HTTP_WRITEABLE:
@@ -288,6 +324,15 @@
          && lws_timingsafe_bcmp (header, expected, sizeof header) == 0;
 }
 
+static bool
+load_files (const gbd_admin_t *admin, SSL_CTX *context)
+{
+  return SSL_CTX_use_certificate_chain_file (context, admin->certificate) == 1
+         && SSL_CTX_use_PrivateKey_file (context, admin->key, SSL_FILETYPE_PEM)
+                == 1
+         && SSL_CTX_check_private_key (context) == 1;
+}
+
 static bool
 is_loopback (const gbd_address_t *address)
 {
--- a/src/gooseberrydrum/admin.h
+++ b/src/gooseberrydrum/admin.h
@@ -29,8 +29,10 @@
 typedef struct
 {
   gbd_address_t listen;
-  const char *token;       /**< NULL or "" for none */
-  const char *certificate; /**< PEM files; both NULL for plain HTTP */
+  const char *token; /**< NULL or "" for none */
+  /** PEM files; both NULL for plain HTTP.  The texts are kept, not copied;
+   *  the context needs LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT for them. */
+  const char *certificate;
   const char *key;
 } gbd_admin_settings_t;
 
@@ -57,6 +59,11 @@
 /** Before the context is destroyed. */
 void gbd_admin_delete (gbd_admin_t *admin);
 
+/** Load the certificate files again for later connections.
+ *  @return GBD_ERROR_FORMAT, the former ones staying in use, if they do not
+ *  load. */
+gbd_status_t gbd_admin_reload (gbd_admin_t *admin);
+
 /** Parse CALLER-SERVICE.
  *  @return GBD_OK, or GBD_ERROR_FORMAT unless both are addresses of one
  *  family. */
--- a/src/gooseberrydrum/cmd_serve.c
+++ b/src/gooseberrydrum/cmd_serve.c
@@ -46,6 +46,7 @@
 static void handle_packets (gbd_serve_t *serve, int fd);
 static int open_signals (void);
 static void handle_signal (gbd_serve_t *serve, int fd);
+static void reload_certificates (gbd_serve_t *serve);
 static void begin_stop (gbd_serve_t *serve);
 static void check_stop (gbd_serve_t *serve, gbd_time_t now);
 static void tick (lws_sorted_usec_list_t *timer);
@@ -362,14 +363,21 @@
       if (info.ssi_signo == SIGUSR1)
         gbd_serve_dump (serve);
       else if (info.ssi_signo == SIGHUP)
-        {
-          gbd_log (GBD_EVENT_RELOAD_FAILED);
-        }
+        reload_certificates (serve);
       else
         begin_stop (serve);
     }
 }
 
+static void
+reload_certificates (gbd_serve_t *serve)
+{
+  bool is_loaded = gbd_links_reload (serve->links) == GBD_OK;
+  if (serve->admin)
+    is_loaded = gbd_admin_reload (serve->admin) == GBD_OK && is_loaded;
+  gbd_log (is_loaded ? GBD_EVENT_RELOADED : GBD_EVENT_RELOAD_FAILED);
+}
+
 static void
 begin_stop (gbd_serve_t *serve)
 {
--- a/src/test_gooseberrydrum/test_admin.c
+++ b/src/test_gooseberrydrum/test_admin.c
@@ -12,7 +12,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <openssl/ssl.h>
+
 #include "gooseberrydrum/admin.h"
+#include "tls_identities.h"
 
 #define ROUNDS_MAX 20000
 #define RESPONSE_LENGTH_MAX (1 << 16)
@@ -22,6 +25,7 @@
 static struct lws_context *context;
 static gbd_admin_t *admin;
 static gbd_address_t listen_address;
+static gbd_admin_settings_t settings;
 static char explained[2 * GBD_ADDRESS_TEXT_MAX];
 static bool is_dump_large;
 
@@ -86,11 +90,13 @@
 {
   struct lws_context_creation_info info
       = { .port = CONTEXT_PORT_NO_LISTEN,
-          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS };
+          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS
+                     | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT };
   const char *error = NULL;
   lws_set_log_level (0, NULL);
   choose_address ();
-  gbd_admin_settings_t settings = { .listen = listen_address, .token = token };
+  settings.listen = listen_address;
+  settings.token = token;
   context = lws_create_context (&info);
   assert_non_null (context);
   admin = gbd_admin_new (context, &settings, &callbacks, "some", &error);
@@ -265,11 +271,11 @@
 only_loopback_goes_without_a_token (void **state)
 {
   (void)state;
-  gbd_admin_settings_t settings = { 0 };
+  gbd_admin_settings_t exposed = { 0 };
   const char *error = NULL;
-  assert_int_equal (gbd_address_parse ("0.0.0.0:7480", &settings.listen),
+  assert_int_equal (gbd_address_parse ("0.0.0.0:7480", &exposed.listen),
                     GBD_OK);
-  assert_null (gbd_admin_new (context, &settings, &callbacks, NULL, &error));
+  assert_null (gbd_admin_new (context, &exposed, &callbacks, NULL, &error));
   assert_non_null (strstr (error, "set an admin token"));
 }
 
@@ -340,6 +346,96 @@
     }
 }
 
+/* Status of one request over TLS, or 0; tells whose certificate was shown. */
+static int
+request_over_tls (EVP_PKEY *expected_key)
+{
+  SSL_CTX *client = SSL_CTX_new (TLS_client_method ());
+  SSL *ssl = SSL_new (client);
+  int fd = dial ();
+  SSL_set_fd (ssl, fd);
+  SSL_set_connect_state (ssl);
+  static const char request[] = "GET /status HTTP/1.1\r\nHost: a\r\n\r\n";
+  char response[256] = "";
+  bool is_sent = false;
+  int status = 0;
+  for (int i = 0; i < ROUNDS_MAX && status == 0; i++)
+    {
+      lws_service (context, -1);
+      if (!is_sent)
+        is_sent = SSL_write (ssl, request, sizeof request - 1) > 0;
+      else if (SSL_read (ssl, response, sizeof response - 1) > 0)
+        sscanf (response, "HTTP/1.1 %d", &status);
+      usleep (i > 100 ? 200 : 0);
+    }
+  X509 *shown = SSL_get0_peer_certificate (ssl);
+  assert_non_null (shown);
+  assert_int_equal (EVP_PKEY_eq (X509_get0_pubkey (shown), expected_key), 1);
+  SSL_free (ssl);
+  SSL_CTX_free (client);
+  close (fd);
+  return status;
+}
+
+static void
+write_identity (const identity_t *identity)
+{
+  write_certificate (settings.certificate, identity->certificate);
+  write_key (settings.key, identity->key);
+}
+
+static void
+tls_serves_and_reloads (void **state)
+{
+  (void)state;
+  static char response[RESPONSE_LENGTH_MAX];
+  char folder[] = "/tmp/gooseberrydrum-admin-XXXXXX";
+  char certificate[64];
+  char key[64];
+  identity_t first;
+  identity_t second;
+  assert_non_null (mkdtemp (folder));
+  snprintf (certificate, sizeof certificate, "%s/crt", folder);
+  snprintf (key, sizeof key, "%s/key", folder);
+  settings.certificate = certificate;
+  settings.key = key;
+  make_identity (&first, "first", NULL);
+  make_identity (&second, "second", NULL);
+  write_identity (&first);
+  start (NULL);
+  assert_int_equal (request_over_tls (first.key), 200);
+  int fd = dial ();
+  send_request (fd, "GET", "/status", "");
+  read_response (fd, response, sizeof response);
+  assert_null (strstr (response, "some"));
+  close (fd);
+
+  /* A key without its certificate changes nothing. */
+  write_key (key, second.key);
+  assert_int_equal (gbd_admin_reload (admin), GBD_ERROR_FORMAT);
+  assert_int_equal (request_over_tls (first.key), 200);
+  write_identity (&second);
+  assert_int_equal (gbd_admin_reload (admin), GBD_OK);
+  assert_int_equal (request_over_tls (second.key), 200);
+
+  /* Nor does the server start in the clear without them. */
+  gbd_admin_settings_t broken = settings;
+  const char *error = NULL;
+  choose_address ();
+  broken.listen = listen_address;
+  write_key (key, first.key);
+  assert_null (gbd_admin_new (context, &broken, &callbacks, NULL, &error));
+  assert_non_null (strstr (error, "certificate"));
+
+  unlink (certificate);
+  unlink (key);
+  rmdir (folder);
+  free_identity (&first);
+  free_identity (&second);
+  settings.certificate = NULL;
+  settings.key = NULL;
+}
+
 int
 main (void)
 {
@@ -353,6 +449,7 @@
     ADMIN_TEST (a_large_response_arrives_whole),
     ADMIN_TEST (slow_readers_are_bounded),
     ADMIN_TEST (hostile_requests_end),
+    cmocka_unit_test_teardown (tls_serves_and_reloads, tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_gooseberrydrum/test_links_tls.c
+++ b/src/test_gooseberrydrum/test_links_tls.c
@@ -1,18 +1,10 @@
 #include "links_fixture.h"
 
 #include <openssl/err.h>
-#include <openssl/pem.h>
-#include <openssl/x509v3.h>
 
-#define PATH_LENGTH 96
-#define VALID_S 3600
+#include "tls_identities.h"
 
-/** A certificate with its key. */
-typedef struct
-{
-  EVP_PKEY *key;
-  X509 *certificate;
-} identity_t;
+#define PATH_LENGTH 96
 
 /** The three files of one node. */
 typedef struct
@@ -27,49 +19,6 @@
 static identity_t foreign_authority;
 static files_t files[NODES_MAX];
 
-static void
-make_identity (identity_t *identity, const char *name,
-               const identity_t *issuer)
-{
-  X509 *certificate = X509_new ();
-  identity->key = EVP_EC_gen ("P-256");
-  identity->certificate = certificate;
-  assert_non_null (identity->key);
-  X509_set_version (certificate, X509_VERSION_3);
-  ASN1_INTEGER_set (X509_get_serialNumber (certificate), 1 + rand ());
-  X509_gmtime_adj (X509_getm_notBefore (certificate), -VALID_S);
-  X509_gmtime_adj (X509_getm_notAfter (certificate), VALID_S);
-  X509_NAME *subject = X509_get_subject_name (certificate);
-  X509_NAME_add_entry_by_txt (subject, "CN", MBSTRING_ASC,
-                              (const unsigned char *)name, -1, -1, 0);
-  X509_set_pubkey (certificate, identity->key);
-  const identity_t *signer = issuer ? issuer : identity;
-  X509_set_issuer_name (certificate,
-                        X509_get_subject_name (signer->certificate));
-  X509_EXTENSION *extension
-      = X509V3_EXT_conf_nid (NULL, NULL, NID_basic_constraints,
-                             issuer ? "CA:FALSE" : "critical,CA:TRUE");
-  X509_add_ext (certificate, extension, -1);
-  X509_EXTENSION_free (extension);
-  assert_true (X509_sign (certificate, signer->key, EVP_sha256 ()) > 0);
-}
-
-static void
-free_identity (identity_t *identity)
-{
-  EVP_PKEY_free (identity->key);
-  X509_free (identity->certificate);
-}
-
-static void
-write_certificate (const char *path, X509 *certificate)
-{
-  FILE *file = fopen (path, "w");
-  assert_non_null (file);
-  assert_int_equal (PEM_write_X509 (file, certificate), 1);
-  fclose (file);
-}
-
 /* Give a node a new certificate of one authority, and trust in another. */
 static void
 write_files (int index, const identity_t *issuer, const identity_t *trusted)
@@ -82,11 +31,7 @@
   make_identity (&identity, "instance", issuer);
   write_certificate (paths->certificate, identity.certificate);
   write_certificate (paths->authority, trusted->certificate);
-  FILE *file = fopen (paths->key, "w");
-  assert_non_null (file);
-  assert_int_equal (
-      PEM_write_PrivateKey (file, identity.key, NULL, NULL, 0, NULL, NULL), 1);
-  fclose (file);
+  write_key (paths->key, identity.key);
   free_identity (&identity);
 
   nodes[index].settings.certificate = paths->certificate;
