Take closing packets along the keepers; teach by demand

Cause: the second keeper seldom saw how a registered flow ended, and CLOSED messages compete with LEARNED ones for the budget, so registrations grew for as long as a bucket moved.

Change: a closing packet of a registered flow goes along the chain like the one that opened it; no message tells keepers of it. Tokens for four seconds may be saved up, and the threshold falls at once when they are plenty.

--- a/src/libgooseberrydrum/engine_commit.c
+++ b/src/libgooseberrydrum/engine_commit.c
@@ -1,5 +1,13 @@
 #include "engine_state.h"
 
+/* An entry's price; tokens grow by the rate each microsecond. */
+#define TOKEN GBD_SECOND
+/* Time whose tokens may be saved up. */
+#define BURST_TIME (4 * GBD_SECOND)
+/* Packets seen of a flow before it is worth an entry. */
+#define THRESHOLD_MIN 2
+#define THRESHOLD_MAX 16
+
 /* A decision while it is recorded. */
 typedef struct
 {
@@ -20,9 +28,12 @@
 static void record_opening (const commit_t *commit, gbd_cached_flow_t *flow);
 static void record_passing (const commit_t *commit, gbd_cached_flow_t *flow);
 static void record_closing (const commit_t *commit, gbd_cached_flow_t *flow);
+static void close_facts (const commit_t *commit);
 static void touch_facts (const commit_t *commit);
 static void teach (const commit_t *commit, const gbd_cached_flow_t *flow);
 static bool take_token (gbd_engine_t *engine, gbd_time_t now);
+static void refill (gbd_engine_t *engine, gbd_time_t now);
+static int64_t get_burst (const gbd_engine_t *engine);
 static void adapt_threshold (gbd_engine_t *engine);
 
 void
@@ -54,6 +65,9 @@
   if (decision->registers)
     register_flow (&commit);
 
+  if (packet->kind == GBD_PACKET_CLOSING && decision->slot != GBD_SLOT_NONE)
+    close_facts (&commit);
+
   bool is_opening = packet->kind == GBD_PACKET_OPENING;
   /* What was passed on may not arrive: only its opening leaves an entry, and
      that without a slot, as nothing is known to be delivered. */
@@ -205,34 +219,25 @@
 record_closing (const commit_t *commit, gbd_cached_flow_t *flow)
 {
   gbd_engine_t *engine = commit->engine;
-  gbd_engine_service_t *service = commit->service;
-  gbd_flow_hash_t hash = commit->decision->hash;
   if (flow->flags & GBD_CACHED_CLOSED)
     return;
   bool is_admitted = flow->flags & GBD_CACHED_ADMITTED;
-  if (!is_admitted && engine->admission)
-    engine->admission->ended (engine->admission_data, service->customer,
+  bool is_last = commit->decision->kind == GBD_ACTION_BACKEND;
+  if (!is_admitted && is_last && engine->admission)
+    engine->admission->ended (engine->admission_data,
+                              commit->service->customer,
                               GBD_FLOW_END_ELSEWHERE, commit->now);
   gbd_engine_end_cached (engine, flow, GBD_FLOW_END_CLOSED, commit->now);
   flow->flags |= GBD_CACHED_CLOSED;
+}
 
-  if (gbd_registry_find (service->exceptions, hash))
-    {
-      gbd_engine_close_exception (engine, commit->index, hash, commit->now);
-      return;
-    }
-  const gbd_bucket_t *bucket
-      = &service->table->buckets[commit->decision->bucket];
-  gbd_registry_close (service->registered, hash, commit->now);
-  if (!gbd_bucket_is_registering (bucket))
-    return;
-  gbd_keepers_t keepers;
-  gbd_table_keepers (service->table, commit->decision->bucket, &keepers);
-  for (int i = 0; i < keepers.count; i++)
-    if (keepers.chain[i] != engine->settings.self
-        && take_token (engine, commit->now))
-      gbd_engine_tell (engine, keepers.chain[i], commit->index,
-                       GBD_FLOWS_CLOSED, hash, flow->slot);
+static void
+close_facts (const commit_t *commit)
+{
+  gbd_flow_hash_t hash = commit->decision->hash;
+  gbd_registry_close (commit->service->registered, hash, commit->now);
+  gbd_engine_close_exception (commit->engine, commit->index, hash,
+                              commit->now);
 }
 
 static void
@@ -254,35 +259,45 @@
 {
   gbd_engine_t *engine = commit->engine;
   gbd_instance_id_t origin = commit->decision->shim.origin;
-  if (origin == engine->settings.self
-      || flow->packets < engine->teaching.threshold)
+  if (origin == engine->settings.self)
     return;
-  bool has_token = take_token (engine, commit->now);
+  refill (engine, commit->now);
   adapt_threshold (engine);
-  if (has_token)
+  if (flow->packets >= engine->teaching.threshold
+      && take_token (engine, commit->now))
     gbd_engine_tell (engine, origin, commit->index, GBD_FLOWS_LEARNED,
                      commit->decision->hash, commit->decision->slot);
 }
 
 static bool
 take_token (gbd_engine_t *engine, gbd_time_t now)
+{
+  refill (engine, now);
+  if (engine->teaching.tokens < TOKEN)
+    return false;
+  engine->teaching.tokens -= TOKEN;
+  return true;
+}
+
+static void
+refill (gbd_engine_t *engine, gbd_time_t now)
 {
   gbd_teaching_t *teaching = &engine->teaching;
   int64_t rate = engine->settings.teach_per_second;
-  int64_t burst = rate * GBD_SECOND;
   gbd_time_t elapsed = now - teaching->refilled_at;
-  if (elapsed >= GBD_SECOND)
-    teaching->tokens = burst;
-  else if (elapsed > 0)
+  if (elapsed > BURST_TIME)
+    elapsed = BURST_TIME;
+  if (elapsed > 0)
     teaching->tokens += elapsed * rate;
-  if (teaching->tokens > burst)
-    teaching->tokens = burst;
+  if (teaching->tokens > get_burst (engine))
+    teaching->tokens = get_burst (engine);
   teaching->refilled_at = now;
+}
 
-  if (teaching->tokens < GBD_SECOND)
-    return false;
-  teaching->tokens -= GBD_SECOND;
-  return true;
+static int64_t
+get_burst (const gbd_engine_t *engine)
+{
+  return (int64_t)engine->settings.teach_per_second * BURST_TIME;
 }
 
 /* Fewer flows are worth an entry while tokens are short. */
@@ -290,9 +305,10 @@
 adapt_threshold (gbd_engine_t *engine)
 {
   gbd_teaching_t *teaching = &engine->teaching;
-  int64_t burst = (int64_t)engine->settings.teach_per_second * GBD_SECOND;
-  if (teaching->tokens < burst / 4 && teaching->threshold < 64)
+  if (teaching->tokens < get_burst (engine) / 4
+      && teaching->threshold < THRESHOLD_MAX)
     teaching->threshold++;
-  else if (teaching->tokens > burst / 2 && teaching->threshold > 2)
+  else if (teaching->tokens > get_burst (engine) / 2
+           && teaching->threshold > THRESHOLD_MIN)
     teaching->threshold--;
 }
--- a/src/libgooseberrydrum/policy_keepers.c
+++ b/src/libgooseberrydrum/policy_keepers.c
@@ -8,6 +8,10 @@
                            gbd_time_t now, gbd_decision_t *decision);
 static bool is_near_version (const gbd_route_t *route);
 static void route_later (gbd_route_t *route);
+static void finish_known (gbd_route_t *route, gbd_rule_t rule,
+                          gbd_slot_t slot);
+static bool is_passed_along (const gbd_route_t *route);
+static gbd_instance_id_t find_next_keeper (const gbd_route_t *route);
 static void ask_keeper (gbd_route_t *route);
 static void answer_as_keeper (gbd_route_t *route, gbd_instance_id_t other);
 
@@ -52,16 +56,18 @@
 
   if (route->cached && route->cached->slot != GBD_SLOT_NONE)
     {
-      gbd_route_to_backend (route, GBD_RULE_CACHED, route->cached->slot);
+      finish_known (route, GBD_RULE_CACHED, route->cached->slot);
       return;
     }
   route->decision->is_new = route->packet->kind != GBD_PACKET_ICMP;
   if ((known = gbd_registry_find (route->service->exceptions, hash)))
     gbd_route_to_backend (route, GBD_RULE_EXCEPTION, known->slot);
   else if ((known = gbd_registry_find (route->service->registered, hash)))
-    gbd_route_to_backend (route, GBD_RULE_REGISTERED, known->slot);
+    finish_known (route, GBD_RULE_REGISTERED, known->slot);
   else if (route->engine->touch != GBD_TOUCH_FULL)
     gbd_route_drop (route, GBD_RULE_OUT_OF_TOUCH, GBD_DROP_UNCERTAIN);
+  else if (is_passed_along (route) && route->shim->slot != GBD_SLOT_NONE)
+    finish_known (route, GBD_RULE_REGISTERED, route->shim->slot);
   else if (gbd_bucket_is_ambiguous (route->bucket))
     ask_keeper (route);
   else if (route->service->is_complete)
@@ -71,6 +77,49 @@
     gbd_route_drop (route, GBD_RULE_INCOMPLETE, GBD_DROP_UNCERTAIN);
 }
 
+/* A packet that closes a registered flow goes along the chain like the one
+   that opened it, so that each keeper may forget the flow. */
+static void
+finish_known (gbd_route_t *route, gbd_rule_t rule, gbd_slot_t slot)
+{
+  bool is_told
+      = route->packet->kind == GBD_PACKET_CLOSING
+        && route->engine->touch == GBD_TOUCH_FULL
+        && gbd_bucket_is_registering (route->bucket)
+        && slot != gbd_bucket_default_slot (route->bucket)
+        && gbd_engine_get_slot_state (route->table, slot) != GBD_BACKEND_GONE;
+  gbd_instance_id_t next = is_told ? find_next_keeper (route) : 0;
+  if (next)
+    gbd_route_to_peer (route, GBD_RULE_OPEN_KEEPER, next, GBD_SHIM_OPEN, slot);
+  else
+    gbd_route_to_backend (route, rule, slot);
+}
+
+static bool
+is_passed_along (const gbd_route_t *route)
+{
+  return route->shim && route->shim->kind == GBD_SHIM_OPEN
+         && route->packet->kind == GBD_PACKET_CLOSING;
+}
+
+/* The next keeper that a closing packet visits, 0 if there is none. */
+static gbd_instance_id_t
+find_next_keeper (const gbd_route_t *route)
+{
+  gbd_keepers_t keepers;
+  gbd_table_keepers (route->table, route->decision->bucket, &keepers);
+  bool is_past_self = !is_passed_along (route);
+  for (uint8_t i = 0; i < keepers.count; i++)
+    {
+      gbd_instance_id_t id = keepers.chain[i];
+      bool is_self = id == route->engine->settings.self;
+      if (!is_self && is_past_self && gbd_engine_is_live (route->engine, id))
+        return id;
+      is_past_self |= is_self;
+    }
+  return 0;
+}
+
 static void
 ask_keeper (gbd_route_t *route)
 {
--- a/src/test_libgooseberrydrum/test_engine.c
+++ b/src/test_libgooseberrydrum/test_engine.c
@@ -672,6 +672,34 @@
   assert_in_range (detours, 1, 10);
 }
 
+/* The closing packet of a registered flow reaches both keepers, which forget
+   the flow, wherever the packet arrives. */
+static void
+both_keepers_forget_a_closed_flow (void **state)
+{
+  move_t *m = *state;
+  cluster_t *c = &m->cluster;
+  set_table_everywhere (c, m->announced);
+  set_table_everywhere (c, m->active);
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    {
+      m->caller = caller_on (c, m->stable, X, i);
+      m->keepers = keepers_of (c, m->stable, m->caller);
+      assert_backend (open_at (m, i), Y);
+      assert_backend (send_kind (c, i, GBD_PACKET_CLOSING, m->caller), Y);
+      assert_backend (middle_at (m, i), Y);
+    }
+  c->now += 61 * GBD_SECOND;
+  for (uint32_t i = 0; i < INSTANCES; i++)
+    {
+      gbd_engine_expire (c->engines[i], c->now);
+      uint32_t count = 0;
+      gbd_engine_visit_registered (c->engines[i], c->service, count_entries,
+                                   &count);
+      assert_int_equal (count, 0);
+    }
+}
+
 /* An ICMP error follows its flow and leaves no trace. */
 static void
 icmp_leaves_no_state (void **state)
@@ -724,6 +752,7 @@
     ROW (limit_refuses_only_what_was_not_passed_on),
     ROW (full_registry),
     ROW (detours_end),
+    ROW (both_keepers_forget_a_closed_flow),
     ROW (icmp_leaves_no_state),
     ROW (stale_table_is_refused),
   };
