--- a/include/gooseberrydrum/types.h
+++ b/include/gooseberrydrum/types.h
@@ -86,6 +86,9 @@
   /** Compare family, address and port. */
   bool gbd_address_is_equal (const gbd_address_t *a, const gbd_address_t *b);
 
+  /** Whether an address reaches only this machine: 127.0.0.0/8 or ::1. */
+  bool gbd_address_is_loopback (const gbd_address_t *address);
+
   /** Parse "1.2.3.4:80" or "[::1]:80".
    *  @return GBD_OK, or GBD_ERROR_FORMAT for anything but an IP number with a
    *  port of 1 to 65535. */
--- a/src/gooseberrydrum/admin.c
+++ b/src/gooseberrydrum/admin.c
@@ -58,7 +58,6 @@
                             gbd_admin_response_t *response);
 static bool is_authorized (const gbd_admin_t *admin, struct lws *wsi);
 static bool load_files (const gbd_admin_t *admin, SSL_CTX *context);
-static bool is_loopback (const gbd_address_t *address);
 static struct lws_vhost *make_vhost (struct lws_context *context,
                                      const gbd_admin_settings_t *settings,
                                      owner_t *owner);
@@ -89,7 +88,7 @@
       *error = "the admin token is longer than 128 characters; shorten it";
       return NULL;
     }
-  if (!token[0] && !is_loopback (&settings->listen))
+  if (!token[0] && !gbd_address_is_loopback (&settings->listen))
     {
       *error = "the admin address is not a loopback address; set an admin "
                "token";
@@ -333,15 +332,6 @@
          && SSL_CTX_check_private_key (context) == 1;
 }
 
-static bool
-is_loopback (const gbd_address_t *address)
-{
-  static const uint8_t ipv6[16] = { [15] = 1 };
-  if (address->family == 4)
-    return address->ip[0] == 127;
-  return memcmp (address->ip, ipv6, sizeof ipv6) == 0;
-}
-
 static struct lws_vhost *
 make_vhost (struct lws_context *context, const gbd_admin_settings_t *settings,
             owner_t *owner)
--- a/src/gooseberrydrum/settings_check.c
+++ b/src/gooseberrydrum/settings_check.c
@@ -20,7 +20,6 @@
 static bool udp_addresses_differ (const gbd_settings_t *settings);
 static bool tcp_addresses_differ (const gbd_settings_t *settings);
 static bool admin_is_local_or_has_token (const gbd_settings_t *settings);
-static bool is_loopback (const gbd_address_t *address);
 
 static const rule_t rules[] = {
   { has_group_key, "group-key", "is missing",
@@ -123,15 +122,6 @@
 admin_is_local_or_has_token (const gbd_settings_t *settings)
 {
   const gbd_address_t *listen = &settings->admin_listen;
-  return listen->family == 0 || is_loopback (listen)
+  return listen->family == 0 || gbd_address_is_loopback (listen)
          || settings->admin_token[0];
 }
-
-static bool
-is_loopback (const gbd_address_t *address)
-{
-  static const uint8_t ipv6[16] = { [15] = 1 };
-  if (address->family == 4)
-    return address->ip[0] == 127;
-  return memcmp (address->ip, ipv6, sizeof ipv6) == 0;
-}
--- a/src/libgooseberrydrum/types.c
+++ b/src/libgooseberrydrum/types.c
@@ -47,6 +47,15 @@
          && memcmp (a->ip, b->ip, sizeof a->ip) == 0;
 }
 
+bool
+gbd_address_is_loopback (const gbd_address_t *address)
+{
+  static const uint8_t ipv6[16] = { [15] = 1 };
+  if (address->family == 4)
+    return address->ip[0] == 127;
+  return memcmp (address->ip, ipv6, sizeof ipv6) == 0;
+}
+
 gbd_status_t
 gbd_address_parse (const char *text, gbd_address_t *address)
 {
--- a/src/test_gooseberrydrum/test_links.c
+++ b/src/test_gooseberrydrum/test_links.c
@@ -79,6 +79,22 @@
   assert_int_equal (send_want (0, 77, 1), GBD_ERROR_UNAVAILABLE);
 }
 
+static void
+links_run_over_ipv6 (void **state)
+{
+  (void)state;
+  for (int i = 0; i < NODES_MAX; i++)
+    {
+      addresses[i].family = 6;
+      memset (addresses[i].ip, 0, sizeof addresses[i].ip);
+      addresses[i].ip[15] = 1;
+    }
+  start_nodes (2);
+  RUN_UNTIL (get_open (0) == 1 && get_open (1) == 1);
+  assert_int_equal (send_want (0, 2, 3), GBD_OK);
+  RUN_UNTIL (nodes[1].newest == 3);
+}
+
 static void
 large_and_many_messages_arrive_in_order (void **state)
 {
@@ -400,6 +416,7 @@
   cmocka_unit_test_setup_teardown (test, set_up, tear_down)
   const struct CMUnitTest tests[] = {
     LINKS_TEST (each_pair_has_one_link_both_ways),
+    LINKS_TEST (links_run_over_ipv6),
     LINKS_TEST (large_and_many_messages_arrive_in_order),
     LINKS_TEST (a_replaced_peer_is_linked_again),
     LINKS_TEST (a_peer_no_longer_named_is_closed),
--- a/src/test_libgooseberrydrum/test_types.c
+++ b/src/test_libgooseberrydrum/test_types.c
@@ -39,12 +39,35 @@
     }
 }
 
+static void
+loopback_is_told_from_the_rest (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *text;
+    bool is_loopback;
+  } cases[] = { { "127.0.0.1:80", true },   { "127.255.0.9:80", true },
+                { "128.0.0.1:80", false },  { "0.0.0.0:80", false },
+                { "10.127.0.1:80", false }, { "[::1]:80", true },
+                { "[::]:80", false },       { "[::1:1]:80", false },
+                { "[1::1]:80", false } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      gbd_address_t address;
+      assert_int_equal (gbd_address_parse (cases[i].text, &address), GBD_OK);
+      assert_int_equal (gbd_address_is_loopback (&address),
+                        cases[i].is_loopback);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (address_reads_what_it_writes),
     cmocka_unit_test (address_refuses_anything_else),
+    cmocka_unit_test (loopback_is_told_from_the_rest),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
