Draw whole ranges in the histories of the coordinator's model

RapidCheck scales ranges with the size of a run, so that faults were seldom drawn. Histories now draw every kind of event from the first one on, check all flows at every instance after each adoption and lose all caches at once.

--- a/src/test_libgooseberrydrum/prop_coordinator.cc
+++ b/src/test_libgooseberrydrum/prop_coordinator.cc
@@ -19,6 +19,7 @@
 {
 
 constexpr uint32_t BUCKETS = 16;
+constexpr size_t FLOWS_MAX = 32;
 
 using table_ptr_t = std::shared_ptr<const gbd_table_t>;
 
@@ -79,8 +80,10 @@
         return open (choice);
       case 6 ... 9:
         return open_again (choice);
-      case 10 ... 19:
-        return look_up (choice);
+      case 10 ... 17:
+        return look_up (choice, choice);
+      case 18 ... 19:
+        return see_all (choice);
       case 20 ... 23:
         return adopt (pick (choice));
       case 24 ... 25:
@@ -100,13 +103,13 @@
         return choice % 2 ? set_state (choice / 2, GBD_BACKEND_GONE)
                           : add_backend ();
       case 37:
-        return crash (choice);
+        return choice % 2 ? crash (choice / 2) : add_node ();
       case 38:
         return choice % 2 ? leave (choice / 2) : add_node ();
       case 39:
-        return forget (pick (choice));
+        return forget (choice);
       case 40:
-        return choice % 4 ? see_all () : close_flows (choice);
+        return close_flows (choice);
       default:
         move_max = choice % 5;
         weights[choice % weights.size ()] = 1 + choice % 100;
@@ -293,7 +296,37 @@
         {
           flows[flow] = { bucket, slot, backend, present->version };
           ingress.known.insert (flow);
+          check_flow (flow);
         }
+    if (flows.size () > FLOWS_MAX)
+      flows.erase (flows.begin ());
+  }
+
+  // Every instance sends an unknown packet of the flow to its server.
+  void
+  check_flow (int id)
+  {
+    const flow_t &flow = flows[id];
+    for (auto &entry : nodes)
+      {
+        node_t &node = entry.second;
+        bool is_dropped = true;
+        gbd_slot_t slot = GBD_SLOT_NONE;
+        if (is_serving (node))
+          slot = route_unknown (node, id, flow.bucket, &is_dropped);
+        if (is_dropped)
+          continue;
+        RC_ASSERT (slot == flow.slot);
+        RC_ASSERT (slot < node.table->backend_count);
+        RC_ASSERT (node.table->backends[slot].id == flow.backend);
+      }
+  }
+
+  void
+  check_all ()
+  {
+    for (const auto &entry : flows)
+      check_flow (entry.first);
   }
 
   const flow_t *
@@ -325,11 +358,11 @@
   }
 
   void
-  look_up (uint32_t choice)
+  look_up (uint32_t flow_choice, uint32_t node_choice)
   {
     int id;
-    node_t &ingress = pick (choice);
-    const flow_t *flow = pick_flow (choice, &id);
+    node_t &ingress = pick (node_choice);
+    const flow_t *flow = pick_flow (flow_choice, &id);
     if (!flow || !is_serving (ingress))
       return;
     bool is_dropped;
@@ -337,8 +370,6 @@
     if (is_dropped)
       return;
     RC_ASSERT (slot == flow->slot);
-    RC_ASSERT (slot < ingress.table->backend_count);
-    RC_ASSERT (ingress.table->backends[slot].id == flow->backend);
     ingress.known.insert (id);
   }
 
@@ -356,6 +387,7 @@
                                 == GBD_BUCKET_STABLE;
         at = is_stable ? node.registered.erase (at) : std::next (at);
       }
+    check_all ();
   }
 
   bool
@@ -565,19 +597,25 @@
       adopt (entry.second);
   }
 
-  // Every flow sends a packet.
+  // Every flow sends a packet through some instance.
   void
-  see_all ()
+  see_all (uint32_t choice)
   {
-    for (uint32_t i = 0; i < flows.size (); i++)
-      look_up (64 * i + i);
+    for (uint32_t flow = 0; flow < flows.size (); flow++)
+      for (uint32_t node = 0; node < nodes.size (); node++)
+        if ((choice + node) % 2)
+          look_up (64 * flow, node);
   }
 
-  // Flow cache that loses its flows.
+  // One flow cache loses its flows, or all do.
   void
-  forget (node_t &node)
+  forget (uint32_t choice)
   {
-    node.known.clear ();
+    if (choice % 2)
+      pick (choice / 2).known.clear ();
+    else
+      for (auto &entry : nodes)
+        entry.second.known.clear ();
   }
 
   void
@@ -655,9 +693,12 @@
 void
 flows_keep_their_servers ()
 {
-  auto op = rc::gen::construct<op_t> (rc::gen::inRange (0u, 42u),
-                                      rc::gen::inRange (0u, 1u << 20));
-  size_t count = *rc::gen::inRange (400, 800);
+  // Whole ranges from the first history on.
+  auto op = rc::gen::resize (
+      rc::kNominalSize,
+      rc::gen::construct<op_t> (rc::gen::inRange (0u, 42u),
+                                rc::gen::inRange (0u, 1u << 20)));
+  size_t count = *rc::gen::inRange (200, 800);
   auto ops = *rc::gen::container<std::vector<op_t> > (count, op);
   world_t world;
   for (const op_t &each : ops)
