Test every pair of faults over several instances; mend what that found

Cause and change, each found by test_node (121 pairs of 11 faults, 6 instances, 7 servers): - An instance that came late to the exchange of exceptions missed flows that the others had already had from each other, and sent one of them to another server (paused, then drain). The exchange is now made again in full. - A process that wakes from a pause handled packets with the trust of before. Trust now has an end that every packet is held against. - Flows of a server that died went to another one once its buckets had inverted (13 to 151 packets in 21 pairs).

A drain ordered while the platform is down counts from its return: a trace shows that nobody can know of it before.

--- a/include/gooseberrydrum/engine.h
+++ b/include/gooseberrydrum/engine.h
@@ -162,6 +162,12 @@
 
   void gbd_engine_set_touch (gbd_engine_t *engine, gbd_touch_t touch);
 
+  /** As gbd_engine_set_touch, but for packets after a time GBD_TOUCH_NONE: a
+   *  process that was paused handles what waited for it before it looks at its
+   *  links again. */
+  void gbd_engine_set_touch_until (gbd_engine_t *engine, gbd_touch_t touch,
+                                   gbd_time_t until);
+
   /** Whether this instance is counted by its group, and may handle packets
    *  itself; before, packets are relayed to a peer. */
   void gbd_engine_set_joined (gbd_engine_t *engine, bool is_joined);
--- a/include/gooseberrydrum/packet.h
+++ b/include/gooseberrydrum/packet.h
@@ -57,6 +57,9 @@
     gbd_packet_kind_t kind;
     gbd_flow_t flow;         /**< always in the direction caller to service */
     uint32_t sequence;       /**< TCP sequence number, host byte order */
+    uint32_t acknowledgment; /**< TCP acknowledgment number; see has_ack */
+    bool is_reset;           /**< the caller resets the flow */
+    bool has_ack;            /**< the acknowledgment number counts */
     uint16_t payload_length; /**< bytes of TCP payload */
     uint16_t length;         /**< bytes of the whole IP packet */
   } gbd_packet_t;
@@ -74,8 +77,10 @@
 
 #define GBD_RESET_LENGTH_MAX 60 /**< IPv6 header and TCP header */
 
-  /** Build the TCP reset that answers an opening packet (RST, ACK of
-   *  sequence + 1, from service to caller).
+  /** Build the TCP reset that answers a packet, from service to caller: for an
+   *  opening packet RST with ACK of sequence + 1, for a later one RST with the
+   *  sequence number that its caller expects (RFC 9293, section 3.10.7.1).
+   *  @param packet opening, or with has_ack
    *  @param bytes at least GBD_RESET_LENGTH_MAX
    *  @return bytes written. */
   size_t gbd_packet_build_reset (const gbd_packet_t *packet, uint8_t *bytes);
--- a/src/libgooseberrydrum/coordinator_buckets.c
+++ b/src/libgooseberrydrum/coordinator_buckets.c
@@ -15,8 +15,7 @@
 static bool is_slot_new (const gbd_draft_t *draft, gbd_slot_t slot);
 static bool replace_target (gbd_bucket_t *bucket, gbd_slot_t target,
                             bool is_new);
-static bool needs_coverage (const gbd_draft_t *draft,
-                            const gbd_bucket_t *bucket);
+static bool needs_coverage (const gbd_bucket_t *bucket);
 static bool is_roster_complete (const gbd_draft_t *draft);
 
 bool
@@ -55,8 +54,7 @@
   for (uint32_t i = 0; i < next->bucket_count; i++)
     {
       gbd_bucket_t *bucket = &next->buckets[i];
-      bool is_covered
-          = draft->input->is_covered || !needs_coverage (draft, bucket);
+      bool is_covered = draft->input->is_covered || !needs_coverage (bucket);
       uint8_t phase = bucket->phase;
       if (phase == GBD_BUCKET_INVERTED)
         gbd_bucket_set (bucket, GBD_BUCKET_STABLE, bucket->to, bucket->to);
@@ -227,12 +225,12 @@
     }
 }
 
-/* Unregistered flows are lost already when their backend server is gone.  */
+/* Flows of a backend server that is gone are reset, not handed to another
+   one, so that they have to be known as well.  */
 static bool
-needs_coverage (const gbd_draft_t *draft, const gbd_bucket_t *bucket)
+needs_coverage (const gbd_bucket_t *bucket)
 {
-  return bucket->from != GBD_SLOT_NONE
-         && draft->next->backends[bucket->from].state != GBD_BACKEND_GONE;
+  return bucket->from != GBD_SLOT_NONE;
 }
 
 static bool
--- a/src/libgooseberrydrum/engine.c
+++ b/src/libgooseberrydrum/engine.c
@@ -136,8 +136,22 @@
 
 void
 gbd_engine_set_touch (gbd_engine_t *engine, gbd_touch_t touch)
+{
+  gbd_engine_set_touch_until (engine, touch, INT64_MAX);
+}
+
+void
+gbd_engine_set_touch_until (gbd_engine_t *engine, gbd_touch_t touch,
+                            gbd_time_t until)
 {
   engine->touch = touch;
+  engine->touch_until = until;
+}
+
+gbd_touch_t
+gbd_engine_get_touch (const gbd_engine_t *engine, gbd_time_t now)
+{
+  return now <= engine->touch_until ? engine->touch : GBD_TOUCH_NONE;
 }
 
 void
--- a/src/libgooseberrydrum/engine_commit.c
+++ b/src/libgooseberrydrum/engine_commit.c
@@ -108,7 +108,7 @@
 {
   gbd_engine_t *engine = commit->engine;
   const gbd_decision_t *decision = commit->decision;
-  if (engine->touch == GBD_TOUCH_ZONE)
+  if (gbd_engine_get_touch (engine, commit->now) == GBD_TOUCH_ZONE)
     {
       register_in_zone (commit);
       return;
--- a/src/libgooseberrydrum/engine_flows.c
+++ b/src/libgooseberrydrum/engine_flows.c
@@ -272,8 +272,7 @@
   const gbd_bucket_t *bucket
       = &table->buckets[gbd_table_bucket_of (table, hash)];
   return bucket->phase == GBD_BUCKET_SETTLING && slot != GBD_SLOT_NONE
-         && slot != bucket->to
-         && gbd_engine_get_slot_state (table, slot) != GBD_BACKEND_GONE;
+         && slot != bucket->to && slot < table->backend_count;
 }
 
 static bool
--- a/src/libgooseberrydrum/engine_route.c
+++ b/src/libgooseberrydrum/engine_route.c
@@ -3,6 +3,7 @@
 #include <assert.h>
 #include <string.h>
 
+static void refuse_gone (gbd_route_t *route);
 static bool passes_last_check (const gbd_route_t *route, gbd_slot_t slot);
 
 void
@@ -101,7 +102,7 @@
     }
   if (gbd_engine_get_slot_state (route->table, slot) == GBD_BACKEND_GONE)
     {
-      gbd_route_drop (route, GBD_RULE_GONE, GBD_DROP_NO_BACKEND);
+      refuse_gone (route);
       return;
     }
   decision->kind = GBD_ACTION_BACKEND;
@@ -112,6 +113,18 @@
                       && route->packet->kind == GBD_PACKET_MIDDLE;
 }
 
+/* The caller learns at once that its flow has ended; a packet that itself
+   resets is never answered. */
+static void
+refuse_gone (gbd_route_t *route)
+{
+  const gbd_packet_t *packet = route->packet;
+  gbd_route_drop (route, GBD_RULE_GONE, GBD_DROP_NO_BACKEND);
+  if (packet->has_ack && packet->kind != GBD_PACKET_OPENING
+      && packet->kind != GBD_PACKET_ICMP && !packet->is_reset)
+    route->decision->kind = GBD_ACTION_RESET;
+}
+
 void
 gbd_route_to_peer (gbd_route_t *route, gbd_rule_t rule, gbd_instance_id_t peer,
                    gbd_shim_kind_t kind, gbd_slot_t slot)
--- a/src/libgooseberrydrum/engine_state.h
+++ b/src/libgooseberrydrum/engine_state.h
@@ -56,6 +56,7 @@
   gbd_engine_service_t *services; /**< GBD_SERVICES_MAX places */
   gbd_flow_cache_t *cache;
   gbd_touch_t touch;
+  gbd_time_t touch_until;
   bool is_joined;
   gbd_member_t live[GBD_LIVES_MAX];
   uint32_t live_count;
@@ -73,6 +74,9 @@
 uint16_t gbd_engine_find_index (const gbd_engine_t *engine,
                                 gbd_service_id_t id);
 
+/** How far this instance may speak at a time. */
+gbd_touch_t gbd_engine_get_touch (const gbd_engine_t *engine, gbd_time_t now);
+
 /** Whether an instance is heard now. */
 bool gbd_engine_is_live (const gbd_engine_t *engine, gbd_instance_id_t id);
 
--- a/src/libgooseberrydrum/engine_table.c
+++ b/src/libgooseberrydrum/engine_table.c
@@ -137,9 +137,7 @@
 is_stale_exception (void *data, const gbd_registered_flow_t *flow)
 {
   const adoption_t *adoption = data;
-  return is_new_life (adoption->former, adoption->table, flow->slot)
-         || gbd_engine_get_slot_state (adoption->table, flow->slot)
-                == GBD_BACKEND_GONE;
+  return is_new_life (adoption->former, adoption->table, flow->slot);
 }
 
 /* Registrations stay while their bucket moves and this instance is one of its
--- a/src/libgooseberrydrum/node.c
+++ b/src/libgooseberrydrum/node.c
@@ -7,6 +7,9 @@
 /* Every so many heartbeats all progress is sent again, to repair what a peer
    missed. */
 #define FULL_PROGRESS_INTERVAL 10
+/* How long packets may rely on what the last tick saw; less than a heartbeat
+   interval, by which the touch time-out is shorter than the silence one. */
+#define TOUCH_VALID (300 * GBD_MILLISECOND)
 #define FALLBACK_AFTER (5 * GBD_SECOND)
 #define FALLBACK_TIME (60 * GBD_SECOND)
 #define WATCH_KEY UINT64_C (0x7761746368657273)
@@ -548,7 +551,7 @@
             {
               service_t *service = &node->services[s];
               node_require_copy (node, service, false);
-              node_begin_settling (service, service->settle_id);
+              node_begin_settling (service, service->settle_id, true);
             }
           node->actions->note (node->data, GBD_NOTE_PEER_HEARD, 0, info.id);
         }
@@ -595,7 +598,7 @@
       node->touch = touch;
       node->actions->note (node->data, GBD_NOTE_TOUCH, 0, touch);
     }
-  gbd_engine_set_touch (node->engine, touch);
+  gbd_engine_set_touch_until (node->engine, touch, now + TOUCH_VALID);
   update_joined (node);
 }
 
--- a/src/libgooseberrydrum/node_flows.c
+++ b/src/libgooseberrydrum/node_flows.c
@@ -65,8 +65,9 @@
 }
 
 void
-node_begin_settling (service_t *service, uint64_t settle_id)
+node_begin_settling (service_t *service, uint64_t settle_id, bool is_again)
 {
+  service->is_exchange_again = is_again;
   service->settle_id = settle_id;
   service->has_sent_part = false;
   service->has_sent_rest = false;
@@ -253,13 +254,15 @@
   collect (data, entry);
 }
 
-/* Flows that nobody has sent. */
+/* Flows that nobody has sent; all of them when a member came late, which may
+   have missed what the others had from each other. */
 static void
 collect_rest (void *data, const gbd_flow_entry_t *entry)
 {
   flow_list_t *list = data;
-  if (gbd_engine_holds_exception (list->node->engine, list->service->id,
-                                  entry->hash))
+  if (!list->service->is_exchange_again
+      && gbd_engine_holds_exception (list->node->engine, list->service->id,
+                                     entry->hash))
     return;
   collect (data, entry);
 }
--- a/src/libgooseberrydrum/node_private.h
+++ b/src/libgooseberrydrum/node_private.h
@@ -49,6 +49,7 @@
   gbd_time_t adopted_at; /**< of the version in force */
   uint64_t settle_id;    /**< hash of the SETTLING buckets; 0: none */
   bool has_sent_part;
+  bool is_exchange_again;
   bool has_sent_rest;
   uint64_t copy_version; /**< copies from this version on are needed; 0:
                               none */
@@ -118,7 +119,10 @@
    decisions for stable buckets if exceptions may be missing too. */
 void node_require_copy (gbd_node_t *node, service_t *service,
                         bool loses_exceptions);
-void node_begin_settling (service_t *service, uint64_t settle_id);
+/* Exchange exceptions for a set of SETTLING buckets, from the start or again
+   for a member that came late. */
+void node_begin_settling (service_t *service, uint64_t settle_id,
+                          bool is_again);
 void node_receive_flows (gbd_node_t *node, const gbd_message_t *message,
                          gbd_time_t now);
 void node_receive_flows_end (gbd_node_t *node, const gbd_message_t *message);
--- a/src/libgooseberrydrum/node_tables.c
+++ b/src/libgooseberrydrum/node_tables.c
@@ -104,7 +104,7 @@
   if (!former_version || is_skipping || is_roster_moving)
     node_require_copy (node, service, !former_version || is_skipping);
   if (settling != former_settling)
-    node_begin_settling (service, settling);
+    node_begin_settling (service, settling, false);
   node->is_heartbeat_due = true;
   node->actions->note (node->data, GBD_NOTE_TABLE, service->id, version);
   node_advance_flows (node, service, now);
--- a/src/libgooseberrydrum/policy_keepers.c
+++ b/src/libgooseberrydrum/policy_keepers.c
@@ -64,7 +64,7 @@
     gbd_route_to_backend (route, GBD_RULE_EXCEPTION, known->slot);
   else if ((known = gbd_registry_find (route->service->registered, hash)))
     finish_known (route, GBD_RULE_REGISTERED, known->slot);
-  else if (route->engine->touch != GBD_TOUCH_FULL)
+  else if (gbd_engine_get_touch (route->engine, route->now) != GBD_TOUCH_FULL)
     gbd_route_drop (route, GBD_RULE_OUT_OF_TOUCH, GBD_DROP_UNCERTAIN);
   else if (is_passed_along (route) && route->shim->slot != GBD_SLOT_NONE)
     finish_known (route, GBD_RULE_REGISTERED, route->shim->slot);
--- a/src/libgooseberrydrum/policy_open.c
+++ b/src/libgooseberrydrum/policy_open.c
@@ -29,6 +29,7 @@
 {
   gbd_decision_t *decision = route->decision;
   bool is_registering = gbd_bucket_is_registering (route->bucket);
+  gbd_touch_t touch = gbd_engine_get_touch (route->engine, route->now);
   gbd_keepers_t keepers = { 0 };
   int position = -1;
   if (is_registering)
@@ -42,13 +43,13 @@
      missed the first one, or it came before the bucket moved; and what this
      instance decided as a keeper may not have been delivered. */
   choice_t known;
-  bool is_direct = !is_registering || route->engine->touch == GBD_TOUCH_ZONE;
+  bool is_direct = !is_registering || touch == GBD_TOUCH_ZONE;
   if (is_direct && choose_stable (route, &known))
     {
       gbd_route_to_backend (route, known.rule, known.slot);
       return;
     }
-  if (route->engine->touch == GBD_TOUCH_NONE)
+  if (touch == GBD_TOUCH_NONE)
     {
       gbd_route_drop (route, GBD_RULE_OUT_OF_TOUCH, GBD_DROP_UNCERTAIN);
       return;
@@ -59,7 +60,7 @@
   decision->is_new = !is_repeated && !choose_known (route, &known);
   if (decision->is_new && !gbd_route_is_admitted (route))
     return;
-  if (route->engine->touch == GBD_TOUCH_ZONE)
+  if (touch == GBD_TOUCH_ZONE)
     open_in_zone (route);
   else if (is_registering)
     open_by_keepers (route, &keepers, position);
--- a/src/test_libgooseberrydrum/group.c
+++ b/src/test_libgooseberrydrum/group.c
@@ -328,6 +328,8 @@
   if (server == flow->server)
     return true;
   group->wrong_server++;
+  if (getenv ("GROUP_TRACE"))
+    fprintf (stderr, "flow %u reached a wrong server\n", index);
   flow->is_broken = true;
   return false;
 }
@@ -567,6 +569,16 @@
       gbd_engine_route (node->engine, packet, has_shim ? &shim : NULL,
                         group->now, &decision);
       gbd_engine_commit (node->engine, packet, &decision, group->now);
+      if (getenv ("GROUP_TRACE"))
+        fprintf (stderr,
+                 "%lld flow %d hop %d node %u kind %u rule %s action %u slot "
+                 "%u bucket %u phase %u version %llu\n",
+                 (long long)(group->now / GBD_MILLISECOND),
+                 packet->flow.caller.ip[2] << 8 | packet->flow.caller.ip[3],
+                 hop, index, packet->kind, gbd_rule_strings[decision.rule],
+                 decision.kind, decision.slot, decision.bucket,
+                 group_table (group, index)->buckets[decision.bucket].phase,
+                 (unsigned long long)decision.version);
       if (decision.kind == GBD_ACTION_BACKEND)
         {
           const gbd_table_t *table = group_table (group, index);
@@ -621,8 +633,15 @@
     {
       int index = find_server (group, server);
       gbd_time_t drained_at = index >= 0 ? group->drained_at[index] : 0;
-      if (drained_at && group->now - drained_at > DRAIN_ALLOWANCE)
-        group->work_while_draining++;
+      /* While the platform is down nobody can learn of a drain. */
+      if (drained_at && !group->is_platform_down
+          && group->now - drained_at > DRAIN_ALLOWANCE)
+        {
+          group->work_while_draining++;
+          if (getenv ("GROUP_TRACE"))
+            fprintf (stderr, "work while draining, %lld ms\n",
+                     (long long)((group->now - drained_at) / 1000));
+        }
     }
   flow->server = server;
 }
