Send all exceptions again to a member that came late

Cause: exceptions that were told are no longer listed for another telling, so that the second exchange left them out (test_node: zone cut off or instance paused, then drain: 1 and 2 packets at another server). The second exchange now lists all that are held.

--- a/src/libgooseberrydrum/node_flows.c
+++ b/src/libgooseberrydrum/node_flows.c
@@ -254,15 +254,13 @@
   collect (data, entry);
 }
 
-/* Flows that nobody has sent; all of them when a member came late, which may
-   have missed what the others had from each other. */
+/* Flows that nobody has sent. */
 static void
 collect_rest (void *data, const gbd_flow_entry_t *entry)
 {
   flow_list_t *list = data;
-  if (!list->service->is_exchange_again
-      && gbd_engine_holds_exception (list->node->engine, list->service->id,
-                                     entry->hash))
+  if (gbd_engine_holds_exception (list->node->engine, list->service->id,
+                                  entry->hash))
     return;
   collect (data, entry);
 }
@@ -361,6 +359,10 @@
       flow_list_t list = { .node = node, .service = service };
       gbd_engine_visit_exceptions (node->engine, service->id, now,
                                    collect_rest, &list);
+      /* A member came late, and may lack what the others had before. */
+      if (service->is_exchange_again)
+        gbd_engine_visit_held_exceptions (node->engine, service->id, collect,
+                                          &list);
       if (!list.has_failed)
         {
           queue_to_members (node, service, table, &list, GBD_FLOWS_EXCEPTION,
