Measure with caches of a stated size; split the engine's tests

Change: rows name the flows a cache holds at full scale, 2,097,152 (50 MB) or 524,288 (12.6 MB); coverage ends with each eviction.

Conclusion: a cache must hold what an instance sees within the idle limit.

--- a/bench/bench_policies.c
+++ b/bench/bench_policies.c
@@ -12,6 +12,10 @@
 #define SERVERS 14
 #define FULL_NEW_FLOWS_PER_SECOND 24000
 #define FULL_TEACH_PER_SECOND 100
+/* Room for what an instance sees of 24,000 new flows a second in 120 s. */
+#define FULL_CACHE_FLOWS 2097152
+#define FULL_CACHE_FLOWS_SMALL 524288
+#define FULL_REGISTRY_FLOWS 262144
 
 #define TICK (10 * GBD_MILLISECOND)
 #define TICKS_PER_SECOND 100
@@ -72,6 +76,7 @@
   uint32_t imbalance_count;
   uint64_t registrations_max;
   uint64_t exceptions_max;
+  uint64_t evictions;
 } run_t;
 
 typedef struct
@@ -81,9 +86,11 @@
   bool is_replicated;
   uint32_t idle_limit_s;
   bool is_drain_only;
+  uint32_t cache_flows; /* at full scale */
 } row_t;
 
 static void run_row (const row_t *row, uint32_t scale, uint64_t seed);
+static uint32_t round_up (uint32_t count);
 static void run_tick (run_t *run);
 static void apply_changes (run_t *run, uint32_t second);
 static void add_flows (run_t *run);
@@ -103,7 +110,7 @@
 int
 main (int argc, char **argv)
 {
-  uint32_t scale = 40;
+  uint32_t scale = 64;
   uint64_t seed = 1;
   const char *only = NULL;
   int option;
@@ -125,14 +132,16 @@
         return 2;
       }
   static const row_t rows[] = {
-    { "modulo", &gbd_policy_modulo, false, 120, false },
-    { "rendezvous", &gbd_policy_rendezvous, false, 120, false },
-    { "cached", &gbd_policy_cached, false, 120, false },
-    { "replicated", &gbd_policy_cached, true, 120, false },
-    { "keepers", &gbd_policy_keepers, false, 120, false },
-    { "keepers", &gbd_policy_keepers, false, 3600, false },
-    { "keepers", &gbd_policy_keepers, false, 120, true },
-    { "keepers", &gbd_policy_keepers, false, 3600, true },
+    { "modulo", &gbd_policy_modulo, false, 120, false, FULL_CACHE_FLOWS },
+    { "rendezvous", &gbd_policy_rendezvous, false, 120, false,
+      FULL_CACHE_FLOWS },
+    { "cached", &gbd_policy_cached, false, 120, false, FULL_CACHE_FLOWS },
+    { "replicated", &gbd_policy_cached, true, 120, false, FULL_CACHE_FLOWS },
+    { "keepers", &gbd_policy_keepers, false, 120, false, FULL_CACHE_FLOWS },
+    { "keepers", &gbd_policy_keepers, false, 120, true, FULL_CACHE_FLOWS },
+    { "keepers", &gbd_policy_keepers, false, 3600, true, FULL_CACHE_FLOWS },
+    { "keepers", &gbd_policy_keepers, false, 120, false,
+      FULL_CACHE_FLOWS_SMALL },
   };
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
     if (!only || strcmp (only, rows[i].name) == 0)
@@ -152,16 +161,13 @@
   uint32_t ticks = END_AT * TICKS_PER_SECOND;
   run.ticks = malloc (ticks * sizeof *run.ticks);
   memset (run.ticks, 0xff, ticks * sizeof *run.ticks);
-  uint32_t capacity = 1 << 20;
-  while (capacity / 2 * scale > 1 << 20 && capacity > 1 << 12)
-    capacity /= 2;
   group_settings_t settings
       = { .policy = row->policy,
           .is_replicated = row->is_replicated,
           .idle_limit_s = row->idle_limit_s,
           .teach_per_second = (FULL_TEACH_PER_SECOND + scale - 1) / scale,
-          .cache_capacity = capacity * 8,
-          .registry_capacity = capacity };
+          .cache_capacity = round_up (row->cache_flows / scale),
+          .registry_capacity = FULL_REGISTRY_FLOWS / scale };
   group_open (&run.group, &settings, seed, INSTANCES, SERVERS);
   for (run.tick = 0; run.tick < ticks; run.tick++)
     run_tick (&run);
@@ -171,6 +177,15 @@
   free (run.flows);
 }
 
+static uint32_t
+round_up (uint32_t count)
+{
+  uint32_t power = 16;
+  while (power < count)
+    power *= 2;
+  return power;
+}
+
 static void
 run_tick (run_t *run)
 {
@@ -404,12 +419,14 @@
       run->imbalance_sum += (double)most * ready / sum;
       run->imbalance_count++;
     }
+  run->evictions = 0;
   for (uint32_t i = 0; i < GROUP_LIVES; i++)
     {
       if (!group->engines[i])
         continue;
       gbd_engine_stats_t stats;
       gbd_engine_get_stats (group->engines[i], &stats);
+      run->evictions += stats.evictions;
       if (stats.registrations > run->registrations_max)
         run->registrations_max = stats.registrations;
       if (stats.exceptions > run->exceptions_max)
@@ -433,7 +450,7 @@
   double tables = (double)group->table_bytes / instance_seconds;
   printf (
       "{\"bench\":\"policies\",\"policy\":\"%s\",\"idle_limit_s\":%u,"
-      "\"changes\":\"%s\","
+      "\"changes\":\"%s\",\"cache_flows\":%u,"
       "\"scale\":%u,\"seed\":%llu,\"flows\":%u,\"broken\":%llu,"
       "\"broken_planned\":%llu,\"imbalance\":%.3f,"
       "\"detoured_share\":%.4f,\"detoured_bytes\":%llu,"
@@ -441,9 +458,9 @@
       "\"steady_detoured_share\":%.4f,\"control_bytes_per_s\":%.0f,"
       "\"flow_bytes_per_s\":%.0f,\"heartbeat_bytes_per_s\":%.0f,"
       "\"table_bytes_per_s\":%.0f,\"registrations\":%llu,"
-      "\"exceptions\":%llu,\"table_version\":%llu}\n",
+      "\"exceptions\":%llu,\"evictions\":%llu,\"table_version\":%llu}\n",
       row->name, row->idle_limit_s, row->is_drain_only ? "drain" : "all",
-      run->scale, (unsigned long long)seed, run->flow_count,
+      row->cache_flows, run->scale, (unsigned long long)seed, run->flow_count,
       (unsigned long long)run->broken, (unsigned long long)run->broken_planned,
       run->imbalance_count ? run->imbalance_sum / run->imbalance_count : 0.0,
       get_share (&run->all), (unsigned long long)run->detoured_bytes,
@@ -451,6 +468,7 @@
       flows + heartbeats + tables, flows, heartbeats, tables,
       (unsigned long long)run->registrations_max * run->scale,
       (unsigned long long)run->exceptions_max * run->scale,
+      (unsigned long long)run->evictions * run->scale,
       (unsigned long long)group->newest->version);
   fflush (stdout);
 }
--- a/bench/group.c
+++ b/bench/group.c
@@ -22,6 +22,7 @@
 static void exchange_exceptions (group_t *group);
 static void copy_registrations (group_t *group);
 static void extend_table (group_t *group);
+static gbd_time_t get_uncovered_at (const group_t *group);
 static void rewrite_plain_table (group_t *group);
 static void tell (void *data, gbd_instance_id_t to, gbd_service_id_t service,
                   gbd_flows_kind_t kind, const gbd_flow_entry_t *entries,
@@ -454,7 +455,7 @@
                                   group->held[i], group->complete[i] };
     }
   gbd_time_t idle = group->settings.idle_limit_s * GBD_SECOND;
-  input.is_covered = group->now - group->uncovered_at >= idle;
+  input.is_covered = group->now - get_uncovered_at (group) >= idle;
   gbd_table_t *next;
   if (gbd_coordinator_step (group->newest, &input, &next) != GBD_STEP_READY)
     return;
@@ -464,6 +465,23 @@
   write_table (group, next);
 }
 
+/* The newest time at which any instance lost an open flow. */
+static gbd_time_t
+get_uncovered_at (const group_t *group)
+{
+  gbd_time_t newest = group->uncovered_at;
+  for (uint32_t i = 0; i < GROUP_LIVES; i++)
+    {
+      if (!group->engines[i] || group->lives[i] == LIFE_DEAD)
+        continue;
+      gbd_engine_stats_t stats;
+      gbd_engine_get_stats (group->engines[i], &stats);
+      if (stats.covered_since > newest)
+        newest = stats.covered_since;
+    }
+  return newest;
+}
+
 /* Baselines have no phases: the list of backend servers just changes. */
 static void
 rewrite_plain_table (group_t *group)
--- /dev/null
+++ b/src/test_libgooseberrydrum/engine_move.h
@@ -0,0 +1,95 @@
+/* A group whose tables move all buckets of one backend server to another; for
+   tests with cmocka. */
+#ifndef TEST_ENGINE_MOVE_H
+#define TEST_ENGINE_MOVE_H
+
+#include "engine_fixture.h"
+
+#define X 0
+#define Y 1
+
+/* Tables of a move of all of X's buckets to Y. */
+typedef struct
+{
+  cluster_t cluster;
+  gbd_table_t *stable;
+  gbd_table_t *announced;
+  gbd_table_t *active;
+  gbd_table_t *settling;
+  gbd_table_t *inverted;
+  gbd_table_t *final;
+  uint32_t caller; /* its bucket is on X */
+  gbd_keepers_t keepers;
+  uint32_t k1;
+  uint32_t k2;
+  uint32_t stranger;
+} move_t;
+
+static inline int
+set_up (void **state)
+{
+  move_t *m = calloc (1, sizeof *m);
+  cluster_open (&m->cluster, &gbd_policy_keepers);
+  m->stable = make_table (&m->cluster, INSTANCES);
+  m->announced = next_phase (m->stable, GBD_BUCKET_ANNOUNCED, X, Y);
+  m->active = next_phase (m->announced, GBD_BUCKET_ACTIVE, X, Y);
+  m->settling = next_phase (m->active, GBD_BUCKET_SETTLING, X, Y);
+  m->inverted = next_phase (m->settling, GBD_BUCKET_INVERTED, X, Y);
+  m->final = next_phase (m->inverted, GBD_BUCKET_STABLE, X, Y);
+  m->caller = caller_on (&m->cluster, m->stable, X, 0);
+  m->keepers = keepers_of (&m->cluster, m->stable, m->caller);
+  m->k1 = (uint32_t)instance_of (m->keepers.chain[0]);
+  m->k2 = (uint32_t)instance_of (m->keepers.chain[1]);
+  m->stranger = stranger_to (&m->keepers, 0);
+  set_table_everywhere (&m->cluster, m->stable);
+  *state = m;
+  return 0;
+}
+
+static inline int
+tear_down (void **state)
+{
+  move_t *m = *state;
+  cluster_close (&m->cluster);
+  gbd_table_delete (m->stable);
+  gbd_table_delete (m->announced);
+  gbd_table_delete (m->active);
+  gbd_table_delete (m->settling);
+  gbd_table_delete (m->inverted);
+  gbd_table_delete (m->final);
+  free (m);
+  return 0;
+}
+
+#define assert_backend(outcome, expected)                                     \
+  do                                                                          \
+    {                                                                         \
+      outcome_t o = (outcome);                                                \
+      assert_int_equal (o.kind, GBD_ACTION_BACKEND);                          \
+      assert_int_equal (o.slot, expected);                                    \
+    }                                                                         \
+  while (0)
+
+#define assert_dropped(outcome, expected_rule, expected_drop)                 \
+  do                                                                          \
+    {                                                                         \
+      outcome_t o = (outcome);                                                \
+      assert_int_equal (o.kind, GBD_ACTION_DROP);                             \
+      assert_int_equal (o.rule, expected_rule);                               \
+      assert_int_equal (o.drop, expected_drop);                               \
+    }                                                                         \
+  while (0)
+
+static inline outcome_t
+open_at (move_t *m, uint32_t instance)
+{
+  return send_kind (&m->cluster, instance, GBD_PACKET_OPENING, m->caller);
+}
+
+static inline outcome_t
+middle_at (move_t *m, uint32_t instance)
+{
+  return send_kind (&m->cluster, instance, GBD_PACKET_MIDDLE, m->caller);
+}
+
+#endif
