Close cancelled calls to the platform when an answer comes

Cause: an instance that stopped watching cancelled its watch; when the answer came before the connection was closed, nobody read it, and libwebsockets woke the loop without end for the data it had kept: one core a former watcher, as strace showed (poll with time-out 0).

Change: what arrives for a cancelled call closes its connection.

--- a/src/gooseberrydrum/platform_http.c
+++ b/src/gooseberrydrum/platform_http.c
@@ -38,6 +38,8 @@
 
 static int handle_event (struct lws *wsi, enum lws_callback_reasons reason,
                          void *user, void *in, size_t length);
+static int drop_cancelled (struct lws *wsi, enum lws_callback_reasons reason,
+                           void *in, size_t length);
 static int add_headers (gbd_http_call_t *call, struct lws *wsi,
                         unsigned char **at, size_t length);
 static int send_body (gbd_http_call_t *call, struct lws *wsi);
@@ -162,7 +164,7 @@
 {
   gbd_http_call_t *call = user;
   if (!call)
-    return lws_callback_http_dummy (wsi, reason, user, in, length);
+    return drop_cancelled (wsi, reason, in, length);
   switch (reason)
     {
     case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
@@ -191,6 +193,24 @@
     }
 }
 
+/* Data that nobody reads would wake the loop without end. */
+static int
+drop_cancelled (struct lws *wsi, enum lws_callback_reasons reason, void *in,
+                size_t length)
+{
+  switch (reason)
+    {
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+      return -1;
+    default:
+      return lws_callback_http_dummy (wsi, reason, NULL, in, length);
+    }
+}
+
 static int
 add_headers (gbd_http_call_t *call, struct lws *wsi, unsigned char **at,
              size_t length)
