--- a/include/gooseberrydrum/load.h
+++ b/include/gooseberrydrum/load.h
@@ -71,6 +71,11 @@
                         const gbd_backend_t *backends, uint32_t count,
                         gbd_time_t now, uint16_t *weights);
 
+  /** Whether a report may leave the entry out: each number is near the one
+   *  last reported. */
+  bool gbd_load_is_near (const gbd_load_entry_t *entry,
+                         const gbd_load_entry_t *reported);
+
   const gbd_limits_t *gbd_load_get_limits (const gbd_load_t *load);
 
   /** Load of a backend server over the group, as reported here.
--- a/src/libgooseberrydrum/load.c
+++ b/src/libgooseberrydrum/load.c
@@ -64,8 +64,6 @@
 static bool need_servers (service_t *service, const gbd_table_t *table);
 static bool count_server (const gbd_load_t *load, const service_t *service,
                           gbd_slot_t slot, gbd_load_entry_t *entry);
-static bool is_near (const gbd_load_entry_t *entry,
-                     const gbd_load_entry_t *reported);
 static bool is_number_near (uint32_t number, uint32_t reported,
                             uint32_t change_min);
 
@@ -195,6 +193,18 @@
   free (decided);
 }
 
+bool
+gbd_load_is_near (const gbd_load_entry_t *entry,
+                  const gbd_load_entry_t *reported)
+{
+  return is_number_near (entry->new_flows, reported->new_flows,
+                         GBD_LOAD_CHANGE_FLOWS_MIN)
+         && is_number_near (entry->open_flows, reported->open_flows,
+                            GBD_LOAD_CHANGE_FLOWS_MIN)
+         && is_number_near (entry->kilobytes, reported->kilobytes,
+                            GBD_LOAD_CHANGE_KILOBYTES_MIN);
+}
+
 const gbd_limits_t *
 gbd_load_get_limits (const gbd_load_t *load)
 {
@@ -330,7 +340,7 @@
       gbd_load_entry_t entry;
       if (!count_server (load, service, (gbd_slot_t)slot, &entry)
           || (!is_full && server->has_reported
-              && is_near (&entry, &server->reported)))
+              && gbd_load_is_near (&entry, &server->reported)))
         continue;
       server->reported = entry;
       server->has_reported = true;
@@ -406,17 +416,6 @@
          || server->has_reported;
 }
 
-static bool
-is_near (const gbd_load_entry_t *entry, const gbd_load_entry_t *reported)
-{
-  return is_number_near (entry->new_flows, reported->new_flows,
-                         GBD_LOAD_CHANGE_FLOWS_MIN)
-         && is_number_near (entry->open_flows, reported->open_flows,
-                            GBD_LOAD_CHANGE_FLOWS_MIN)
-         && is_number_near (entry->kilobytes, reported->kilobytes,
-                            GBD_LOAD_CHANGE_KILOBYTES_MIN);
-}
-
 static bool
 is_number_near (uint32_t number, uint32_t reported, uint32_t change_min)
 {
