Follow the present error of load, not the sum of past ones

Cause: factors summed errors up, and answered loads of flows that had ended. Weights swung, and balance made readings less even than none.

Change: a factor is proportional to the present error, with a gain that follows the mean lifetime of flows (Little's law) and stays under one for short ones.

--- a/src/libgooseberrydrum/balance.c
+++ b/src/libgooseberrydrum/balance.c
@@ -8,6 +8,12 @@
 /* Below these means a service carries too little to compare its servers. */
 #define MEAN_OPEN_MIN 8
 #define MEAN_KILOBYTES_MIN 64
+/* New flows correct a server's load at the pace at which flows end.  The gain
+   grows with the mean lifetime of flows; under 1 it cannot oscillate however
+   short they are. */
+#define GAIN_LIFETIME_MS 20000
+#define GAIN_MIN_PERMILLE 800
+#define GAIN_MAX_PERMILLE 4000
 /* A server that reports itself full keeps a small part, or it could never be
    seen to have recovered. */
 #define FULL_FACTOR (FACTOR_UNIT / 20)
@@ -49,8 +55,10 @@
 static void adjust (gbd_balance_t *balance, uint8_t percent);
 static uint32_t load_permille (const gbd_balance_info_t *info,
                                uint64_t open_mean, uint64_t kilobytes_mean);
+static uint32_t gain_permille (uint64_t open, uint64_t new_flows,
+                               uint8_t percent);
 static uint32_t adjusted_factor (uint32_t factor, uint32_t load,
-                                 uint8_t percent);
+                                 uint32_t gain);
 static uint32_t ramp_factor (const gbd_balance_t *balance,
                              const server_t *server, gbd_time_t now);
 static uint32_t room_factor (const server_t *server);
@@ -240,6 +248,7 @@
 adjust (gbd_balance_t *balance, uint8_t percent)
 {
   uint64_t open = 0;
+  uint64_t new_flows = 0;
   uint64_t kilobytes = 0;
   uint32_t wanted = 0;
   gbd_balance_info_t info;
@@ -249,11 +258,13 @@
         continue;
       sum_server (&balance->servers[i], &info);
       open += info.open_flows;
+      new_flows += info.new_flows;
       kilobytes += info.kilobytes;
       wanted++;
     }
   if (wanted < 2)
     return;
+  uint32_t gain = gain_permille (open, new_flows, percent);
   for (uint32_t i = 0; i < balance->count; i++)
     {
       server_t *server = &balance->servers[i];
@@ -261,7 +272,7 @@
         continue;
       sum_server (server, &info);
       uint32_t load = load_permille (&info, open / wanted, kilobytes / wanted);
-      server->factor = adjusted_factor (server->factor, load, percent);
+      server->factor = adjusted_factor (server->factor, load, gain);
     }
 }
 
@@ -288,21 +299,37 @@
   return load < 100 * PERMILLE ? (uint32_t)load : 100 * PERMILLE;
 }
 
+/* By Little's law, the mean lifetime of flows is the number of open ones over
+   the rate of new ones. */
 static uint32_t
-adjusted_factor (uint32_t factor, uint32_t load, uint8_t percent)
+gain_permille (uint64_t open, uint64_t new_flows, uint8_t percent)
+{
+  uint64_t lifetime_ms
+      = open * (GBD_BALANCE_ROUND / GBD_MILLISECOND) / (new_flows + 1);
+  uint64_t gain = lifetime_ms * PERMILLE / GAIN_LIFETIME_MS;
+  if (gain < GAIN_MIN_PERMILLE)
+    gain = GAIN_MIN_PERMILLE;
+  if (gain > GAIN_MAX_PERMILLE)
+    gain = GAIN_MAX_PERMILLE;
+  return (uint32_t)(gain * percent / 100);
+}
+
+/* In proportion to the present error: a factor that summed errors up would
+   answer loads that have passed. */
+static uint32_t
+adjusted_factor (uint32_t factor, uint32_t load, uint32_t gain)
 {
   int64_t error = (int64_t)load - PERMILLE;
   int64_t band = GBD_BALANCE_DEAD_BAND_PERCENT * PERMILLE / 100;
   if (error > -band && error < band)
-    return factor;
-  /* Half of the error at 100 percent. */
-  int64_t change = -error * percent / 200;
-  int64_t bound = GBD_BALANCE_STEP_MAX_PERCENT * PERMILLE / 100;
-  if (change > bound)
-    change = bound;
-  if (change < -bound)
-    change = -bound;
-  int64_t result = (int64_t)factor * (PERMILLE + change) / PERMILLE;
+    error = 0;
+  int64_t result
+      = FACTOR_UNIT - error * gain / PERMILLE * FACTOR_UNIT / PERMILLE;
+  int64_t step = (int64_t)factor * GBD_BALANCE_STEP_MAX_PERCENT / 100;
+  if (result > factor + step)
+    result = factor + step;
+  if (result < factor - step)
+    result = factor - step;
   int64_t least = (int64_t)FACTOR_UNIT * GBD_BALANCE_FACTOR_MIN_PERCENT / 100;
   int64_t most = (int64_t)FACTOR_UNIT * GBD_BALANCE_FACTOR_MAX_PERCENT / 100;
   if (result < least)
