Move buckets for balance sooner, and not for small changes

Cause: 16 buckets a step took minutes to give returned servers their share; small changes of factors moved buckets for nothing.

Change: 64 of 2048 buckets a step; factors change by a tenth or more. bench_balance replaces half of the servers of visitas during the rush.

--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -23,7 +23,7 @@
 #define INSTANCES 8u
 #define WATCHERS 2u
 #define BUCKETS 2048u
-#define MOVE_MAX 16u
+#define MOVE_MAX 64u
 #define BASE_WEIGHT 10000
 #define RUN_SECONDS 1800u
 #define FLOWS_MAX 65536u
@@ -137,14 +137,14 @@
     .drained = 5,
     .drain_at = 600,
     .back_at = 720 },
-  /* Feeds, and a rush of queue notices while two servers are away. */
+  /* Feeds, and a rush of queue notices while half of the servers are away. */
   { .name = "visitas",
     .servers = 14,
     .kinds = { { 5, 900, 0.2, 0, 0 }, { 10, 30, 4, 0, 0 } },
     .rush_at = 620,
-    .rush_seconds = 120,
+    .rush_seconds = 90,
     .rush_factor = 8,
-    .drained = 2,
+    .drained = 7,
     .drain_at = 600,
     .back_at = 720 },
 };
--- a/src/libgooseberrydrum/balance.c
+++ b/src/libgooseberrydrum/balance.c
@@ -14,6 +14,8 @@
 #define GAIN_LIFETIME_MS 20000
 #define GAIN_MIN_PERMILLE 800
 #define GAIN_MAX_PERMILLE 4000
+/* Smaller changes of a factor are not worth the buckets that they move. */
+#define CHANGE_MIN_PERCENT 10
 /* A server that reports itself full keeps a small part, or it could never be
    seen to have recovered. */
 #define FULL_FACTOR (FACTOR_UNIT / 20)
@@ -325,6 +327,9 @@
     error = 0;
   int64_t result
       = FACTOR_UNIT - error * gain / PERMILLE * FACTOR_UNIT / PERMILLE;
+  int64_t change = result > factor ? result - factor : factor - result;
+  if (change < FACTOR_UNIT * CHANGE_MIN_PERCENT / 100)
+    return factor;
   int64_t step = (int64_t)factor * GBD_BALANCE_STEP_MAX_PERCENT / 100;
   if (result > factor + step)
     result = factor + step;
