Say why a link was refused

A wrong certificate or release showed only as a link that never came up.

Event 409 names the other side's address and the reason, at most one line a second after the first ten; TLS alerts are sent before the end, so that the refused side logs its reason, too.

--- a/src/gooseberrydrum/link.c
+++ b/src/gooseberrydrum/link.c
@@ -4,8 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "share/log.h"
+
 #define WRITE_LENGTH_MAX ((size_t)1 << 14) /* bytes of one write */
 #define STRANGERS_MAX 32                   /* connections without HELLO */
+#define ALERT_LENGTH_MAX ((size_t)4096)    /* bytes of TLS before the end */
 
 static gbd_link_t *make_link (gbd_links_t *links, bool is_outbound);
 static int accept_link (struct lws *wsi);
@@ -13,6 +16,7 @@
 static gbd_status_t send_hello (gbd_link_t *link);
 static void close_oldest_stranger (gbd_links_t *links);
 static int receive (gbd_link_t *link, const uint8_t *bytes, size_t length);
+static void refuse (gbd_link_t *link);
 static gbd_status_t receive_plain (void *data, const uint8_t *bytes,
                                    size_t length);
 static gbd_status_t receive_frame (void *data, const uint8_t *content,
@@ -270,11 +274,38 @@
       return 0;
     }
   if (status == GBD_ERROR_FORMAT)
-    links->stats.refused++;
+    refuse (link);
   gbd_link_close (link);
   return -1;
 }
 
+/* Tell the other side, where TLS has words for it, and those on call. */
+static void
+refuse (gbd_link_t *link)
+{
+  gbd_links_t *links = link->links;
+  uint8_t alert[LWS_PRE + ALERT_LENGTH_MAX];
+  char other[GBD_ADDRESS_TEXT_MAX] = "";
+  const char *reason = link->state == GBD_LINK_UP
+                           ? "a message is malformed or out of order"
+                           : "the first bytes are no HELLO of this group";
+  if (link->tls)
+    {
+      size_t length
+          = gbd_tls_take_output (link->tls, alert + LWS_PRE, ALERT_LENGTH_MAX);
+      if (length > 0)
+        write_socket (link, alert + LWS_PRE, length);
+      if (gbd_tls_get_error (link->tls))
+        reason = gbd_tls_get_error (link->tls);
+    }
+  links->stats.refused++;
+  links->stats.refusal = reason;
+  if (!gbd_token_bucket_take (&links->refusals, links->now))
+    return;
+  lws_get_peer_simple (link->wsi, other, sizeof other);
+  gbd_log (GBD_EVENT_LINK_REFUSED, other, reason);
+}
+
 static gbd_status_t
 receive_plain (void *data, const uint8_t *bytes, size_t length)
 {
--- a/src/gooseberrydrum/link.h
+++ b/src/gooseberrydrum/link.h
@@ -77,6 +77,7 @@
   gbd_link_peer_t peers[GBD_PEERS_MAX];
   uint32_t peer_count;
   gbd_links_stats_t stats;
+  gbd_token_bucket_t refusals; /**< log lines of refused links */
 };
 
 /** Callback of the protocol that listening and connecting sides use. */
--- a/src/gooseberrydrum/links.c
+++ b/src/gooseberrydrum/links.c
@@ -12,6 +12,9 @@
 #define HELLO_TIMEOUT (5 * GBD_SECOND)
 #define SILENCE_TIMEOUT (5 * GBD_SECOND)
 #define HANDSHAKE_TIMEOUT_S 5
+/* Log lines: a stranger must not fill the log. */
+#define REFUSALS_PER_SECOND 1
+#define REFUSALS_AT_ONCE 10
 /** A longer time between two ticks means that this process was paused. */
 #define PAUSE_MIN GBD_SECOND
 
@@ -53,6 +56,8 @@
   links->callbacks = *callbacks;
   links->data = data;
   links->now = GBD_TIME_NEVER;
+  gbd_token_bucket_init (&links->refusals, REFUSALS_PER_SECOND,
+                         REFUSALS_AT_ONCE, GBD_TIME_NEVER);
 
   if (load_tls (settings, &links->tls) != GBD_OK)
     {
--- a/src/gooseberrydrum/links.h
+++ b/src/gooseberrydrum/links.h
@@ -78,6 +78,7 @@
   uint64_t bytes_received;
   uint64_t refused; /**< links closed for what the other side sent */
   uint32_t open;
+  const char *refusal; /**< reason of the newest refused one, or NULL */
 } gbd_links_stats_t;
 
 void gbd_links_get_stats (const gbd_links_t *links, gbd_links_stats_t *stats);
--- a/src/gooseberrydrum/tls.c
+++ b/src/gooseberrydrum/tls.c
@@ -15,10 +15,12 @@
   SSL *ssl;
   BIO *input;  /* from the socket; belongs to ssl */
   BIO *output; /* for the socket; belongs to ssl */
+  const char *error;
 };
 
 static gbd_status_t load_files (SSL_CTX *context,
                                 const gbd_tls_files_t *files);
+static const char *find_error (const SSL *ssl);
 static gbd_status_t read_plain (gbd_tls_t *tls, gbd_tls_visit_t visit,
                                 void *data);
 
@@ -92,6 +94,12 @@
   return read_plain (tls, visit, data);
 }
 
+const char *
+gbd_tls_get_error (const gbd_tls_t *tls)
+{
+  return tls->error;
+}
+
 bool
 gbd_tls_is_ready (const gbd_tls_t *tls)
 {
@@ -135,6 +143,16 @@
   return is_loaded ? GBD_OK : GBD_ERROR_FORMAT;
 }
 
+static const char *
+find_error (const SSL *ssl)
+{
+  long verified = SSL_get_verify_result (ssl);
+  const char *reason = verified == X509_V_OK
+                           ? ERR_reason_error_string (ERR_peek_error ())
+                           : X509_verify_cert_error_string (verified);
+  return reason ? reason : "TLS ended";
+}
+
 static gbd_status_t
 read_plain (gbd_tls_t *tls, gbd_tls_visit_t visit, void *data)
 {
@@ -150,6 +168,8 @@
           bool is_open
               = error == SSL_ERROR_WANT_READ
                 && BIO_ctrl_pending (tls->output) <= OUTPUT_LENGTH_MAX;
+          if (!is_open)
+            tls->error = find_error (tls->ssl);
           return is_open ? GBD_OK : GBD_ERROR_FORMAT;
         }
       gbd_status_t status = visit (data, plain, length);
--- a/src/gooseberrydrum/tls.h
+++ b/src/gooseberrydrum/tls.h
@@ -48,6 +48,9 @@
                               size_t length, gbd_tls_visit_t visit,
                               void *data);
 
+/** Why the other side was refused or refused this one; NULL if neither. */
+const char *gbd_tls_get_error (const gbd_tls_t *tls);
+
 /** Whether plain bytes can be sent: the handshake is done. */
 bool gbd_tls_is_ready (const gbd_tls_t *tls);
 
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -30,6 +30,7 @@
   EVENT (PEER_HEARD,     406, LOG_INFO,    "instance %llx is heard") \
   EVENT (RELOAD_FAILED,  407, LOG_ERR,     "certificates do not load; the former stay in use") \
   EVENT (RELOADED,       408, LOG_NOTICE,  "certificates loaded again for new connections") \
+  EVENT (LINK_REFUSED,   409, LOG_WARNING, "link with %s refused: %s") \
   EVENT (TABLE,          501, LOG_INFO,    "service %s: table version %llu in force") \
   EVENT (COMPLETE,       502, LOG_DEBUG,   "service %s: copies complete for version %llu") \
   EVENT (CLAIMS_BLOCKED, 503, LOG_WARNING, "service %s: several members lost at once; unknown flows of moving buckets drop for %llu s") \
--- a/src/test_gooseberrydrum/links_fixture.h
+++ b/src/test_gooseberrydrum/links_fixture.h
@@ -21,6 +21,7 @@
 #include <unistd.h>
 
 #include "gooseberrydrum/links.h"
+#include "share/log.h"
 
 #define NODES_MAX 3
 #define ROUNDS_MAX 20000
@@ -119,6 +120,7 @@
 {
   (void)state;
   lws_set_log_level (0, NULL);
+  gbd_log_set_priority (LOG_CRIT);
   memset (nodes, 0, sizeof nodes);
   now = GBD_SECOND;
   choose_addresses ();
--- a/src/test_gooseberrydrum/test_links_tls.c
+++ b/src/test_gooseberrydrum/test_links_tls.c
@@ -126,6 +126,12 @@
       gbd_links_stats_t stats;
       gbd_links_get_stats (nodes[1 - foreign].links, &stats);
       assert_true (stats.refused > 0);
+      assert_string_equal (stats.refusal,
+                           "unable to get local issuer certificate");
+      /* The refused one is told, too. */
+      gbd_links_get_stats (nodes[foreign].links, &stats);
+      assert_true (stats.refused > 0);
+      assert_non_null (strstr (stats.refusal, "alert unknown ca"));
       stop_node (0);
       stop_node (1);
       choose_addresses ();
