Make the engine and its measurement clean for the linter

clang-tidy saw a possible null dereference when a new engine runs short of memory, and a widening multiplication in the bench; both are gone.

--- a/bench/bench_policies.c
+++ b/bench/bench_policies.c
@@ -298,9 +298,9 @@
       flow->left--;
       flow->tries = 0;
       uint64_t dice = throw_dice (run, index, 1);
-      uint32_t mean = flow->is_long ? LONG_GAP_TICKS : SHORT_GAP_TICKS;
+      uint32_t range = 2 * (flow->is_long ? LONG_GAP_TICKS : SHORT_GAP_TICKS);
       if (flow->left && !flow->is_broken)
-        schedule (run, index, 1 + (uint32_t)(dice % (2 * mean)));
+        schedule (run, index, 1 + (uint32_t)(dice % range));
       else if (flow->is_open)
         {
           run->open[flow->server - 1000]--;
--- a/src/libgooseberrydrum/engine.c
+++ b/src/libgooseberrydrum/engine.c
@@ -45,7 +45,7 @@
 {
   if (!engine)
     return;
-  for (uint32_t i = 0; i < engine->service_count; i++)
+  for (uint32_t i = 0; engine->services && i < engine->service_count; i++)
     {
       gbd_engine_service_t *service = &engine->services[i];
       gbd_table_delete (service->table);
