--- a/include/gooseberrydrum/catalog.h
+++ b/include/gooseberrydrum/catalog.h
@@ -73,6 +73,12 @@
   const gbd_plan_t *gbd_catalog_get_plan (const gbd_catalog_t *,
                                           uint32_t plan);
 
+  /** List the addresses: start at an index of 0 and add one after each.
+   *  @param index moved on to the next address
+   *  @return false, and nothing set, after the last one. */
+  bool gbd_catalog_get_address (const gbd_catalog_t *catalog, uint32_t *index,
+                                gbd_address_t *address);
+
   /** Service behind an address and port; constant time.
    *  @return GBD_SERVICE_NONE when no customer has it. */
   gbd_service_t gbd_catalog_find (const gbd_catalog_t *catalog,
--- a/src/libgooseberrydrum/catalog.c
+++ b/src/libgooseberrydrum/catalog.c
@@ -190,6 +190,20 @@
   return &catalog->plans[plan];
 }
 
+bool
+gbd_catalog_get_address (const gbd_catalog_t *catalog, uint32_t *index,
+                         gbd_address_t *address)
+{
+  for (; *index < catalog->address_capacity; (*index)++)
+    {
+      if (catalog->addresses[*index].service == GBD_SERVICE_NONE)
+        continue;
+      *address = catalog->addresses[*index].address;
+      return true;
+    }
+  return false;
+}
+
 gbd_service_t
 gbd_catalog_find (const gbd_catalog_t *catalog, const gbd_address_t *address)
 {
