Let no instance that never heard its group take the roster over

Cause, found by reading: members that an instance has no record of counted as gone, so that one cut off from its group since its start, but not from the platform, waived the majority rule and wrote versions alone. Ruled out: the majority rule itself, which holds once the members are known. Change: unknown roster members count as there while the platform lists a name that is not heard; a new life under a name ends the former one. Copies and exceptions now wait for every member that is not silent to all, and settings that the membership asserts are refused at the start.

--- a/src/gooseberrydrum/settings_check.c
+++ b/src/gooseberrydrum/settings_check.c
@@ -36,7 +36,7 @@
     "is shorter than three heartbeats",
     "raise --touch-timeout-ms or lower --heartbeat-ms" },
   { silence_exceeds_touch, "silence-timeout-ms",
-    "is not longer than --touch-timeout-ms",
+    "is not longer than --touch-timeout-ms and a heartbeat",
     "raise --silence-timeout-ms, so that an instance knows that it is out of "
     "touch before the others go on without it" },
   { udp_addresses_differ, "peer-listen", "is the same as --fabric-listen",
@@ -101,7 +101,8 @@
 static bool
 silence_exceeds_touch (const gbd_settings_t *settings)
 {
-  return settings->silence_timeout_ms > settings->touch_timeout_ms;
+  return settings->silence_timeout_ms
+         > settings->touch_timeout_ms + settings->heartbeat_ms;
 }
 
 static bool
--- a/src/libgooseberrydrum/node.c
+++ b/src/libgooseberrydrum/node.c
@@ -15,6 +15,8 @@
 #define WATCH_KEY UINT64_C (0x7761746368657273)
 
 static service_t *add_service (gbd_node_t *node, gbd_service_id_t id);
+static void end_former_life (gbd_node_t *node, gbd_instance_id_t id,
+                             const char *name, gbd_time_t now);
 static void receive_heartbeat (gbd_node_t *node, const gbd_message_t *message,
                                gbd_time_t now);
 static void receive_progress (gbd_node_t *node, gbd_instance_id_t from,
@@ -85,6 +87,7 @@
 gbd_node_link_up (gbd_node_t *node, gbd_instance_id_t id, gbd_zone_id_t zone,
                   const char *name, gbd_time_t now)
 {
+  end_former_life (node, id, name, now);
   gbd_membership_add_peer (node->membership, id, zone, name, now);
   /* Sequences and progress reach the new peer without waiting. */
   node->heartbeat_count = 0;
@@ -420,6 +423,23 @@
   return &node->services[at];
 }
 
+/* An instance that starts again under its name has ended its former life. */
+static void
+end_former_life (gbd_node_t *node, gbd_instance_id_t id, const char *name,
+                 gbd_time_t now)
+{
+  uint32_t count = gbd_membership_get_peer_count (node->membership);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      gbd_peer_info_t info;
+      gbd_membership_get_peer (node->membership, i, now, &info);
+      if (info.id == id || strcmp (info.name, name) != 0)
+        continue;
+      gbd_membership_remove_peer (node->membership, info.id);
+      return;
+    }
+}
+
 static void
 receive_heartbeat (gbd_node_t *node, const gbd_message_t *message,
                    gbd_time_t now)
--- a/src/libgooseberrydrum/node_flows.c
+++ b/src/libgooseberrydrum/node_flows.c
@@ -30,7 +30,7 @@
 static void ask_copies (gbd_node_t *node, service_t *service,
                         const gbd_table_t *table);
 static bool has_copies (gbd_node_t *node, service_t *service,
-                        const gbd_table_t *table);
+                        const gbd_table_t *table, gbd_time_t now);
 static void exchange_exceptions (gbd_node_t *node, service_t *service,
                                  const gbd_table_t *table, gbd_time_t now);
 static bool has_ended (gbd_node_t *node, service_t *service,
@@ -138,7 +138,7 @@
       if (is_members_at (node, service, table, service->copy_version))
         {
           ask_copies (node, service, table);
-          if (has_copies (node, service, table))
+          if (has_copies (node, service, table, now))
             {
               service->copy_version = 0;
               service->has_exceptions = true;
@@ -313,7 +313,8 @@
 }
 
 static bool
-has_copies (gbd_node_t *node, service_t *service, const gbd_table_t *table)
+has_copies (gbd_node_t *node, service_t *service, const gbd_table_t *table,
+            gbd_time_t now)
 {
   bool has_others = false;
   for (uint32_t i = 0; i < member_count (table); i++)
@@ -322,7 +323,7 @@
       if (id == node->settings.membership.self)
         continue;
       has_others = true;
-      if (!node_is_live (node, id))
+      if (node_is_silent (node, service, id, now))
         continue;
       if (node_find_progress (service, id)->copy_ended < service->copy_version)
         return false;
@@ -384,7 +385,9 @@
   for (uint32_t i = 0; i < member_count (table); i++)
     {
       gbd_instance_id_t id = member_at (table, i)->id;
-      if (!node_is_live (node, id))
+      /* Also of members that are silent: the coordinator takes them out of
+         the roster first. */
+      if (id == node->settings.membership.self)
         continue;
       const progress_t *progress = node_find_progress (service, id);
       uint64_t ended = is_rest ? progress->rest_ended : progress->part_ended;
--- a/src/libgooseberrydrum/node_tables.c
+++ b/src/libgooseberrydrum/node_tables.c
@@ -17,6 +17,10 @@
                              const service_t *service,
                              const gbd_table_t *table, gbd_time_t now);
 static bool is_listed (const gbd_node_t *node, const char *name);
+static bool has_unheard_name (const gbd_node_t *node, gbd_time_t now);
+static uint8_t add_strangers (const gbd_node_t *node, gbd_member_t *members,
+                              uint8_t count, const gbd_table_t *table,
+                              gbd_time_t now);
 static bool may_join (gbd_node_t *node, service_t *service,
                       const gbd_table_t *table, const gbd_peer_info_t *info);
 static uint8_t fill_confirmations (gbd_node_t *node, service_t *service,
@@ -304,6 +308,43 @@
       members[count].zone = info.zone;
       count++;
     }
+  if (table && has_unheard_name (node, now))
+    count = add_strangers (node, members, count, table, now);
+  return count;
+}
+
+/* Whether the platform lists an instance that this one does not hear. */
+static bool
+has_unheard_name (const gbd_node_t *node, gbd_time_t now)
+{
+  uint32_t heard = 0;
+  uint32_t peers = gbd_membership_get_peer_count (node->membership);
+  for (uint32_t i = 0; i < peers; i++)
+    {
+      gbd_peer_info_t info;
+      gbd_membership_get_peer (node->membership, i, now, &info);
+      heard += info.is_heard && is_listed (node, info.name);
+    }
+  /* This instance itself is listed as well, or will be. */
+  return node->listed_count > heard + 1;
+}
+
+/* Members that this instance has never heard may be the ones that are listed:
+   they count as there, so that one that is cut off since its start cannot
+   take their silence for their end. */
+static uint8_t
+add_strangers (const gbd_node_t *node, gbd_member_t *members, uint8_t count,
+               const gbd_table_t *table, gbd_time_t now)
+{
+  for (uint8_t i = 0; i < table->roster_count && count < GBD_ROSTER_MAX; i++)
+    {
+      gbd_peer_info_t info;
+      gbd_instance_id_t id = table->roster[i].id;
+      if (id == node->settings.membership.self
+          || gbd_membership_find_peer (node->membership, id, now, &info))
+        continue;
+      members[count++] = table->roster[i];
+    }
   return count;
 }
 
--- a/src/test_gooseberrydrum/test_settings.c
+++ b/src/test_gooseberrydrum/test_settings.c
@@ -164,10 +164,12 @@
     "--heartbeat-ms: is not a whole number; give" },
   { NULL, "--heartbeat-ms=200ms", NULL,
     "--heartbeat-ms: is not a whole number; give" },
-  { NULL, "--heartbeat-ms=800", NULL,
+  { NULL, "--heartbeat-ms=500", NULL,
     "touch-timeout-ms: is shorter than three heartbeats; raise" },
-  { NULL, "--touch-timeout-ms=2000", NULL,
-    "silence-timeout-ms: is not longer than --touch-timeout-ms; raise" },
+  { NULL, "--touch-timeout-ms=1600", NULL,
+    "silence-timeout-ms: is not longer than --touch-timeout-ms and a "
+    "heartbeat; "
+    "raise" },
   { NULL, "--cache-flows=1000000", NULL,
     "--cache-flows: is not a power of two; give a power of two from 1024" },
   { NULL, "--bucket-count=8", NULL, "--bucket-count: is out of range; give" },
--- a/src/test_libgooseberrydrum/group.c
+++ b/src/test_libgooseberrydrum/group.c
@@ -188,17 +188,25 @@
   node->is_listed = true;
   node->has_platform = true;
   gbd_node_set_catalog (node->node, group->catalog, group->now);
-  for (uint32_t i = 0; i < index; i++)
+  group_link_node (group, index);
+  group->lists_version++;
+  return index;
+}
+
+void
+group_link_node (group_t *group, uint32_t index)
+{
+  group_node_t *node = &group->nodes[index];
+  for (uint32_t i = 0; i < group->node_count; i++)
     {
       group_node_t *other = &group->nodes[i];
-      if (!other->is_alive)
+      if (i == index || !can_hear (group, index, i))
         continue;
-      gbd_node_link_up (other->node, node->id, zone, node->name, group->now);
+      gbd_node_link_up (other->node, node->id, index % 4 + 1, node->name,
+                        group->now);
       gbd_node_link_up (node->node, other->id, i % 4 + 1, other->name,
                         group->now);
     }
-  group->lists_version++;
-  return index;
 }
 
 void
--- a/src/test_libgooseberrydrum/group.h
+++ b/src/test_libgooseberrydrum/group.h
@@ -88,8 +88,12 @@
 
   uint32_t group_random (group_t *group, uint32_t limit);
 
-  /** Start one more instance.  @return its index. */
+  /** Start one more instance, on the side that its place has already.
+   *  @return its index. */
   uint32_t group_start_node (group_t *group);
+
+  /** Open links between an instance and all that it can hear. */
+  void group_link_node (group_t *group, uint32_t index);
   void group_crash_node (group_t *group, uint32_t index);
   void group_leave_node (group_t *group, uint32_t index);
   /** Index of a live instance, at random. */
--- a/src/test_libgooseberrydrum/test_node.c
+++ b/src/test_libgooseberrydrum/test_node.c
@@ -298,6 +298,31 @@
   group_delete (group);
 }
 
+/* An instance that starts cut off from its group, but not from the platform,
+   cannot take the silence of all others for their end. */
+static void
+stranger_cannot_take_the_roster_over (void **state)
+{
+  (void)state;
+  group_t *group = group_new (NODES, SERVERS, GBD_CUT_OFF_KNOWN, SEED);
+  assert_non_null (group);
+  group->nodes[group->node_count].side = 1;
+  uint32_t stranger = group_start_node (group);
+  uint64_t version = group->object_version;
+  group_run (group, 15000);
+  assert_int_equal (group->object_version, version);
+  const gbd_table_t *table = group_table (group, 0);
+  assert_int_equal (table->roster_count, NODES);
+  assert_false (gbd_table_has_member (table, group->nodes[stranger].id));
+
+  group->nodes[stranger].side = 0;
+  group_link_node (group, stranger);
+  group_run (group, 5000);
+  assert_true (gbd_node_is_joined (group->nodes[stranger].node));
+  assert_true (group_is_converged (group));
+  group_delete (group);
+}
+
 /* With two numbers and perhaps a seed, run that pair of faults alone. */
 int
 main (int argc, char **argv)
@@ -313,6 +338,7 @@
     }
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (drain_ends_without_registrations),
+    cmocka_unit_test (stranger_cannot_take_the_roster_over),
     cmocka_unit_test (each_fault_with_each_other),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
