--- a/bench/bench_datapath.c
+++ b/bench/bench_datapath.c
@@ -1,6 +1,7 @@
 /* Cost of the data path on one core, one JSON row a measurement:
    decision  parse, route and commit of one packet of a known flow
    open      the same for packets that open flows
+   sockets   opening packets through loopback sockets
    relay     the data path through loopback sockets against a bare relay of
              recvmmsg and sendmmsg, taking turns in the same run
    Only the work of the side that is measured is timed: packets are made,
@@ -33,6 +34,7 @@
 #define BURST (8 * BATCH) /* datagrams that wait when a side is called */
 #define DECISION_BATCHES 2000u
 #define ROUNDS 400u
+#define NEW_FLOWS (100 * BURST)
 #define SAMPLES_MAX 8192u
 #define SOCKET_BUFFER (4u << 20)
 #define NOW (1000 * GBD_SECOND)
@@ -77,6 +79,7 @@
 static void open_flows (bench_t *bench, cost_t *cost);
 static void measure_decisions (bench_t *bench, const char *policy);
 static void measure_openings (bench_t *bench);
+static void measure_new_flows (bench_t *bench);
 static void measure_relay (bench_t *bench, unsigned rounds);
 static void send_burst (bench_t *bench, int from, const gbd_address_t *to);
 static void run_bare (const bench_t *bench, int fd, cost_t *cost);
@@ -108,6 +111,7 @@
           if (i == 0)
             {
               measure_openings (&bench);
+              measure_new_flows (&bench);
               measure_relay (&bench, rounds);
               bench.payload = 1200;
               measure_relay (&bench, rounds);
@@ -359,6 +363,56 @@
   gbd_engine_delete (fresh.engine);
 }
 
+/* Flows beyond the ones held: each packet opens a flow through the sockets. */
+static void
+measure_new_flows (bench_t *bench)
+{
+  static cost_t cost;
+  gbd_datapath_settings_t settings
+      = { .fabric_listen = { .family = 4, .ip = { 127, 0, 0, 1 } },
+          .peer_listen = { .family = 4, .ip = { 127, 0, 0, 1 } },
+          .socket_buffer = SOCKET_BUFFER,
+          .clock = fixed_clock };
+  const char *error = NULL;
+  gbd_datapath_t *datapath
+      = gbd_datapath_new (&settings, bench->engine, &error);
+  int from = gbd_udp_open (4, SOCKET_BUFFER);
+  if (!datapath || from < 0)
+    {
+      fprintf (stderr, "bench_datapath: %s\n", error ? error : "no socket");
+      goto out;
+    }
+
+  gbd_address_t to;
+  struct sockaddr_storage name;
+  int fabric = gbd_datapath_get_fabric_fd (datapath);
+  gbd_udp_get_address (fabric, &to);
+  socklen_t name_length = gbd_udp_to_sockaddr (&to, &name);
+  memset (&cost, 0, sizeof cost);
+  for (uint32_t flow = FLOWS; flow < FLOWS + NEW_FLOWS; flow += BURST)
+    {
+      for (uint32_t i = 0; i < BURST; i++)
+        {
+          uint8_t bytes[INNER_LENGTH_MAX];
+          size_t length = make_packet (bench, flow + i, INNER_SYN, bytes);
+          sendto (from, bytes, length, 0, (const struct sockaddr *)&name,
+                  name_length);
+        }
+      uint64_t counted = instructions (bench);
+      uint64_t started = nanoseconds ();
+      uint32_t handled = gbd_datapath_receive (datapath, fabric);
+      uint64_t took = nanoseconds () - started;
+      add_sample (&cost, took, instructions (bench) - counted, handled);
+      drain_sinks (bench);
+    }
+  print_row ("sockets", "open", &cost);
+
+out:
+  gbd_datapath_delete (datapath);
+  if (from >= 0)
+    close (from);
+}
+
 static void
 measure_relay (bench_t *bench, unsigned rounds)
 {
