--- a/bench/group.c
+++ b/bench/group.c
@@ -313,7 +313,7 @@
   bool is_done = true;
   for (uint32_t i = 0; i < GROUP_LIVES; i++)
     {
-      if (!is_heard (group, i))
+      if (!is_heard (group, i) || !is_member (group, i))
         continue;
       if (group->held[i] != version)
         return;
@@ -325,8 +325,9 @@
     exchange_exceptions (group);
   if (group->newest->roster_phase == GBD_ROSTER_JOINING)
     copy_registrations (group);
+  /* An instance that is no member has copied nothing. */
   for (uint32_t i = 0; i < GROUP_LIVES; i++)
-    if (is_heard (group, i))
+    if (is_heard (group, i) && is_member (group, i))
       {
         group->complete[i] = version;
         gbd_engine_set_complete (group->engines[i], group->service, true);
