Let the platform's stand-in notice clients that wait no longer

Cause: while a watch waits, libwebsockets does not read its connection; a client that closed it woke the loop without end until the wait was over, up to ten seconds of one core, and its watch stayed counted.

Change: each tick looks whether a waiting client has closed.

--- a/src/standins/platform_server.c
+++ b/src/standins/platform_server.c
@@ -2,6 +2,7 @@
 
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include <glib.h>
 
@@ -54,6 +55,7 @@
 static bool has_argument (struct lws *wsi, const char *name);
 static void switch_faults (call_t *call);
 static void settle (call_t *call);
+static bool is_left (struct lws *wsi);
 static int write_reply (call_t *call);
 static int write_body (struct lws *wsi, const char *text, size_t length);
 
@@ -287,6 +289,11 @@
 settle (call_t *call)
 {
   platform_server_t *server = call->server;
+  if (call->state == CALL_WAITING && is_left (call->wsi))
+    {
+      lws_set_timeout (call->wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+      return;
+    }
   if (call->state == CALL_WAITING)
     {
       platform_store_poll (server->store, &call->request, call->deadline,
@@ -302,6 +309,17 @@
     lws_callback_on_writable (call->wsi);
 }
 
+/* Whether the client closed while it waited: until the answer is written the
+   loop does not read, and would be woken for the end of the stream without
+   end. */
+static bool
+is_left (struct lws *wsi)
+{
+  char byte;
+  return recv (lws_get_socket_fd (wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+         == 0;
+}
+
 static int
 write_reply (call_t *call)
 {
