Add the subcommands predict, status, dump and explain

Change: predict says what an edited list, a drain or a new backend server would do, from the platform's objects and predict.h; status, dump and explain print what an instance answers, and status for a group which instances lag behind the accepted generation. Instances list their admin address on the platform.

--- a/src/gooseberrydrum/commands.h
+++ b/src/gooseberrydrum/commands.h
@@ -6,5 +6,9 @@
 
 int gbd_command_customers (int argc, char **argv);
 int gbd_command_plans (int argc, char **argv);
+int gbd_command_predict (int argc, char **argv);
+int gbd_command_status (int argc, char **argv);
+int gbd_command_dump (int argc, char **argv);
+int gbd_command_explain (int argc, char **argv);
 
 #endif
--- a/src/gooseberrydrum/platform_http.c
+++ b/src/gooseberrydrum/platform_http.c
@@ -16,6 +16,7 @@
   struct lws_vhost *vhost;
   char host[GBD_ADDRESS_TEXT_MAX];
   int port;
+  const char *token; /* NULL for none */
   uint32_t open_count;
   uint64_t bytes_sent;
   uint64_t bytes_received;
@@ -82,6 +83,12 @@
   return http;
 }
 
+void
+gbd_http_set_token (gbd_http_t *http, const char *token)
+{
+  http->token = token;
+}
+
 void
 gbd_http_delete (gbd_http_t *http)
 {
@@ -216,6 +223,16 @@
              size_t length)
 {
   unsigned char *start = *at;
+  if (call->http->token)
+    {
+      char *value = g_strdup_printf ("Bearer %s", call->http->token);
+      int refused = lws_add_http_header_by_token (
+          wsi, WSI_TOKEN_HTTP_AUTHORIZATION, (const unsigned char *)value,
+          (int)strlen (value), at, start + length);
+      g_free (value);
+      if (refused)
+        return -1;
+    }
   if (!call->body)
     {
       call->is_sent = true;
--- a/src/gooseberrydrum/platform_http.h
+++ b/src/gooseberrydrum/platform_http.h
@@ -34,6 +34,10 @@
 gbd_http_t *gbd_http_new (struct lws_context *context,
                           const gbd_address_t *address);
 
+/** Send "Authorization: Bearer TOKEN" with each request.
+ *  @param token kept, not copied; NULL for none */
+void gbd_http_set_token (gbd_http_t *http, const char *token);
+
 /** All calls must have ended or been cancelled. */
 void gbd_http_delete (gbd_http_t *http);
 
--- a/src/gooseberrydrum/serve_platform.c
+++ b/src/gooseberrydrum/serve_platform.c
@@ -415,10 +415,13 @@
   gbd_address_format (&serve->settings->link_listen, link);
   gbd_address_format (&serve->settings->peer_listen, peer);
   gbd_address_format (&serve->settings->fabric_listen, fabric);
-  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s}", "zone",
+  char admin[GBD_ADDRESS_TEXT_MAX] = "";
+  if (serve->settings->admin_listen.family)
+    gbd_address_format (&serve->settings->admin_listen, admin);
+  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:s, s:s}", "zone",
                     serve->settings->zone, "group", serve->settings->group,
-                    "link", link, "peer", peer, "data", fabric, "state",
-                    serve->state);
+                    "link", link, "peer", peer, "data", fabric, "admin", admin,
+                    "state", serve->state);
 }
 
 static bool
--- /dev/null
+++ b/src/test_gooseberrydrum/test_operator_commands.c
@@ -0,0 +1,341 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <glib.h>
+#include <glib/gstdio.h>
+
+#include "gooseberrydrum/accepted.h"
+#include "gooseberrydrum/admin.h"
+#include "gooseberrydrum/admin_command.h"
+#include "gooseberrydrum/predict_command.h"
+#include "gooseberrydrum/table.h"
+#include "platform_fixture.h"
+
+#define TOKEN "0123456789abcdef"
+#define INSTANCES 2
+#define SERVERS 4
+#define BUCKETS 64
+
+/* The platform and the admin servers of two instances, in one loop. */
+typedef struct
+{
+  fixture_t fixture;
+  gbd_address_t addresses[INSTANCES];
+  gbd_admin_t *admins[INSTANCES];
+  int generations[INSTANCES];
+  FILE *stream;
+  char *text; /* what the newest command printed */
+  size_t size;
+} setting_t;
+
+static setting_t setting;
+
+static char *
+get_counters (void *data)
+{
+  (void)data;
+  return strdup ("counters");
+}
+
+static json_t *
+get_status (void *data)
+{
+  const int *generation = data;
+  return json_pack ("{s:i, s:s, s:b}", "generation", *generation, "touch",
+                    "full", "joined", 1);
+}
+
+static json_t *
+get_explanation (void *data, const gbd_flow_t *flow)
+{
+  (void)data;
+  return flow->service.port == 443 ? json_pack ("{s:s}", "because", "bucket")
+                                   : NULL;
+}
+
+static const gbd_admin_callbacks_t callbacks
+    = { get_counters, get_status, get_status, get_explanation };
+
+static gbd_address_t
+choose_address (void)
+{
+  struct sockaddr_in address = { .sin_family = AF_INET };
+  socklen_t length = sizeof address;
+  gbd_address_t result;
+  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
+  getsockname (fd, (struct sockaddr *)&address, &length);
+  close (fd);
+  gbd_address_parse ("127.0.0.1:1", &result);
+  result.port = ntohs (address.sin_port);
+  return result;
+}
+
+static gbd_time_t
+turn (void *data)
+{
+  (void)data;
+  lws_cancel_service (setting.fixture.context);
+  lws_service (setting.fixture.context, 0);
+  return setting.fixture.now;
+}
+
+static gbd_client_t
+begin (void)
+{
+  free (setting.text);
+  setting.text = NULL;
+  setting.stream = open_memstream (&setting.text, &setting.size);
+  return (gbd_client_t){ .context = setting.fixture.context,
+                         .turn = turn,
+                         .out = setting.stream,
+                         .err = setting.stream };
+}
+
+static void
+expect (gbd_exit_t result, gbd_exit_t expected, const char *text)
+{
+  fclose (setting.stream);
+  print_message ("%s", setting.text);
+  assert_int_equal (result, expected);
+  assert_non_null (strstr (setting.text, text));
+}
+
+static void
+list_instance (const char *name, const char *group, const gbd_address_t *admin)
+{
+  char text[GBD_ADDRESS_TEXT_MAX] = "";
+  if (admin)
+    gbd_address_format (admin, text);
+  char *value = g_strdup_printf (
+      "{\"group\":\"%s\",\"state\":\"live\",\"admin\":\"%s\"}", group, text);
+  fixture_write (&setting.fixture, "instances", name, value);
+  g_free (value);
+}
+
+static json_t *
+accept_example (json_t *accepted, gbd_list_t list)
+{
+  char *path
+      = g_strdup_printf (GBD_EXAMPLES "/%s.json", gbd_list_strings[list]);
+  json_t *value = json_load_file (path, 0, NULL);
+  gbd_change_t change = { list, gbd_list_strings[list], "ana", "now" };
+  json_t *next = gbd_accepted_make_next (accepted, &change, value);
+  assert_non_null (next);
+  json_decref (value);
+  json_decref (accepted);
+  g_free (path);
+  return next;
+}
+
+static void
+write_table (void)
+{
+  gbd_backend_t servers[SERVERS] = { 0 };
+  gbd_member_t members[] = { { 1, 1 }, { 2, 2 } };
+  for (uint32_t i = 0; i < SERVERS; i++)
+    {
+      char name[GBD_NAME_MAX];
+      g_snprintf (name, sizeof name, "visitas-%u", i);
+      servers[i].id = gbd_id_from_name (name);
+      gbd_address_parse ("127.0.0.1:9000", &servers[i].address);
+      servers[i].address.port = (uint16_t)(9000 + i);
+    }
+  gbd_table_t *table = gbd_table_new (gbd_id_from_name ("visitas"), BUCKETS,
+                                      servers, SERVERS, members, INSTANCES);
+  table->version = 1;
+  char *text = gbd_table_to_json (table);
+  fixture_write (&setting.fixture, "tables", "main.visitas", text);
+  free (text);
+  gbd_table_delete (table);
+}
+
+static int
+set_up (void **state)
+{
+  (void)state;
+  memset (&setting, 0, sizeof setting);
+  fixture_open (&setting.fixture, 0);
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      const char *error;
+      setting.addresses[i] = choose_address ();
+      setting.generations[i] = 2;
+      gbd_admin_settings_t settings
+          = { .listen = setting.addresses[i], .token = TOKEN };
+      setting.admins[i]
+          = gbd_admin_new (setting.fixture.context, &settings, &callbacks,
+                           &setting.generations[i], &error);
+      assert_non_null (setting.admins[i]);
+    }
+  json_t *accepted = accept_example (NULL, GBD_LIST_PLANS);
+  accepted = accept_example (accepted, GBD_LIST_CUSTOMERS);
+  char *text = json_dumps (accepted, 0);
+  fixture_write (&setting.fixture, "accepted", "main", text);
+  free (text);
+  json_decref (accepted);
+  fixture_write (&setting.fixture, "endpoints", "visitas-1",
+                 "{\"service\":\"visitas\"}");
+  write_table ();
+  list_instance ("one", "main", &setting.addresses[0]);
+  list_instance ("two", "main", &setting.addresses[1]);
+  list_instance ("other", "canary", NULL);
+  return 0;
+}
+
+static int
+tear_down (void **state)
+{
+  (void)state;
+  free (setting.text);
+  for (int i = 0; i < INSTANCES; i++)
+    gbd_admin_delete (setting.admins[i]);
+  fixture_close (&setting.fixture);
+  return 0;
+}
+
+static void
+one_instance_is_shown (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *token;
+    const char *path;
+    gbd_exit_t exit;
+    const char *text;
+  } rows[] = {
+    { TOKEN, "/status", GBD_EXIT_OK, "\"generation\": 2" },
+    { TOKEN, "/dump", GBD_EXIT_OK, "\"touch\": \"full\"" },
+    { TOKEN, "/explain?flow=10.0.0.1:9-10.1.0.1:443", GBD_EXIT_OK, "bucket" },
+    { TOKEN, "/explain?flow=10.0.0.1:9-10.1.0.1:444", GBD_EXIT_REFUSED,
+      "no service" },
+    { TOKEN, "/explain?flow=nonsense", GBD_EXIT_REFUSED, "CALLER-SERVICE" },
+    { "wrong-token-0000", "/status", GBD_EXIT_REFUSED, "token" },
+    { NULL, "/status", GBD_EXIT_REFUSED, "token" },
+  };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      gbd_client_t client = begin ();
+      expect (gbd_admin_command_show (&client, &setting.addresses[0],
+                                      rows[i].token, rows[i].path),
+              rows[i].exit, rows[i].text);
+    }
+  gbd_client_t client = begin ();
+  gbd_address_t nobody = choose_address ();
+  expect (gbd_admin_command_show (&client, &nobody, TOKEN, "/status"),
+          GBD_EXIT_UNAVAILABLE, "does not answer");
+}
+
+static void
+group_tells_who_lags (void **state)
+{
+  (void)state;
+  gbd_client_t client = begin ();
+  expect (gbd_admin_command_group (&client, &setting.fixture.address, TOKEN,
+                                   "main"),
+          GBD_EXIT_OK, "\"in_force_everywhere\": true");
+  assert_null (strstr (setting.text, "other"));
+
+  setting.generations[1] = 1;
+  client = begin ();
+  expect (gbd_admin_command_group (&client, &setting.fixture.address, TOKEN,
+                                   "main"),
+          GBD_EXIT_FAILED, "\"lags\": true");
+
+  setting.generations[1] = 2;
+  list_instance ("two", "main", NULL);
+  client = begin ();
+  expect (gbd_admin_command_group (&client, &setting.fixture.address, TOKEN,
+                                   "main"),
+          GBD_EXIT_FAILED, "start it with --admin-listen");
+  fixture_switch (&setting.fixture, "{\"down\":true}");
+  client = begin ();
+  expect (gbd_admin_command_group (&client, &setting.fixture.address, TOKEN,
+                                   "main"),
+          GBD_EXIT_UNAVAILABLE, "does not answer");
+}
+
+static void
+lists_are_predicted (void **state)
+{
+  (void)state;
+  gbd_predict_options_t options
+      = { setting.fixture.address, "main", 400, true };
+  gbd_client_t client = begin ();
+  expect (gbd_predict_command_list (&client, &options, GBD_LIST_CUSTOMERS,
+                                    GBD_EXAMPLES "/customers.json"),
+          GBD_EXIT_OK, "\"changes\": 0");
+  client = begin ();
+  expect (gbd_predict_command_list (&client, &options, GBD_LIST_PLANS,
+                                    GBD_EXAMPLES "/casa-lampiao/plans.json"),
+          GBD_EXIT_REFUSED, "there is no plan");
+
+  char *text;
+  char *path = g_build_filename (g_get_tmp_dir (), "predict-XXXXXX", NULL);
+  close (g_mkstemp (path));
+  g_file_get_contents (GBD_EXAMPLES "/customers.json", &text, NULL, NULL);
+  char **parts = g_strsplit (text, "10.1.0.2:443", 2);
+  char *edited = g_strjoinv ("10.1.0.7:443", parts);
+  g_file_set_contents (path, edited, -1, NULL);
+  client = begin ();
+  expect (
+      gbd_predict_command_list (&client, &options, GBD_LIST_CUSTOMERS, path),
+      GBD_EXIT_OK, "\"effect\": \"address removed\"");
+  assert_non_null (strstr (setting.text, "\"changes\": 2"));
+  assert_non_null (strstr (setting.text, "\"open flows end\": true"));
+  g_remove (path);
+  g_strfreev (parts);
+  g_free (edited);
+  g_free (text);
+  g_free (path);
+}
+
+static void
+servers_are_predicted (void **state)
+{
+  (void)state;
+  gbd_predict_options_t options
+      = { setting.fixture.address, "main", 400, true };
+  gbd_client_t client = begin ();
+  expect (gbd_predict_command_drain (&client, &options, "visitas-1"),
+          GBD_EXIT_OK, "\"buckets moved\": 16");
+  assert_non_null (strstr (setting.text, "\"buckets after\": 0"));
+  client = begin ();
+  expect (gbd_predict_command_add (&client, &options, "visitas-9", "visitas"),
+          GBD_EXIT_OK, "\"comes to rest\": true");
+  client = begin ();
+  expect (gbd_predict_command_drain (&client, &options, "visitas-8"),
+          GBD_EXIT_REFUSED, "no backend server");
+  client = begin ();
+  expect (gbd_predict_command_add (&client, &options, "visitas-9", "acervo"),
+          GBD_EXIT_REFUSED, "has no table");
+  fixture_switch (&setting.fixture, "{\"down\":true}");
+  client = begin ();
+  expect (gbd_predict_command_drain (&client, &options, "visitas-1"),
+          GBD_EXIT_UNAVAILABLE, "try again");
+  assert_null (strstr (setting.text, "no backend server"));
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (one_instance_is_shown, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (group_tells_who_lags, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (lists_are_predicted, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (servers_are_predicted, set_up, tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
