Push lists and instances only when they change

Cause: each answer of the watch on instances sent the lists and all instances to every peer (19,454 B/s over 5 s at one instance while its partner was replaced), and each peer with a newer generation was asked for the lists. Change: watchers push on a change, instances of other groups are left out, and the lists are asked for once a heartbeat.

--- a/src/gooseberrydrum/serve.h
+++ b/src/gooseberrydrum/serve.h
@@ -80,8 +80,9 @@
   uint32_t listed_count;
   gbd_linked_t linked[GBD_LIVES_MAX];
   uint32_t linked_count;
-  json_t *instance_values; /**< name to value, as the platform lists them */
-  const char *state;       /**< of this instance's own object */
+  bool has_instance_change; /**< since the list was last taken in */
+  json_t *instance_values;  /**< name to value, as the platform lists them */
+  const char *state;        /**< of this instance's own object */
   bool is_state_pending;
   bool is_state_written;
   gbd_time_t state_due; /**< of the next attempt to write it */
@@ -116,7 +117,9 @@
 /* serve_peers.c */
 extern const gbd_links_callbacks_t gbd_serve_links_callbacks;
 void gbd_serve_send_config (gbd_serve_t *serve, gbd_instance_id_t to);
-void gbd_serve_push_config (gbd_serve_t *serve);
+/** Tell all linked peers the lists in force, or the instances. */
+void gbd_serve_push_accepted (gbd_serve_t *serve);
+void gbd_serve_push_instances (gbd_serve_t *serve);
 /** Tell the data path where linked instances receive packets. */
 void gbd_serve_map_peers (gbd_serve_t *serve);
 
--- a/src/gooseberrydrum/serve_peers.c
+++ b/src/gooseberrydrum/serve_peers.c
@@ -21,15 +21,20 @@
 {
   if (serve->accepted)
     send_json (serve, to, serve->generation, serve->accepted);
-  if (json_object_size (serve->instance_values))
-    send_json (serve, to, 0, serve->instance_values);
 }
 
 void
-gbd_serve_push_config (gbd_serve_t *serve)
+gbd_serve_push_accepted (gbd_serve_t *serve)
 {
   for (uint32_t i = 0; i < serve->linked_count; i++)
-    gbd_serve_send_config (serve, serve->linked[i].id);
+    send_json (serve, serve->linked[i].id, serve->generation, serve->accepted);
+}
+
+void
+gbd_serve_push_instances (gbd_serve_t *serve)
+{
+  for (uint32_t i = 0; i < serve->linked_count; i++)
+    send_json (serve, serve->linked[i].id, 0, serve->instance_values);
 }
 
 void
@@ -60,7 +65,9 @@
   gbd_log (GBD_EVENT_LINK_UP, name);
   gbd_node_link_up (serve->node, id, zone, name, gbd_serve_now ());
   gbd_serve_map_peers (serve);
-  gbd_serve_send_config (serve, id);
+  /* Lists in force follow when the peer asks for a newer generation. */
+  if (gbd_node_is_watching (serve->node))
+    send_json (serve, id, 0, serve->instance_values);
 }
 
 static void
--- a/src/gooseberrydrum/serve_platform.c
+++ b/src/gooseberrydrum/serve_platform.c
@@ -258,7 +258,7 @@
   if (!value || strcmp (name, serve->settings->group) != 0)
     return;
   if (gbd_serve_take_accepted (serve, value, gbd_serve_now ()) == GBD_OK)
-    gbd_serve_push_config (serve);
+    gbd_serve_push_accepted (serve);
 }
 
 static void
@@ -302,6 +302,7 @@
 {
   gbd_serve_t *serve = data;
   json_object_clear (serve->instance_values);
+  serve->has_instance_change = true;
 }
 
 static void
@@ -310,6 +311,13 @@
 {
   (void)version;
   gbd_serve_t *serve = data;
+  /* Other groups have their own links. */
+  const char *group = json_string_value (json_object_get (value, "group"));
+  bool is_own = group && strcmp (group, serve->settings->group) == 0;
+  bool is_known = json_object_get (serve->instance_values, name) != NULL;
+  if (!is_own && !is_known)
+    return;
+  serve->has_instance_change = true;
   if (value)
     json_object_set (serve->instance_values, name, value);
   else
@@ -321,8 +329,11 @@
 {
   (void)asked_at;
   gbd_serve_t *serve = data;
+  if (!serve->has_instance_change)
+    return;
+  serve->has_instance_change = false;
   gbd_serve_take_instances (serve, serve->instance_values);
-  gbd_serve_push_config (serve);
+  gbd_serve_push_instances (serve);
 }
 
 static void
@@ -436,7 +447,7 @@
     return false;
 
   memset (endpoint, 0, sizeof *endpoint);
-  strcpy (endpoint->name, name);
+  snprintf (endpoint->name, sizeof endpoint->name, "%s", name);
   endpoint->service = gbd_id_from_name (service);
   endpoint->backend.id = gbd_id_from_name (name);
   endpoint->backend.zone = gbd_zone_from_name (zone);
@@ -468,7 +479,7 @@
   if (!link || !peer || !state || strlen (name) > GBD_NAME_MAX)
     return false;
   memset (instance, 0, sizeof *instance);
-  strcpy (instance->name, name);
+  snprintf (instance->name, sizeof instance->name, "%s", name);
   instance->is_leaving = strcmp (state, "leaving") == 0;
   return gbd_address_parse (link, &instance->link) == GBD_OK
          && gbd_address_parse (peer, &instance->peer) == GBD_OK;
@@ -511,7 +522,8 @@
                 gbd_service_id_t *service)
 {
   size_t group_length = strlen (serve->settings->group);
-  if (!serve->catalog || strncmp (name, serve->settings->group, group_length)
+  if (!serve->catalog
+      || strncmp (name, serve->settings->group, group_length) != 0
       || name[group_length] != '.')
     return false;
   *service = gbd_id_from_name (name + group_length + 1);
--- a/src/libgooseberrydrum/node.c
+++ b/src/libgooseberrydrum/node.c
@@ -53,6 +53,7 @@
   node->loss_at = GBD_TIME_NEVER;
   node->bulk_at = now;
   node->fallback_until = GBD_TIME_NEVER;
+  node->lists_wanted_at = GBD_TIME_NEVER;
   node->bulk_last = &node->bulk_first;
   return node;
 
@@ -446,8 +447,11 @@
 {
   gbd_membership_receive (node->membership, message, now);
   take_covered (node, message->body.heartbeat.covered_ms, now);
-  if (message->body.heartbeat.generation > node->generation)
+  gbd_time_t interval = node->settings.membership.heartbeat_interval;
+  if (message->body.heartbeat.generation > node->generation
+      && now - node->lists_wanted_at >= interval)
     {
+      node->lists_wanted_at = now;
       gbd_message_t want = { .type = GBD_MESSAGE_WANT };
       want.body.want.version = node->generation;
       node_send (node, message->from, &want);
--- a/src/libgooseberrydrum/node_private.h
+++ b/src/libgooseberrydrum/node_private.h
@@ -74,6 +74,7 @@
   gbd_time_t started_at;
   gbd_time_t loss_at;        /**< newest loss of flow knowledge in the group */
   gbd_time_t fallback_until; /**< watches though others rank higher */
+  gbd_time_t lists_wanted_at; /**< of the newest request for the lists */
   gbd_time_t bulk_at;
   int64_t bulk_tokens; /**< bytes; negative after a large message */
   uint64_t evictions;
