--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -23,7 +23,6 @@
 #define INSTANCES 8u
 #define WATCHERS 2u
 #define BUCKETS 2048u
-#define MOVE_MAX 64u
 #define BASE_WEIGHT 10000
 #define RUN_SECONDS 1800u
 #define FLOWS_MAX 65536u
@@ -106,7 +105,7 @@
 static void open_flow (run_t *run, const policy_t *policy, const kind_t *kind,
                        uint32_t second);
 static void pass_bytes (run_t *run, uint32_t second);
-static void step_table (run_t *run, uint32_t second);
+static void step_table (run_t *run);
 static void report_loads (run_t *run, const policy_t *policy, uint32_t second);
 static void sample (run_t *run);
 static uint64_t next_random (run_t *run);
@@ -180,7 +179,7 @@
                             scenario->servers, percent, second * GBD_SECOND,
                             run->weights);
       if (policy->has_table)
-        step_table (run, second);
+        step_table (run);
       if (policy->is_stateless)
         break_flows (run, policy);
       open_flows (run, policy, second);
@@ -338,7 +337,7 @@
 }
 
 static void
-step_table (run_t *run, uint32_t second)
+step_table (run_t *run)
 {
   gbd_member_t members[INSTANCES];
   gbd_confirmation_t confirmations[INSTANCES];
@@ -359,7 +358,7 @@
     .backend_count = run->scenario->servers,
     .weights = run->weights,
     .bucket_count = BUCKETS,
-    .move_max = MOVE_MAX,
+    .move_max = GBD_BALANCE_MOVE_MAX,
     .is_covered = true,
     .generation = 1,
   };
@@ -373,7 +372,6 @@
     }
   gbd_table_delete (run->table);
   run->table = next;
-  (void)second;
 }
 
 static void
--- a/include/gooseberrydrum/balance.h
+++ b/include/gooseberrydrum/balance.h
@@ -30,6 +30,9 @@
 #define GBD_BALANCE_FACTOR_MAX_PERCENT 200
 #define GBD_BALANCE_FULL_FLOWS 2000 /**< open flows that a server holds */
 
+/** Buckets moved for balance in one version of a table. */
+#define GBD_BALANCE_MOVE_MAX 64
+
   typedef struct gbd_balance gbd_balance_t;
 
   /** State of one service.  @return NULL when memory is short. */
--- a/src/gooseberrydrum/cmd_serve.c
+++ b/src/gooseberrydrum/cmd_serve.c
@@ -21,7 +21,6 @@
 #define WATCH_WAIT_MS 10000
 #define CALL_TIMEOUT_MS 2000
 #define BULK_BYTES_PER_SECOND 2000
-#define BUCKETS_MOVED_FOR_BALANCE 64
 #define WATCHERS 2
 #define DESCRIPTOR_COUNT 3
 
@@ -196,7 +195,7 @@
       .silence_timeout = settings->silence_timeout_ms * GBD_MILLISECOND,
     },
     .bucket_count = settings->bucket_count,
-    .move_max = BUCKETS_MOVED_FOR_BALANCE,
+    .move_max = GBD_BALANCE_MOVE_MAX,
     .bulk_bytes_per_second = BULK_BYTES_PER_SECOND,
     .watchers = WATCHERS,
   };
--- a/src/gooseberrydrum/predict_command.c
+++ b/src/gooseberrydrum/predict_command.c
@@ -6,11 +6,9 @@
 #include <glib.h>
 
 #include "gooseberrydrum/accepted.h"
+#include "gooseberrydrum/balance.h"
 #include "gooseberrydrum/predict.h"
 
-/* Buckets that serve moves in a step. */
-#define MOVE_MAX 64
-
 /* A change of the servers of one service. */
 typedef struct
 {
@@ -273,7 +271,7 @@
     .backend_count = count,
     .weights = weights,
     .bucket_count = table->bucket_count,
-    .move_max = MOVE_MAX,
+    .move_max = GBD_BALANCE_MOVE_MAX,
     .generation = table->generation,
   };
   gbd_prediction_t prediction;
--- /dev/null
+++ b/src/test_gooseberrydrum/test_operations_page.c
@@ -0,0 +1,94 @@
+/* docs/OPERATIONS.md explains every counter, and no other. */
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+#include <cmocka.h>
+
+#include <glib.h>
+
+#define PREFIX "gooseberrydrum_"
+#define COUNTERS_MIN 35 /* a search that finds fewer is at fault */
+
+/* Names between two delimiters over a text, in a set. */
+static void
+collect (GHashTable *names, const char *text, const char *pattern)
+{
+  GMatchInfo *match;
+  GRegex *regex = g_regex_new (pattern, 0, 0, NULL);
+  assert_non_null (regex);
+  for (g_regex_match (regex, text, 0, &match); g_match_info_matches (match);
+       g_match_info_next (match, NULL))
+    g_hash_table_add (names, g_match_info_fetch (match, 1));
+  g_match_info_free (match);
+  g_regex_unref (regex);
+}
+
+static char *
+read_text (const char *path)
+{
+  char *text = NULL;
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    fail_msg ("%s cannot be read", path);
+  return text;
+}
+
+static GHashTable *
+counters_of_the_sources (void)
+{
+  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  GDir *folder = g_dir_open (GBD_DOCS "/../src/gooseberrydrum", 0, NULL);
+  assert_non_null (folder);
+  const char *name;
+  while ((name = g_dir_read_name (folder)))
+    {
+      if (!g_str_has_suffix (name, ".c"))
+        continue;
+      char *path
+          = g_build_filename (GBD_DOCS "/../src/gooseberrydrum", name, NULL);
+      char *text = read_text (path);
+      collect (names, text, "\"(" PREFIX "[a-z_]+)\"");
+      g_free (text);
+      g_free (path);
+    }
+  g_dir_close (folder);
+  return names;
+}
+
+static void
+expect_all (GHashTable *names, GHashTable *others, const char *problem)
+{
+  GHashTableIter each;
+  gpointer name;
+  g_hash_table_iter_init (&each, names);
+  while (g_hash_table_iter_next (&each, &name, NULL))
+    {
+      if (!g_hash_table_contains (others, name))
+        fail_msg ("%s %s", (char *)name, problem);
+    }
+}
+
+static void
+counters_and_page_agree (void **state)
+{
+  (void)state;
+  GHashTable *counters = counters_of_the_sources ();
+  GHashTable *rows = g_hash_table_new (g_str_hash, g_str_equal);
+  char *page = read_text (GBD_DOCS "/OPERATIONS.md");
+  collect (rows, page, "\\| `(" PREFIX "[a-z_]+)` \\| [^|]{10,} \\|");
+  assert_true (g_hash_table_size (counters) >= COUNTERS_MIN);
+  expect_all (counters, rows, "has no row in docs/OPERATIONS.md");
+  expect_all (rows, counters, "of docs/OPERATIONS.md is no counter");
+  g_free (page);
+  g_hash_table_destroy (rows);
+  g_hash_table_destroy (counters);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[]
+      = { cmocka_unit_test (counters_and_page_agree) };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
