Keep open flows counted when members join and leave

Cause: reports that did not change were never sent again, so an instance that joined took open flows at rest for none; and the flows that a member had opened were forgotten when it left, each planned replacement lowering the count.

Change: all customers are reported after a change of members and every 30 rounds; what a member had opened stays counted for one idle limit after it left. The first report of a member counts as growth only up to its demand.

--- a/include/gooseberrydrum/limits.h
+++ b/include/gooseberrydrum/limits.h
@@ -67,7 +67,8 @@
                                       const gbd_limits_report_t *report);
 
   /** End the round if it is due: visit a report of each customer whose numbers
-   *  changed since it was last reported.  @return whether it was due. */
+   *  changed since it was last reported, of all after a change of members, and
+   *  of each now and then.  @return whether it was due. */
   bool gbd_limits_end_round (gbd_limits_t *limits, gbd_time_t now,
                              gbd_limits_visit_t visit, void *data);
 
--- a/src/libgooseberrydrum/limits.c
+++ b/src/libgooseberrydrum/limits.c
@@ -8,6 +8,10 @@
 /* Ends seen elsewhere wait here, one place a part of the idle limit. */
 #define DELAY_PLACES 16
 
+/* Rounds after which numbers are reported that did not change, for a member
+   that missed them. */
+#define REPEAT_ROUNDS 30
+
 /* What a member last reported. */
 typedef struct
 {
@@ -36,6 +40,9 @@
   gbd_limits_report_t reported;
   int32_t growth; /* of open, between the last two reports */
   bool has_reported;
+  uint32_t silent_rounds;  /* since the newest report */
+  int64_t former;          /* open flows of members that left */
+  gbd_time_t former_until; /* an idle limit after the newest one left */
   /* Share of this instance. */
   uint32_t share;     /* new flows a second */
   uint32_t open_left; /* that may be opened in this round */
@@ -65,6 +72,8 @@
 static int find_member (const gbd_limits_t *limits, gbd_instance_id_t id);
 static void move_reports (const gbd_limits_t *limits, customer_t *customer,
                           const gbd_instance_id_t *members, uint32_t count);
+static bool has_member (const gbd_instance_id_t *members, uint32_t count,
+                        gbd_instance_id_t id);
 static int32_t own_open (const customer_t *customer);
 static void advance_delay (customer_t *customer, gbd_time_t now);
 static void share_out (const gbd_limits_t *limits, customer_t *customer);
@@ -161,10 +170,14 @@
   if (!customer || member < 0)
     return;
   member_report_t *former = &customer->reports[member];
+  /* The first report may be of flows that are long open. */
+  int32_t growth = report->open - former->open;
+  if (!former->is_known && growth > 0 && (uint32_t)growth > report->demand)
+    growth = (int32_t)report->demand;
   *former = (member_report_t){
     .demand = report->demand,
     .open = report->open,
-    .growth = report->open - former->open,
+    .growth = growth,
     .is_known = true,
   };
 }
@@ -185,6 +198,8 @@
       customer->last_demand = customer->demand;
       customer->demand = 0;
       customer->opened_round = 0;
+      if (now >= customer->former_until)
+        customer->former = 0;
       share_out (limits, customer);
       gbd_limits_report_t report = {
         .customer = customer->id,
@@ -196,8 +211,9 @@
       bool is_same = customer->has_reported && growth == 0
                      && customer->growth == 0
                      && report.demand == customer->reported.demand;
-      if (is_same)
+      if (is_same && ++customer->silent_rounds < REPEAT_ROUNDS)
         continue;
+      customer->silent_rounds = 0;
       customer->growth = growth;
       customer->reported = report;
       customer->has_reported = true;
@@ -312,7 +328,9 @@
 }
 
 /* Reports follow their members to new places.  What a former member had added
-   to the open flows stays counted by the first place, for its flows go on. */
+   to the open flows stays counted for an idle limit: its flows go on, and the
+   members that see them end count the ends for as long.  A new member needs a
+   report even of numbers that do not change. */
 static void
 move_reports (const gbd_limits_t *limits, customer_t *customer,
               const gbd_instance_id_t *members, uint32_t count)
@@ -324,7 +342,30 @@
       if (place >= 0)
         moved[i] = customer->reports[place];
     }
+  for (uint32_t i = 0; i < limits->member_count; i++)
+    {
+      const member_report_t *report = &customer->reports[i];
+      if (has_member (members, count, limits->members[i]) || report->open <= 0)
+        continue;
+      customer->former += report->open;
+      customer->former_until
+          = limits->round_at
+            + (gbd_time_t)customer->plan.idle_limit_s * GBD_SECOND;
+    }
   memcpy (customer->reports, moved, sizeof moved);
+  customer->silent_rounds = REPEAT_ROUNDS;
+}
+
+static bool
+has_member (const gbd_instance_id_t *members, uint32_t count,
+            gbd_instance_id_t id)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (members[i] == id)
+        return true;
+    }
+  return false;
 }
 
 static int32_t
@@ -361,7 +402,7 @@
   uint64_t even = limit / limits->member_count;
   uint64_t own = customer->has_reported ? customer->last_demand : even;
   uint64_t demand = 0;
-  int64_t open = 0;
+  int64_t open = customer->former;
   for (uint32_t i = 0; i < limits->member_count; i++)
     {
       const member_report_t *report = &customer->reports[i];
--- a/src/test_libgooseberrydrum/test_limits.c
+++ b/src/test_libgooseberrydrum/test_limits.c
@@ -231,6 +231,44 @@
   teardown (fixture);
 }
 
+/* Open flows at rest are known to a member that joins, and those of a member
+   that has left still count. */
+static void
+open_flows_outlast_a_change_of_members (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup (OPEN_LIMIT);
+  for (uint32_t i = 0; i < 8; i++)
+    fixture->asked[i] = 400;
+  run (fixture, 4);
+  for (uint32_t i = 0; i < 8; i++)
+    fixture->asked[i] = 0;
+  run (fixture, 3);
+  gbd_limits_info_t before;
+  gbd_limits_get (fixture->limits[4], 0, &before);
+  assert_true (before.open_flows > OPEN_LIMIT / 2);
+
+  fixture->is_running[8] = true;
+  set_members (fixture, 0, 9);
+  run (fixture, 2);
+  gbd_limits_info_t info;
+  gbd_limits_get (fixture->limits[8], 0, &info);
+  assert_int_equal (info.open_flows, before.open_flows);
+
+  fixture->is_running[0] = false;
+  set_members (fixture, 1, 9);
+  run (fixture, 2);
+  for (uint32_t i = 1; i < 9; i++)
+    {
+      gbd_limits_get (fixture->limits[i], 0, &info);
+      assert_int_equal (info.open_flows, before.open_flows);
+    }
+  run (fixture, IDLE_S);
+  gbd_limits_get (fixture->limits[1], 0, &info);
+  assert_true (info.open_flows < before.open_flows);
+  teardown (fixture);
+}
+
 int
 main (void)
 {
@@ -240,6 +278,7 @@
     cmocka_unit_test (rate_holds_after_join_and_death),
     cmocka_unit_test (partition_does_not_multiply_the_limit),
     cmocka_unit_test (open_flows_hold_and_recover),
+    cmocka_unit_test (open_flows_outlast_a_change_of_members),
     cmocka_unit_test (flow_ends_once),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
