--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -209,14 +209,14 @@
 static uint32_t
 choose_modulo (const run_t *run, uint64_t hash)
 {
-  uint32_t ready[SERVERS_MAX];
+  uint32_t ready[SERVERS_MAX] = { 0 };
   uint32_t count = 0;
   for (uint32_t i = 0; i < run->scenario->servers; i++)
     {
       if (run->base[i])
         ready[count++] = i;
     }
-  return ready[hash % count];
+  return count ? ready[hash % count] : 0;
 }
 
 static uint32_t
--- a/src/gooseberrydrum/predict_command.c
+++ b/src/gooseberrydrum/predict_command.c
@@ -325,6 +325,7 @@
   uint32_t in_force_ms = prediction->steps_in_force * options->heartbeat_ms;
   uint32_t rest_ms = prediction->steps * options->heartbeat_ms;
   uint64_t peers = table->roster_count ? table->roster_count - 1u : 0;
+  uint64_t bytes = prediction->bytes * peers;
   return json_pack (
       "{s:s, s:s, s:I, s:I, s:f, s:i, s:I, s:I, s:I, s:I, s:I, s:b, s:o}",
       "service", change->service, "backend server", change->uid, "buckets",
@@ -335,8 +336,7 @@
       "milliseconds until in force", (json_int_t)in_force_ms,
       "steps until at rest", (json_int_t)prediction->steps,
       "milliseconds until at rest", (json_int_t)rest_ms, "table bytes",
-      (json_int_t)(prediction->bytes * peers), "comes to rest",
-      prediction->is_at_rest, "shares",
+      (json_int_t)bytes, "comes to rest", prediction->is_at_rest, "shares",
       make_shares (table, prediction->after, change));
 }
 
--- a/src/gooseberrydrum/serve.h
+++ b/src/gooseberrydrum/serve.h
@@ -1,8 +1,9 @@
 /** @file serve.h
  *  State of one running instance, shared by the files of `serve`:
  *  cmd_serve.c start, loop and stop; serve_platform.c objects of the
- *  platform; serve_peers.c links to other instances; serve_load.c limits and
- *  balance; serve_report.c what the administration interface shows.
+ *  platform; serve_endpoints.c backend servers; serve_peers.c links to other
+ * instances; serve_load.c limits and balance; serve_report.c what the
+ * administration interface shows.
  */
 #ifndef PROGRAM_SERVE_H
 #define PROGRAM_SERVE_H
@@ -108,12 +109,18 @@
  *  @param value the accepted object; borrowed */
 gbd_status_t gbd_serve_take_accepted (gbd_serve_t *serve, json_t *value,
                                       gbd_time_t now);
-/** Hand each service its backend servers, with the weights decided now. */
-void gbd_serve_apply_backends (gbd_serve_t *serve, gbd_time_t now);
-
 /** Take the instance list: name to value. */
 void gbd_serve_take_instances (gbd_serve_t *serve, json_t *values);
 
+/* serve_endpoints.c */
+/** Reports of the watch on endpoints; data is the gbd_serve_t. */
+void gbd_serve_endpoints_reset (void *data);
+void gbd_serve_endpoint_changed (void *data, const char *name,
+                                 uint64_t version, json_t *value);
+void gbd_serve_endpoints_confirmed (void *data, gbd_time_t asked_at);
+/** Hand each service its backend servers, with the weights decided now. */
+void gbd_serve_apply_backends (gbd_serve_t *serve, gbd_time_t now);
+
 /* serve_peers.c */
 extern const gbd_links_callbacks_t gbd_serve_links_callbacks;
 void gbd_serve_send_config (gbd_serve_t *serve, gbd_instance_id_t to);
--- a/src/gooseberrydrum/serve_platform.c
+++ b/src/gooseberrydrum/serve_platform.c
@@ -8,8 +8,6 @@
 #include "share/log.h"
 
 #define STATE_RETRY GBD_SECOND
-#define WEIGHT_UNIT 100 /* table weight of one unit of the platform's */
-#define WEIGHT_MAX 655  /* largest weight of the platform's */
 #define OBJECT_NAME_MAX (2 * GBD_NAME_MAX + 2)
 
 /* One table on its way to the platform. */
@@ -23,10 +21,6 @@
                                           gbd_watch_kind_t kind);
 static void accepted_changed (void *data, const char *name, uint64_t version,
                               json_t *value);
-static void endpoints_reset (void *data);
-static void endpoint_changed (void *data, const char *name, uint64_t version,
-                              json_t *value);
-static void endpoints_confirmed (void *data, gbd_time_t asked_at);
 static void instances_reset (void *data);
 static void instance_changed (void *data, const char *name, uint64_t version,
                               json_t *value);
@@ -43,12 +37,8 @@
 static void state_written (void *data, gbd_status_t status, uint64_t version,
                            json_t *value);
 static json_t *state_value (const gbd_serve_t *serve);
-static bool read_endpoint (const char *name, json_t *value,
-                           gbd_endpoint_t *endpoint);
 static bool read_instance (const char *name, json_t *value,
                            gbd_listed_instance_t *instance);
-static void remove_endpoint (gbd_serve_t *serve, const char *name);
-static bool add_endpoint (gbd_serve_t *serve, const gbd_endpoint_t *endpoint);
 static void restart_table_watch (gbd_serve_t *serve);
 static bool object_service (const gbd_serve_t *serve, const char *name,
                             gbd_service_id_t *service);
@@ -56,7 +46,8 @@
 static const gbd_platform_watch_callbacks_t watch_callbacks[GBD_WATCH_COUNT]
     = {
         { ignore_reset, accepted_changed, ignore_confirmed },
-        { endpoints_reset, endpoint_changed, endpoints_confirmed },
+        { gbd_serve_endpoints_reset, gbd_serve_endpoint_changed,
+          gbd_serve_endpoints_confirmed },
         { instances_reset, instance_changed, instances_confirmed },
         { ignore_reset, table_changed, tables_confirmed },
       };
@@ -208,34 +199,6 @@
   gbd_serve_map_peers (serve);
 }
 
-void
-gbd_serve_apply_backends (gbd_serve_t *serve, gbd_time_t now)
-{
-  /* A listing that is under way, or empty, says nothing about servers. */
-  if (!serve->catalog || !serve->is_endpoints_known || !serve->endpoint_count)
-    return;
-  gbd_backend_t *backends = calloc (serve->endpoint_count, sizeof *backends);
-  uint16_t *weights = calloc (serve->endpoint_count, sizeof *weights);
-  uint32_t services = gbd_catalog_get_service_count (serve->catalog);
-  for (uint32_t s = 0; backends && weights && s < services; s++)
-    {
-      gbd_service_id_t id = gbd_catalog_get_service (serve->catalog, s)->id;
-      uint32_t count = 0;
-      for (uint32_t i = 0; i < serve->endpoint_count; i++)
-        {
-          if (serve->endpoints[i].service != id)
-            continue;
-          backends[count] = serve->endpoints[i].backend;
-          weights[count] = serve->endpoints[i].weight;
-          count++;
-        }
-      gbd_load_decide (serve->load, id, backends, count, now, weights);
-      gbd_node_set_backends (serve->node, id, backends, weights, count);
-    }
-  free (backends);
-  free (weights);
-}
-
 static gbd_platform_watch_t *
 start_watch (gbd_serve_t *serve, gbd_watch_kind_t kind)
 {
@@ -261,42 +224,6 @@
     gbd_serve_push_accepted (serve);
 }
 
-static void
-endpoints_reset (void *data)
-{
-  gbd_serve_t *serve = data;
-  serve->endpoint_count = 0;
-  serve->is_endpoints_known = false;
-}
-
-static void
-endpoint_changed (void *data, const char *name, uint64_t version,
-                  json_t *value)
-{
-  (void)version;
-  gbd_serve_t *serve = data;
-  gbd_endpoint_t endpoint;
-  remove_endpoint (serve, name);
-  if (!value)
-    return;
-  if (!read_endpoint (name, value, &endpoint))
-    {
-      gbd_log (GBD_EVENT_BAD_OBJECT, "endpoints", name);
-      return;
-    }
-  if (!add_endpoint (serve, &endpoint))
-    gbd_log (GBD_EVENT_FATAL, gbd_status_strings[GBD_ERROR_MEMORY]);
-}
-
-static void
-endpoints_confirmed (void *data, gbd_time_t asked_at)
-{
-  (void)asked_at;
-  gbd_serve_t *serve = data;
-  serve->is_endpoints_known = true;
-  gbd_serve_apply_backends (serve, gbd_serve_now ());
-}
-
 static void
 instances_reset (void *data)
 {
@@ -435,40 +362,6 @@
                     "state", serve->state);
 }
 
-static bool
-read_endpoint (const char *name, json_t *value, gbd_endpoint_t *endpoint)
-{
-  const char *service = json_string_value (json_object_get (value, "service"));
-  const char *address = json_string_value (json_object_get (value, "address"));
-  const char *zone = json_string_value (json_object_get (value, "zone"));
-  const char *state = json_string_value (json_object_get (value, "state"));
-  json_t *weight = json_object_get (value, "weight");
-  if (!service || !address || !zone || !state || strlen (name) > GBD_NAME_MAX)
-    return false;
-
-  memset (endpoint, 0, sizeof *endpoint);
-  snprintf (endpoint->name, sizeof endpoint->name, "%s", name);
-  endpoint->service = gbd_id_from_name (service);
-  endpoint->backend.id = gbd_id_from_name (name);
-  endpoint->backend.zone = gbd_zone_from_name (zone);
-  if (gbd_address_parse (address, &endpoint->backend.address) != GBD_OK)
-    return false;
-
-  json_int_t units
-      = json_is_integer (weight) ? json_integer_value (weight) : WEIGHT_UNIT;
-  if (units < 0 || units > WEIGHT_MAX)
-    return false;
-  if (strcmp (state, "ready") == 0)
-    endpoint->backend.state = GBD_BACKEND_READY;
-  else if (strcmp (state, "draining") == 0)
-    endpoint->backend.state = GBD_BACKEND_DRAINING;
-  else
-    endpoint->backend.state = GBD_BACKEND_GONE;
-  if (endpoint->backend.state == GBD_BACKEND_READY)
-    endpoint->weight = (uint16_t)(units * WEIGHT_UNIT);
-  return true;
-}
-
 static bool
 read_instance (const char *name, json_t *value,
                gbd_listed_instance_t *instance)
@@ -485,37 +378,6 @@
          && gbd_address_parse (peer, &instance->peer) == GBD_OK;
 }
 
-static void
-remove_endpoint (gbd_serve_t *serve, const char *name)
-{
-  for (uint32_t i = 0; i < serve->endpoint_count; i++)
-    {
-      if (strcmp (serve->endpoints[i].name, name) != 0)
-        continue;
-      serve->endpoint_count--;
-      memmove (&serve->endpoints[i], &serve->endpoints[i + 1],
-               (serve->endpoint_count - i) * sizeof *serve->endpoints);
-      return;
-    }
-}
-
-static bool
-add_endpoint (gbd_serve_t *serve, const gbd_endpoint_t *endpoint)
-{
-  if (serve->endpoint_count == serve->endpoint_room)
-    {
-      uint32_t room = serve->endpoint_room ? serve->endpoint_room * 2 : 64;
-      gbd_endpoint_t *endpoints
-          = realloc (serve->endpoints, room * sizeof *endpoints);
-      if (!endpoints)
-        return false;
-      serve->endpoints = endpoints;
-      serve->endpoint_room = room;
-    }
-  serve->endpoints[serve->endpoint_count++] = *endpoint;
-  return true;
-}
-
 /* Service whose table an object of kind tables holds. */
 static bool
 object_service (const gbd_serve_t *serve, const char *name,
--- a/src/libgooseberrydrum/balance.c
+++ b/src/libgooseberrydrum/balance.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define PERMILLE 1000
+#define LOAD_MAX (UINT32_C (100) * PERMILLE)
 #define FACTOR_UNIT 10000 /* a factor of one */
 /* Below these means a service carries too little to compare its servers. */
 #define MEAN_OPEN_MIN 8
@@ -298,7 +299,7 @@
     }
   if (!is_known)
     return PERMILLE;
-  return load < 100 * PERMILLE ? (uint32_t)load : 100 * PERMILLE;
+  return load < LOAD_MAX ? (uint32_t)load : LOAD_MAX;
 }
 
 /* By Little's law, the mean lifetime of flows is the number of open ones over
@@ -306,8 +307,8 @@
 static uint32_t
 gain_permille (uint64_t open, uint64_t new_flows, uint8_t percent)
 {
-  uint64_t lifetime_ms
-      = open * (GBD_BALANCE_ROUND / GBD_MILLISECOND) / (new_flows + 1);
+  uint64_t lifetime_ms = open * (uint64_t)(GBD_BALANCE_ROUND / GBD_MILLISECOND)
+                         / (new_flows + 1);
   uint64_t gain = lifetime_ms * PERMILLE / GAIN_LIFETIME_MS;
   if (gain < GAIN_MIN_PERMILLE)
     gain = GAIN_MIN_PERMILLE;
