Let a new coordinator go on from the shares that it finds

Cause: an instance that began to watch held all factors at one, so its first decision moved buckets back that balance had moved.

Change: factors start from the shares of the table in force; those within a tenth of the platform's weights start at one.

Figures: test_balance: 0 buckets to move after a takeover from shares of one half and one and a half.

--- a/include/gooseberrydrum/balance.h
+++ b/include/gooseberrydrum/balance.h
@@ -51,6 +51,13 @@
   /** Forget an instance that has left. */
   void gbd_balance_remove (gbd_balance_t *balance, gbd_instance_id_t from);
 
+  /** Begin where the former coordinator left: factors follow from the shares
+   *  of the table in force.  No effect after the first decision.
+   *  @param base as for gbd_balance_decide() */
+  void gbd_balance_adopt (gbd_balance_t *balance, const gbd_table_t *table,
+                          const gbd_backend_t *backends, const uint16_t *base,
+                          uint32_t count, gbd_time_t now);
+
   /** Weights of the wanted servers.
    *  @param backends wanted servers
    *  @param base     the platform's weights, 0 for servers that drain
--- a/src/libgooseberrydrum/balance.c
+++ b/src/libgooseberrydrum/balance.c
@@ -54,6 +54,9 @@
 static server_t *need_server (gbd_balance_t *balance, gbd_backend_id_t id,
                               gbd_time_t now);
 static part_t *need_part (server_t *server, gbd_instance_id_t from);
+static void start (gbd_balance_t *balance, gbd_time_t now);
+static uint32_t share_of (const gbd_table_t *table, gbd_backend_id_t id);
+static uint32_t bounded_factor (int64_t factor);
 static void sum_server (const server_t *server, gbd_balance_info_t *info);
 static void adjust (gbd_balance_t *balance, uint8_t percent);
 static uint32_t load_permille (const gbd_balance_info_t *info,
@@ -121,19 +124,41 @@
     }
 }
 
+void
+gbd_balance_adopt (gbd_balance_t *balance, const gbd_table_t *table,
+                   const gbd_backend_t *backends, const uint16_t *base,
+                   uint32_t count, gbd_time_t now)
+{
+  if (balance->has_started)
+    return;
+  start (balance, now);
+  uint64_t base_sum = 0;
+  uint64_t share_sum = 0;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      base_sum += base[i];
+      share_sum += base[i] ? share_of (table, backends[i].id) : 0;
+    }
+  for (uint32_t i = 0; i < count && share_sum; i++)
+    {
+      uint64_t share = share_of (table, backends[i].id);
+      server_t *server = need_server (balance, backends[i].id, now);
+      if (!server || !base[i] || !share)
+        continue;
+      uint64_t factor = share * base_sum * FACTOR_UNIT / (share_sum * base[i]);
+      uint64_t change
+          = factor > FACTOR_UNIT ? factor - FACTOR_UNIT : FACTOR_UNIT - factor;
+      if (change >= FACTOR_UNIT * CHANGE_MIN_PERCENT / 100)
+        server->factor = bounded_factor ((int64_t)factor);
+    }
+}
+
 void
 gbd_balance_decide (gbd_balance_t *balance, const gbd_backend_t *backends,
                     const uint16_t *base, uint32_t count, uint8_t percent,
                     gbd_time_t now, uint16_t *weights)
 {
-  if (!balance->has_started)
-    {
-      balance->has_started = true;
-      balance->started_at = now;
-      balance->adjusted_at = now;
-      for (uint32_t i = 0; i < balance->count; i++)
-        balance->servers[i].first_seen = now;
-    }
+  start (balance, now);
   for (uint32_t i = 0; i < balance->count; i++)
     balance->servers[i].is_wanted = false;
   for (uint32_t i = 0; i < count; i++)
@@ -175,6 +200,29 @@
   return GBD_OK;
 }
 
+/* Servers that are there from the start need no way up. */
+static void
+start (gbd_balance_t *balance, gbd_time_t now)
+{
+  if (balance->has_started)
+    return;
+  balance->has_started = true;
+  balance->started_at = now;
+  balance->adjusted_at = now;
+  for (uint32_t i = 0; i < balance->count; i++)
+    balance->servers[i].first_seen = now;
+}
+
+static uint32_t
+share_of (const gbd_table_t *table, gbd_backend_id_t id)
+{
+  gbd_slot_t slot = gbd_table_find_backend (table, id);
+  uint32_t share = 0;
+  for (uint32_t i = 0; slot != GBD_SLOT_NONE && i < table->bucket_count; i++)
+    share += gbd_bucket_open_slot (&table->buckets[i]) == slot;
+  return share;
+}
+
 static server_t *
 find_server (const gbd_balance_t *balance, gbd_backend_id_t id)
 {
@@ -336,13 +384,19 @@
     result = factor + step;
   if (result < factor - step)
     result = factor - step;
+  return bounded_factor (result);
+}
+
+static uint32_t
+bounded_factor (int64_t factor)
+{
   int64_t least = (int64_t)FACTOR_UNIT * GBD_BALANCE_FACTOR_MIN_PERCENT / 100;
   int64_t most = (int64_t)FACTOR_UNIT * GBD_BALANCE_FACTOR_MAX_PERCENT / 100;
-  if (result < least)
-    result = least;
-  if (result > most)
-    result = most;
-  return (uint32_t)result;
+  if (factor < least)
+    factor = least;
+  if (factor > most)
+    factor = most;
+  return (uint32_t)factor;
 }
 
 /* Servers that were there from the start are warm. */
--- a/src/test_libgooseberrydrum/test_balance.c
+++ b/src/test_libgooseberrydrum/test_balance.c
@@ -188,6 +188,46 @@
   teardown (fixture);
 }
 
+/* A coordinator that takes over keeps the shares that it finds, and asks for
+   no move before it has seen loads itself. */
+static void
+new_coordinator_keeps_the_shares (void **state)
+{
+  (void)state;
+  fixture_t *fixture = setup ();
+  uint32_t taken = 0;
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < fixture->table->bucket_count; i++)
+    {
+      gbd_bucket_t *bucket = &fixture->table->buckets[i];
+      if (bucket->to != 3)
+        continue;
+      if (++kept % 2 == 0)
+        {
+          bucket->from = bucket->to = 4;
+          taken++;
+        }
+    }
+  assert_true (taken > 0);
+  gbd_balance_t *next = gbd_balance_new ();
+  gbd_balance_adopt (next, fixture->table, fixture->backends, fixture->base,
+                     SERVERS, fixture->now);
+  gbd_balance_decide (next, fixture->backends, fixture->base, SERVERS, 100,
+                      fixture->now, fixture->weights);
+  assert_true (fixture->weights[3] < BASE * 6 / 10);
+  assert_true (fixture->weights[4] > BASE * 14 / 10);
+  gbd_slot_t targets[256];
+  assert_int_equal (
+      gbd_table_plan (fixture->table, fixture->weights, 256, targets), 0);
+  /* Only the first decision adopts. */
+  gbd_balance_adopt (fixture->balance, fixture->table, fixture->backends,
+                     fixture->base, SERVERS, fixture->now);
+  decide (fixture, 100, 0);
+  assert_int_equal (fixture->weights[3], BASE);
+  gbd_balance_delete (next);
+  teardown (fixture);
+}
+
 int
 main (void)
 {
@@ -198,6 +238,7 @@
     cmocka_unit_test (only_the_platform_takes_a_server_out),
     cmocka_unit_test (new_server_ramps_up),
     cmocka_unit_test (full_server_gets_almost_nothing),
+    cmocka_unit_test (new_coordinator_keeps_the_shares),
     cmocka_unit_test (foreign_slot_is_refused_whole),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
