Prove the promises on a running group under failures

Cause: the demo shows one planned replacement and one drain; nothing showed kills, freezes, outages of the platform or races of operators on real processes.

The callers' verdict names the endpoint of each broken flow, the backend stand-in prints its counts on SIGUSR1, and standin-get makes one HTTP call.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 POLICY ?= keepers
 
-.PHONY: all deps build check demo bench capacity format lint clean sanitize man
+.PHONY: all deps build check demo failures bench capacity format lint clean sanitize man
 
 all: build
 
@@ -29,6 +29,9 @@
 demo: build
 	@scripts/demo $(BUILD) $(POLICY)
 
+failures: build
+	@scripts/failures $(BUILD)
+
 bench: build
 	@scripts/bench $(BUILD)
 
--- a/src/standins/main_backend.c
+++ b/src/standins/main_backend.c
@@ -1,6 +1,6 @@
 /* Stand-in of backend servers: hosts the endpoints of one service.
    Control datagrams: "shed UID on", "shed UID off", "kill UID",
-   "cold UID MS". */
+   "cold UID MS".  SIGUSR1 prints the counts, as a stop does. */
 #include <errno.h>
 #include <poll.h>
 #include <signal.h>
@@ -47,6 +47,7 @@
 } backend_t;
 
 static volatile sig_atomic_t is_stopping;
+static volatile sig_atomic_t is_report_due;
 
 static bool parse_options (options_t *options, int argc, char **argv);
 static bool open_endpoints (backend_t *backend);
@@ -60,6 +61,7 @@
 static void report (const backend_t *backend);
 static void close_backend (backend_t *backend);
 static void stop (int signal_number);
+static void ask_report (int signal_number);
 
 int
 main (int argc, char **argv)
@@ -73,6 +75,7 @@
 
   signal (SIGTERM, stop);
   signal (SIGINT, stop);
+  signal (SIGUSR1, ask_report);
   if (backend.options.platform && !register_all (&backend))
     {
       gbd_log (GBD_EVENT_STANDIN_FAILED, "backend",
@@ -218,6 +221,11 @@
   while (!is_stopping)
     {
       nfds_t count = (nfds_t)backend->count + 1;
+      if (is_report_due)
+        {
+          is_report_due = 0;
+          report (backend);
+        }
       if (poll (backend->polled, count, POLL_MS) <= 0)
         continue;
       gbd_time_t now = g_get_monotonic_time ();
@@ -348,3 +356,10 @@
   (void)signal_number;
   is_stopping = 1;
 }
+
+static void
+ask_report (int signal_number)
+{
+  (void)signal_number;
+  is_report_due = 1;
+}
--- /dev/null
+++ b/src/standins/main_get.c
@@ -0,0 +1,97 @@
+/* Make one HTTP call to a balancer's admin address or to the platform's
+   stand-in, and print the answer:
+   standin-get [--method METHOD] [--body JSON] [--member KEY] IP:PORT PATH */
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "share/log.h"
+#include "standins/http.h"
+
+#define TIMEOUT_MS 2000
+#define STATUS_OK 200
+
+typedef struct
+{
+  char *method;
+  char *body;
+  char *member;
+  gbd_address_t server;
+  const char *path;
+} options_t;
+
+static bool parse_options (options_t *options, int argc, char **argv);
+static bool print_answer (const options_t *options, const char *answer);
+
+int
+main (int argc, char **argv)
+{
+  options_t options = { g_strdup ("GET"), NULL, NULL, { 0 }, NULL };
+  char *answer = NULL;
+  int result = EXIT_FAILURE;
+
+  gbd_log_set_program ("standin-get");
+  if (!parse_options (&options, argc, argv))
+    goto out;
+  int status = http_call (&options.server, options.method, options.path,
+                          options.body, TIMEOUT_MS, &answer);
+  if (status == STATUS_OK && print_answer (&options, answer))
+    result = EXIT_SUCCESS;
+
+out:
+  g_free (answer);
+  g_free (options.method);
+  g_free (options.body);
+  g_free (options.member);
+  return result;
+}
+
+static bool
+parse_options (options_t *options, int argc, char **argv)
+{
+  const GOptionEntry entries[] = {
+    { "method", 0, 0, G_OPTION_ARG_STRING, &options->method, "of the call",
+      "METHOD" },
+    { "body", 0, 0, G_OPTION_ARG_STRING, &options->body, "to send", "JSON" },
+    { "member", 0, 0, G_OPTION_ARG_STRING, &options->member,
+      "print only this member of the answer", "KEY" },
+    G_OPTION_ENTRY_NULL,
+  };
+  GError *error = NULL;
+  GOptionContext *context = g_option_context_new ("IP:PORT PATH");
+  g_option_context_add_main_entries (context, entries, NULL);
+  bool is_parsed = g_option_context_parse (context, &argc, &argv, &error)
+                   && argc == 3
+                   && gbd_address_parse (argv[1], &options->server) == GBD_OK;
+  if (is_parsed)
+    options->path = argv[2];
+  else
+    gbd_log (GBD_EVENT_STANDIN_FAILED, "get",
+             error ? error->message : "see --help for the arguments");
+  g_clear_error (&error);
+  g_option_context_free (context);
+  return is_parsed;
+}
+
+static bool
+print_answer (const options_t *options, const char *answer)
+{
+  if (!options->member)
+    {
+      puts (answer ? answer : "");
+      return true;
+    }
+  json_t *object = answer ? json_loads (answer, 0, NULL) : NULL;
+  const json_t *member = json_object_get (object, options->member);
+  if (json_is_string (member))
+    puts (json_string_value (member));
+  else if (member)
+    {
+      json_dumpf (member, stdout, JSON_COMPACT | JSON_ENCODE_ANY);
+      putchar ('\n');
+    }
+  json_decref (object);
+  return member != NULL;
+}
--- a/src/standins/verdict.c
+++ b/src/standins/verdict.c
@@ -15,6 +15,7 @@
   char *uid;
   uint16_t service;
   uint64_t flows;
+  uint64_t broken;
 } endpoint_load_t;
 
 struct verdict
@@ -179,13 +180,23 @@
       json_object_set_new (imbalance, service->name,
                            json_real (imbalance_of (verdict, (uint16_t)i)));
     }
-  return json_pack ("{s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:f}", "flows",
-                    (json_int_t)flows, "packets", (json_int_t)verdict->packets,
-                    "broken", (json_int_t)verdict->broken, "wrong_service",
-                    (json_int_t)verdict->wrong_service, "wrong_answer",
-                    (json_int_t)verdict->wrong_answer, "refused",
-                    (json_int_t)verdict->refused, "imbalance", imbalance,
-                    "seconds", seconds);
+  json_t *broken_at = json_object ();
+  for (uint32_t i = 0; i < verdict->endpoints->len; i++)
+    {
+      const endpoint_load_t *load
+          = &g_array_index (verdict->endpoints, endpoint_load_t, i);
+      if (load->broken)
+        json_object_set_new (broken_at, load->uid,
+                             json_integer ((json_int_t)load->broken));
+    }
+  return json_pack (
+      "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:f}", "flows",
+      (json_int_t)flows, "packets", (json_int_t)verdict->packets, "broken",
+      (json_int_t)verdict->broken, "wrong_service",
+      (json_int_t)verdict->wrong_service, "wrong_answer",
+      (json_int_t)verdict->wrong_answer, "refused",
+      (json_int_t)verdict->refused, "unopened", (json_int_t)verdict->unopened,
+      "broken_at", broken_at, "imbalance", imbalance, "seconds", seconds);
 }
 
 static uint16_t
@@ -198,7 +209,7 @@
       if (load->service == service && strcmp (load->uid, uid) == 0)
         return (uint16_t)i;
     }
-  endpoint_load_t load = { g_strdup (uid), service, 0 };
+  endpoint_load_t load = { g_strdup (uid), service, 0, 0 };
   g_array_append_val (verdict->endpoints, load);
   return (uint16_t)(verdict->endpoints->len - 1);
 }
@@ -215,9 +226,13 @@
 static void
 count_broken (verdict_t *verdict, verdict_flow_t *flow)
 {
-  if (!flow->is_broken)
-    verdict->broken++;
+  if (flow->is_broken)
+    return;
   flow->is_broken = true;
+  verdict->broken++;
+  if (flow->endpoint != VERDICT_NOBODY)
+    g_array_index (verdict->endpoints, endpoint_load_t, flow->endpoint)
+        .broken++;
 }
 
 static double
--- a/src/standins/verdict.h
+++ b/src/standins/verdict.h
@@ -64,7 +64,8 @@
 /** Flows whose opening packet was never answered. */
 uint64_t verdict_get_unopened (const verdict_t *verdict);
 
-/** The figures as one object.
+/** The figures as one object; "broken_at" counts the broken flows by the
+ *  endpoint that answered each of them first.
  *  @param flows   that were to be opened
  *  @param seconds that the run took */
 json_t *verdict_report (const verdict_t *verdict, uint32_t flows,
