Say where flows broke and how long an answer took

Cause: a flow that broke before its first answer was counted at no endpoint, and a freeze made the callers' run twice as long without a figure that says why.

--- a/src/standins/callers.c
+++ b/src/standins/callers.c
@@ -34,6 +34,7 @@
   uint32_t next_request;
   uint32_t requests;
   gbd_time_t interval; /* between requests */
+  gbd_time_t asked_at; /* when its newest packet was first sent */
 } flow_t;
 
 struct callers
@@ -48,6 +49,8 @@
 
 static void plan_flow (callers_t *callers, uint32_t index, GRand *random,
                        gbd_time_t opens_at);
+static uint64_t hash_of (const callers_settings_t *settings,
+                         const flow_t *flow, uint32_t index);
 static uint16_t choose_service (const callers_t *callers, GRand *random);
 static flow_t *find_flow (callers_t *callers, const inner_segment_t *segment,
                           uint32_t *index);
@@ -147,6 +150,7 @@
   flow->judged.service = settings->services[flow->service].judged_as;
   flow->judged.endpoint = VERDICT_NOBODY;
   flow->judged.number = index;
+  flow->judged.hash = hash_of (settings, flow, index);
   flow->judged.request_length = settings->request_length;
   flow->start = g_rand_int (random);
   flow->requests = settings->requests;
@@ -160,6 +164,17 @@
   wheel_set (callers->wheel, index, opens_at);
 }
 
+static uint64_t
+hash_of (const callers_settings_t *settings, const flow_t *flow,
+         uint32_t index)
+{
+  gbd_flow_t key;
+  memset (&key, 0, sizeof key);
+  key.service = settings->services[flow->service].address;
+  key.caller = caller_address (index, key.service.family);
+  return gbd_flow_hash (&key, 0);
+}
+
 static uint16_t
 choose_service (const callers_t *callers, GRand *random)
 {
@@ -228,7 +243,11 @@
   else if (segment->flags & INNER_FIN)
     {
       if (flow->state == FLOW_CLOSING)
-        end_flow (callers, index);
+        {
+          verdict_waited (callers->verdict, &flow->judged,
+                          now - flow->asked_at);
+          end_flow (callers, index);
+        }
     }
   else if (segment->payload_length)
     handle_answer (callers, index, segment, now);
@@ -244,6 +263,7 @@
   verdict_opened (callers->verdict, &flow->judged, segment->sequence);
   if (flow->state != FLOW_OPENING)
     return;
+  verdict_waited (callers->verdict, &flow->judged, now - flow->asked_at);
   flow->state = FLOW_OPEN;
   send_segment (callers, index, INNER_ACK, 1, NULL, 0);
   go_on (callers, index, now);
@@ -259,6 +279,7 @@
                           segment->payload, segment->payload_length);
   if (!is_newest || flow->state != FLOW_OPEN || !flow->is_waiting)
     return;
+  verdict_waited (callers->verdict, &flow->judged, now - flow->asked_at);
   flow->is_waiting = false;
   wheel_set (callers->wheel, index, now + flow->interval);
 }
@@ -275,6 +296,7 @@
   else
     flow->state = FLOW_CLOSING;
   flow->tries = 0;
+  flow->asked_at = now;
   flow->is_waiting = true;
   send_newest (callers, index, now);
 }
--- a/src/standins/endpoint.c
+++ b/src/standins/endpoint.c
@@ -19,7 +19,6 @@
 {
   char service[GBD_NAME_MAX + 1];
   char uid[GBD_NAME_MAX + 1];
-  uint64_t id;
   bool is_shedding;
   gbd_time_t cold_until;
   endpoint_counts_t counts;
@@ -42,7 +41,6 @@
   endpoint_t *endpoint = g_new0 (endpoint_t, 1);
   g_strlcpy (endpoint->service, service, sizeof endpoint->service);
   g_strlcpy (endpoint->uid, uid, sizeof endpoint->uid);
-  endpoint->id = gbd_id_from_name (uid);
   endpoint->cold_until = GBD_TIME_NEVER;
   endpoint->connections
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
@@ -147,9 +145,8 @@
       connection = g_new0 (connection_t, 1);
       connection->key = key_of (segment);
       connection->caller_start = segment->sequence;
-      /* Two backend servers never answer one flow with the same number. */
       connection->start
-          = (uint32_t)gbd_rendezvous (endpoint->id, (uint64_t)connection->key);
+          = exchange_server_start (endpoint->uid, (uint64_t)connection->key);
       g_hash_table_replace (endpoint->connections, &connection->key,
                             connection);
       endpoint->counts.connections++;
--- a/src/standins/exchange.c
+++ b/src/standins/exchange.c
@@ -66,3 +66,9 @@
   return answer->service[GBD_NAME_MAX] == '\0'
          && answer->uid[GBD_NAME_MAX] == '\0';
 }
+
+uint32_t
+exchange_server_start (const char *uid, uint64_t flow)
+{
+  return (uint32_t)gbd_rendezvous (gbd_id_from_name (uid), flow);
+}
--- a/src/standins/exchange.h
+++ b/src/standins/exchange.h
@@ -34,4 +34,9 @@
 bool exchange_read_answer (const uint8_t *bytes, size_t length,
                            exchange_answer_t *answer);
 
+/** Sequence number that an endpoint starts its side of a flow with; two
+ *  endpoints never answer one flow with the same.
+ *  @param flow gbd_flow_hash() without a key */
+uint32_t exchange_server_start (const char *uid, uint64_t flow);
+
 #endif
--- a/src/standins/verdict.c
+++ b/src/standins/verdict.c
@@ -29,6 +29,8 @@
   uint64_t wrong_answer;
   uint64_t refused;
   uint64_t unopened;
+  gbd_time_t longest_wait;
+  uint32_t longest_flow; /* its number */
 };
 
 static uint16_t find_endpoint (verdict_t *verdict, uint16_t service,
@@ -147,6 +149,16 @@
     verdict->refused++;
 }
 
+void
+verdict_waited (verdict_t *verdict, const verdict_flow_t *flow,
+                gbd_time_t wait)
+{
+  if (wait <= verdict->longest_wait)
+    return;
+  verdict->longest_wait = wait;
+  verdict->longest_flow = flow->number;
+}
+
 void
 verdict_gave_up (verdict_t *verdict, verdict_flow_t *flow)
 {
@@ -190,13 +202,15 @@
                              json_integer ((json_int_t)load->broken));
     }
   return json_pack (
-      "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:f}", "flows",
+      "{s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:I, s:o, s:o, s:f}", "flows",
       (json_int_t)flows, "packets", (json_int_t)verdict->packets, "broken",
       (json_int_t)verdict->broken, "wrong_service",
       (json_int_t)verdict->wrong_service, "wrong_answer",
       (json_int_t)verdict->wrong_answer, "refused",
       (json_int_t)verdict->refused, "unopened", (json_int_t)verdict->unopened,
-      "broken_at", broken_at, "imbalance", imbalance, "seconds", seconds);
+      "longest_wait_ms", (json_int_t)(verdict->longest_wait / GBD_MILLISECOND),
+      "longest_wait_flow", (json_int_t)verdict->longest_flow, "broken_at",
+      broken_at, "imbalance", imbalance, "seconds", seconds);
 }
 
 static uint16_t
@@ -230,9 +244,15 @@
     return;
   flow->is_broken = true;
   verdict->broken++;
-  if (flow->endpoint != VERDICT_NOBODY)
-    g_array_index (verdict->endpoints, endpoint_load_t, flow->endpoint)
-        .broken++;
+  for (uint32_t i = 0; i < verdict->endpoints->len; i++)
+    {
+      endpoint_load_t *load
+          = &g_array_index (verdict->endpoints, endpoint_load_t, i);
+      if (load->service == flow->service
+          && exchange_server_start (load->uid, flow->hash)
+                 == flow->server_start)
+        load->broken++;
+    }
 }
 
 static double
--- a/src/standins/verdict.h
+++ b/src/standins/verdict.h
@@ -21,6 +21,7 @@
   bool is_broken;        /**< counted once */
   uint32_t server_start; /**< sequence number of the opening's answer */
   uint32_t number;       /**< of the flow, part of its requests */
+  uint64_t hash;         /**< gbd_flow_hash() without a key */
   uint32_t request_id;   /**< newest request sent */
   uint32_t request_length;
 } verdict_flow_t;
@@ -54,6 +55,11 @@
 /** A reset reached the flow. */
 void verdict_reset (verdict_t *verdict, verdict_flow_t *flow);
 
+/** A packet of a flow was answered.
+ *  @param wait from its first sending to the answer */
+void verdict_waited (verdict_t *verdict, const verdict_flow_t *flow,
+                     gbd_time_t wait);
+
 /** The last try of a packet went unanswered. */
 void verdict_gave_up (verdict_t *verdict, verdict_flow_t *flow);
 
@@ -65,7 +71,8 @@
 uint64_t verdict_get_unopened (const verdict_t *verdict);
 
 /** The figures as one object; "broken_at" counts the broken flows by the
- *  endpoint that answered each of them first.
+ *  endpoint that opened each of them, "longest_wait_ms" is the longest
+ *  from the first sending of a packet to its answer.
  *  @param flows   that were to be opened
  *  @param seconds that the run took */
 json_t *verdict_report (const verdict_t *verdict, uint32_t flows,
