--- a/src/gooseberrydrum/client.c
+++ b/src/gooseberrydrum/client.c
@@ -9,7 +9,7 @@
 #define HTTP_OK 200
 #define HTTP_NOT_FOUND 404
 #define HTTP_UNAVAILABLE 503
-/* Longest time without a look at the time-out. */
+/* Longest time without a look at time-outs. */
 #define TICK_US (20 * LWS_US_PER_MS)
 
 /* Timer of a loop of its own. */
--- a/src/gooseberrydrum/cmd_lists.c
+++ b/src/gooseberrydrum/cmd_lists.c
@@ -4,11 +4,10 @@
 
 #include <glib.h>
 
+#include "client.h"
 #include "commands.h"
 #include "lists_command.h"
 
-/* Longest time without a look at time-outs and retries. */
-#define TICK_US (20 * LWS_US_PER_MS)
 #define GROUP_DEFAULT "main"
 
 typedef struct
@@ -23,8 +22,7 @@
 
 typedef struct
 {
-  lws_sorted_usec_list_t timer;
-  struct lws_context *context;
+  gbd_client_t client;
   gbd_platform_t *platform;
 } loop_t;
 
@@ -37,7 +35,6 @@
 static gbd_exit_t run_in_loop (const gbd_lists_options_t *options,
                                const char *platform);
 static bool loop_open (loop_t *loop, const gbd_address_t *platform);
-static void wake (lws_sorted_usec_list_t *timer);
 static gbd_time_t turn (void *data);
 
 int
@@ -183,46 +180,30 @@
       environment.platform = loop.platform;
       result = gbd_lists_command (options, &environment);
     }
-  else
-    fprintf (stderr, "cannot open sockets; raise the limit of open files\n");
   gbd_platform_delete (loop.platform);
-  lws_sul_cancel (&loop.timer);
-  if (loop.context)
-    lws_context_destroy (loop.context);
+  gbd_client_close (&loop.client);
   return result;
 }
 
 static bool
 loop_open (loop_t *loop, const gbd_address_t *platform)
 {
-  struct lws_context_creation_info info = { 0 };
-  lws_set_log_level (0, NULL);
-  info.port = CONTEXT_PORT_NO_LISTEN;
-  info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
-  loop->context = lws_create_context (&info);
-  if (!loop->context)
+  if (!gbd_client_open (&loop->client))
     return false;
   gbd_platform_settings_t settings
       = { .platform = *platform,
           .random_seed = (uint64_t)g_get_monotonic_time () };
-  loop->platform = gbd_platform_new (loop->context, &settings);
-  wake (&loop->timer);
+  loop->platform = gbd_platform_new (loop->client.context, &settings);
+  if (!loop->platform)
+    fprintf (stderr, "cannot open sockets; raise the limit of open files\n");
   return loop->platform != NULL;
 }
 
-static void
-wake (lws_sorted_usec_list_t *timer)
-{
-  loop_t *loop = lws_container_of (timer, loop_t, timer);
-  lws_sul_schedule (loop->context, 0, timer, wake, TICK_US);
-}
-
 static gbd_time_t
 turn (void *data)
 {
   loop_t *loop = data;
-  lws_service (loop->context, 0);
-  gbd_time_t now = g_get_monotonic_time ();
+  gbd_time_t now = loop->client.turn (loop->client.data);
   gbd_platform_tick (loop->platform, now);
   return now;
 }
--- a/src/test_gooseberrydrum/test_operations_page.c
+++ b/src/test_gooseberrydrum/test_operations_page.c
@@ -37,7 +37,8 @@
 static GHashTable *
 counters_of_the_sources (void)
 {
-  GHashTable *names = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   GDir *folder = g_dir_open (GBD_DOCS "/../src/gooseberrydrum", 0, NULL);
   assert_non_null (folder);
   const char *name;
@@ -74,7 +75,8 @@
 {
   (void)state;
   GHashTable *counters = counters_of_the_sources ();
-  GHashTable *rows = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *rows
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   char *page = read_text (GBD_DOCS "/OPERATIONS.md");
   collect (rows, page, "\\| `(" PREFIX "[a-z_]+)` \\| [^|]{10,} \\|");
   assert_true (g_hash_table_size (counters) >= COUNTERS_MIN);
