--- a/bench/group.c
+++ b/bench/group.c
@@ -401,7 +401,7 @@
     {
       if (!is_heard (group, i) || group->lives[i] == LIFE_DEAD)
         continue;
-      listing_t listing = { group, i, GBD_FLOWS_EXCEPTION };
+      listing_t listing = { group, i, GBD_FLOWS_PART };
       gbd_engine_visit_exceptions (group->engines[i], group->service,
                                    group->now, send_to_all, &listing);
     }
@@ -505,7 +505,8 @@
   if (!is_heard (group, life))
     return;
   group->flow_entries += count;
-  bool is_listed = kind == GBD_FLOWS_REGISTERED || kind == GBD_FLOWS_EXCEPTION;
+  bool is_listed = kind == GBD_FLOWS_REGISTERED || kind == GBD_FLOWS_EXCEPTION
+                   || kind == GBD_FLOWS_PART;
   group->flow_messages += is_listed ? 0 : 1;
   if (group->lives[life] != LIFE_DEAD)
     gbd_engine_merge (group->engines[life], service, kind, entries, count,
--- a/include/gooseberrydrum/coordinator.h
+++ b/include/gooseberrydrum/coordinator.h
@@ -32,6 +32,12 @@
     uint64_t complete; /**< version for which its copies are complete */
   } gbd_confirmation_t;
 
+  /** How long buckets stay ANNOUNCED.  A caller repeats its opening packet
+   * after one and after three seconds (RFC 6298); until then it must be
+   * registered for the server that the first one may have reached
+   * unregistered. */
+#define GBD_ANNOUNCE_TIME (3200 * GBD_MILLISECOND)
+
   /** Everything that a step depends on; no hidden inputs. */
   typedef struct
   {
@@ -48,6 +54,8 @@
     uint32_t move_max;       /**< buckets to move for balance in a step */
     bool is_covered;         /**< no flow knowledge lost in the group for
                                   the service's idle limit */
+    const uint8_t *is_ripe;  /**< one a bucket of the present table: whether an
+                                  ANNOUNCED one may go on; NULL if all may */
     uint64_t generation;
   } gbd_coordinator_input_t;
 
@@ -62,9 +70,10 @@
     GBD_STEP_NO_MAJORITY, /**< most of the roster is silent and the platform
                                still lists it */
     GBD_STEP_NO_MEMBER,   /**< nobody to serve */
-    GBD_STEP_NO_MEMORY    /**< try again later */
+    GBD_STEP_NO_MEMORY,   /**< try again later */
+    GBD_STEP_ANNOUNCED    /**< buckets have not been announced long enough */
   } gbd_step_t;
-#define GBD_STEP_COUNT 8
+#define GBD_STEP_COUNT 9
   extern const char *const gbd_step_strings[GBD_STEP_COUNT];
 
   /** Decide the next version.
--- a/include/gooseberrydrum/message.h
+++ b/include/gooseberrydrum/message.h
@@ -118,7 +118,8 @@
       struct
       {
         gbd_service_id_t service;
-        uint64_t version; /**< table version of the sender */
+        uint64_t version; /**< table version of the sender; in an exchange of
+                               exceptions the hash of the SETTLING buckets */
         uint8_t kind;     /**< gbd_flows_kind_t */
         uint16_t count;
         gbd_flow_entry_t *entries; /**< owned by the message */
--- a/src/libgooseberrydrum/coordinator.c
+++ b/src/libgooseberrydrum/coordinator.c
@@ -15,6 +15,7 @@
   "most of the roster is silent; restore its links or delist dead instances",
   "no instance is live; start one",
   "memory is short; raise the memory limit",
+  "buckets are announced until callers no longer repeat opening packets",
 };
 
 static gbd_step_t make_first (const gbd_coordinator_input_t *input,
--- a/src/libgooseberrydrum/coordinator_buckets.c
+++ b/src/libgooseberrydrum/coordinator_buckets.c
@@ -14,7 +14,8 @@
 static bool is_slot_free (const gbd_table_t *table, gbd_slot_t slot);
 static bool is_slot_new (const gbd_draft_t *draft, gbd_slot_t slot);
 static bool replace_target (gbd_bucket_t *bucket, gbd_slot_t target,
-                            bool is_new);
+                            bool is_new, bool is_ripe);
+static bool is_bucket_ripe (const gbd_draft_t *draft, uint32_t index);
 static bool needs_coverage (const gbd_bucket_t *bucket);
 static bool is_roster_complete (const gbd_draft_t *draft);
 
@@ -38,9 +39,13 @@
   bool has_changed = false;
   gbd_table_plan (next, draft->weights, 0, draft->targets);
   for (uint32_t i = 0; i < next->bucket_count; i++)
-    if (replace_target (&next->buckets[i], draft->targets[i],
-                        is_slot_new (draft, draft->targets[i])))
-      has_changed = true;
+    {
+      bool is_ripe = is_bucket_ripe (draft, i);
+      bool is_new = is_slot_new (draft, draft->targets[i]);
+      if (replace_target (&next->buckets[i], draft->targets[i], is_new,
+                          is_ripe))
+        has_changed = true;
+    }
   return has_changed ? GBD_STEP_READY : GBD_STEP_IDLE;
 }
 
@@ -190,10 +195,22 @@
          || table->backends[slot].id != draft->next->backends[slot].id;
 }
 
+/* Nothing is left to repeat towards a server that is gone.  */
+static bool
+is_bucket_ripe (const gbd_draft_t *draft, uint32_t index)
+{
+  const gbd_bucket_t *bucket = &draft->next->buckets[index];
+  bool is_gone
+      = bucket->from == GBD_SLOT_NONE
+        || draft->next->backends[bucket->from].state == GBD_BACKEND_GONE;
+  return is_gone || !draft->input->is_ripe || draft->input->is_ripe[index];
+}
+
 /* Move a bucket towards its target; true if it changed.  New flows go to a
    new slot only once every instance knows it.  */
 static bool
-replace_target (gbd_bucket_t *bucket, gbd_slot_t target, bool is_new)
+replace_target (gbd_bucket_t *bucket, gbd_slot_t target, bool is_new,
+                bool is_ripe)
 {
   bool is_kept = target == bucket->to;
   switch (bucket->phase)
@@ -204,6 +221,8 @@
       gbd_bucket_set (bucket, GBD_BUCKET_ANNOUNCED, bucket->from, target);
       return true;
     case GBD_BUCKET_ANNOUNCED:
+      if (is_kept && !is_ripe)
+        return false;
       /* Nothing has opened on a target that was only announced.  */
       if (is_kept)
         bucket->phase = GBD_BUCKET_ACTIVE;
--- a/src/libgooseberrydrum/engine_flows.c
+++ b/src/libgooseberrydrum/engine_flows.c
@@ -177,6 +177,7 @@
     case GBD_FLOWS_REGISTERED:
       return merge_fact (engine, &service->registered, entry, now);
     case GBD_FLOWS_EXCEPTION:
+      return merge_fact (engine, &service->exceptions, entry, now);
     case GBD_FLOWS_PART:
       if (!merge_fact (engine, &service->exceptions, entry, now))
         return false;
--- a/src/libgooseberrydrum/node.c
+++ b/src/libgooseberrydrum/node.c
@@ -71,6 +71,8 @@
     {
       free (node->services[i].backends);
       free (node->services[i].weights);
+      free (node->services[i].announced_at);
+      free (node->services[i].is_ripe);
     }
   while (node->bulk_first)
     {
--- a/src/libgooseberrydrum/node_flows.c
+++ b/src/libgooseberrydrum/node_flows.c
@@ -78,8 +78,15 @@
                     gbd_time_t now)
 {
   uint8_t kind = message->body.flows.kind;
-  if (kind == GBD_FLOWS_PART)
-    kind = GBD_FLOWS_EXCEPTION;
+  const service_t *service
+      = node_find_service (node, message->body.flows.service);
+  if (!service)
+    return;
+  /* Only the exchange under way tells all members the same. */
+  bool is_exchange = service->settle_id
+                     && message->body.flows.version == service->settle_id;
+  if (kind == GBD_FLOWS_PART || kind == GBD_FLOWS_EXCEPTION)
+    kind = is_exchange ? GBD_FLOWS_PART : GBD_FLOWS_EXCEPTION;
   gbd_engine_merge (node->engine, message->body.flows.service,
                     (gbd_flows_kind_t)kind, message->body.flows.entries,
                     message->body.flows.count, now);
@@ -116,7 +123,7 @@
   if (!held.has_failed && !registered.has_failed)
     {
       queue_bulk (node, service, message->from, &held, GBD_FLOWS_EXCEPTION,
-                  GBD_FLOWS_EXCEPTION, false);
+                  GBD_FLOWS_REGISTERED, false);
       queue_bulk (node, service, message->from, &registered,
                   GBD_FLOWS_REGISTERED, GBD_FLOWS_REGISTERED, true);
     }
@@ -349,7 +356,7 @@
         {
           queue_to_members (node, service, table, &list, GBD_FLOWS_PART,
                             GBD_FLOWS_PART);
-          gbd_engine_merge (node->engine, service->id, GBD_FLOWS_EXCEPTION,
+          gbd_engine_merge (node->engine, service->id, GBD_FLOWS_PART,
                             list.entries, list.count, now);
           service->has_sent_part = true;
         }
@@ -368,7 +375,7 @@
         {
           queue_to_members (node, service, table, &list, GBD_FLOWS_EXCEPTION,
                             GBD_FLOWS_EXCEPTION);
-          gbd_engine_merge (node->engine, service->id, GBD_FLOWS_EXCEPTION,
+          gbd_engine_merge (node->engine, service->id, GBD_FLOWS_PART,
                             list.entries, list.count, now);
           service->has_sent_rest = true;
         }
@@ -461,7 +468,9 @@
   uint32_t count = left < ENTRIES_PER_MESSAGE ? left : ENTRIES_PER_MESSAGE;
   gbd_message_t message = { .type = GBD_MESSAGE_FLOWS };
   message.body.flows.service = bulk->service;
-  message.body.flows.version = bulk->version;
+  message.body.flows.version = bulk->end_kind == GBD_FLOWS_REGISTERED
+                                   ? bulk->version
+                                   : bulk->settle_id;
   message.body.flows.kind = bulk->kind;
   message.body.flows.count = (uint16_t)count;
   message.body.flows.entries = bulk->entries + bulk->sent;
--- a/src/libgooseberrydrum/node_private.h
+++ b/src/libgooseberrydrum/node_private.h
@@ -47,7 +47,10 @@
   bool is_listed; /**< in the accepted lists */
   uint8_t step;
   gbd_time_t adopted_at; /**< of the version in force */
-  uint64_t settle_id;    /**< hash of the SETTLING buckets; 0: none */
+  uint32_t bucket_count;
+  gbd_time_t *announced_at; /**< of each ANNOUNCED bucket */
+  uint8_t *is_ripe;         /**< whether it was announced long enough */
+  uint64_t settle_id;       /**< hash of the SETTLING buckets; 0: none */
   bool has_sent_part;
   bool is_exchange_again;
   bool has_sent_rest;
--- a/src/libgooseberrydrum/node_tables.c
+++ b/src/libgooseberrydrum/node_tables.c
@@ -3,8 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define WRITE_TIMEOUT (5 * GBD_SECOND)
-
+static bool note_announced (service_t *service, const gbd_table_t *former,
+                            const gbd_table_t *table, gbd_time_t now);
+static const uint8_t *find_ripe (service_t *service, gbd_time_t now);
 static uint64_t settling_set (const gbd_table_t *table);
 static void note_roster_change (gbd_node_t *node, service_t *service,
                                 const gbd_table_t *former,
@@ -101,6 +102,11 @@
     note_roster_change (node, service, former, table, now);
   bool is_roster_moving = table->roster_phase == GBD_ROSTER_JOINING;
   uint64_t version = table->version;
+  if (!note_announced (service, former, table, now))
+    {
+      gbd_table_delete (table);
+      return;
+    }
   if (gbd_engine_set_table (node->engine, table, now) != GBD_OK)
     return;
 
@@ -194,6 +200,46 @@
   return info.is_silent;
 }
 
+/* Note when buckets were announced; false when memory is short. */
+static bool
+note_announced (service_t *service, const gbd_table_t *former,
+                const gbd_table_t *table, gbd_time_t now)
+{
+  if (service->bucket_count != table->bucket_count)
+    {
+      gbd_time_t *announced_at
+          = calloc (table->bucket_count, sizeof *announced_at);
+      uint8_t *is_ripe = calloc (table->bucket_count, sizeof *is_ripe);
+      if (!announced_at || !is_ripe)
+        {
+          free (announced_at);
+          free (is_ripe);
+          return false;
+        }
+      free (service->announced_at);
+      free (service->is_ripe);
+      service->announced_at = announced_at;
+      service->is_ripe = is_ripe;
+      service->bucket_count = table->bucket_count;
+    }
+  for (uint32_t i = 0; i < table->bucket_count; i++)
+    {
+      bool was_announced = former && i < former->bucket_count
+                           && former->buckets[i].phase == GBD_BUCKET_ANNOUNCED;
+      if (!was_announced)
+        service->announced_at[i] = now;
+    }
+  return true;
+}
+
+static const uint8_t *
+find_ripe (service_t *service, gbd_time_t now)
+{
+  for (uint32_t i = 0; i < service->bucket_count; i++)
+    service->is_ripe[i] = now - service->announced_at[i] >= GBD_ANNOUNCE_TIME;
+  return service->bucket_count ? service->is_ripe : NULL;
+}
+
 /* Hash of the set of SETTLING buckets and their servers; 0 if empty. */
 static uint64_t
 settling_set (const gbd_table_t *table)
@@ -270,6 +316,7 @@
     .bucket_count = node->settings.bucket_count,
     .move_max = node->settings.move_max,
     .is_covered = is_covered (node, service, now),
+    .is_ripe = find_ripe (service, now),
     .generation = node->generation,
   };
   input.confirmation_count
--- a/src/test_libgooseberrydrum/group.c
+++ b/src/test_libgooseberrydrum/group.c
@@ -8,6 +8,7 @@
 #define TICK_STEPS 5
 #define LATE (500 * GBD_MILLISECOND)
 #define JOIN_TIME_MS 30000
+#define SETTLE_TIME_MS 1000
 #define DRAIN_ALLOWANCE (5 * GBD_SECOND)
 #define TRIES 64
 
@@ -94,8 +95,10 @@
   for (int waited = 0; waited < JOIN_TIME_MS; waited += 100)
     {
       group_run (group, 100);
-      if (is_joined (group))
-        return group;
+      if (!is_joined (group))
+        continue;
+      group_run (group, SETTLE_TIME_MS);
+      return group;
     }
   group_delete (group);
   return NULL;
--- a/src/test_libgooseberrydrum/prop_engine.cc
+++ b/src/test_libgooseberrydrum/prop_engine.cc
@@ -183,7 +183,7 @@
     for (uint32_t i = 0; i < next->bucket_count; i++)
       is_settling |= next->buckets[i].phase == GBD_BUCKET_SETTLING;
     if (is_settling)
-      exchange (gbd_engine_visit_exceptions, GBD_FLOWS_EXCEPTION);
+      exchange (gbd_engine_visit_exceptions, GBD_FLOWS_PART);
     for (uint32_t i = 0; i < next->bucket_count; i++)
       extend_bucket (&next->buckets[i], x, y, choice);
   }
--- a/src/test_libgooseberrydrum/test_engine_move.c
+++ b/src/test_libgooseberrydrum/test_engine_move.c
@@ -259,8 +259,15 @@
                                count_entries, &count);
   assert_int_equal (count, 1);
   gbd_flow_entry_t entry = { hash_of (c, m->caller), X };
-  gbd_engine_merge (c->engines[first], c->service, GBD_FLOWS_EXCEPTION, &entry,
-                    1, c->now);
+  gbd_engine_merge (c->engines[first], c->service, GBD_FLOWS_PART, &entry, 1,
+                    c->now);
+  /* A copy, or the word of a round that has ended, was not told to all. */
+  gbd_engine_merge (c->engines[second], c->service, GBD_FLOWS_EXCEPTION,
+                    &entry, 1, c->now);
+  count = 0;
+  gbd_engine_visit_exceptions (c->engines[second], c->service, c->now,
+                               count_entries, &count);
+  assert_int_equal (count, 1);
   gbd_engine_merge (c->engines[second], c->service, GBD_FLOWS_PART, &entry, 1,
                     c->now);
   count = 0;
--- a/src/test_libgooseberrydrum/test_node.c
+++ b/src/test_libgooseberrydrum/test_node.c
@@ -298,6 +298,33 @@
   group_delete (group);
 }
 
+/* An opening packet whose answer was lost is repeated one second later at
+   another instance, while a drain begins in between. */
+static void
+repeated_opening_meets_a_drain (void **state)
+{
+  (void)state;
+  for (uint32_t moment = 0; moment < 1000; moment += 100)
+    {
+      group_t *group = group_new (NODES, SERVERS, GBD_CUT_OFF_KNOWN, SEED);
+      assert_non_null (group);
+      for (int i = 0; i < FLOWS; i++)
+        assert_true (group_open (group) < GROUP_FLOWS);
+      group_run (group, moment);
+      group_drain_server (group, 3);
+      group_run (group, 1000 - moment);
+      for (uint32_t flow = 0; flow < FLOWS; flow++)
+        group_open_again (group, flow, group_any_node (group));
+      group_run (group, 2000);
+      for (uint32_t flow = 0; flow < FLOWS; flow++)
+        group_open_again (group, flow, group_any_node (group));
+      assert_int_equal (group->second_server, 0);
+      exercise (group, 20);
+      assert_int_equal (group->work_while_draining, 0);
+      group_delete (group);
+    }
+}
+
 /* An instance that starts cut off from its group, but not from the platform,
    cannot take the silence of all others for their end. */
 static void
@@ -338,6 +365,7 @@
     }
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (drain_ends_without_registrations),
+    cmocka_unit_test (repeated_opening_meets_a_drain),
     cmocka_unit_test (stranger_cannot_take_the_roster_over),
     cmocka_unit_test (each_fault_with_each_other),
   };
