Keep buckets announced until opening packets are no longer repeated

Cause, each shown by test_node before the change: - An opening packet whose answer was lost is repeated after one second; a drain in between sent the repetition to a second server (9 of 1,200).

--- a/src/libgooseberrydrum/coordinator.c
+++ b/src/libgooseberrydrum/coordinator.c
@@ -22,6 +22,7 @@
                               gbd_table_t **next);
 static gbd_step_t extend (gbd_draft_t *draft);
 static gbd_step_t run_parts (gbd_draft_t *draft, bool has_new_backends);
+static bool has_announced (const gbd_table_t *next);
 static bool open_draft (gbd_draft_t *draft, const gbd_table_t *table,
                         const gbd_coordinator_input_t *input);
 static void close_draft (gbd_draft_t *draft);
@@ -105,6 +106,10 @@
   gbd_step_t step = gbd_draft_replace_targets (draft);
   if (step != GBD_STEP_IDLE || has_new_backends)
     return GBD_STEP_READY;
+  /* Each other version may have to wait for the silence time-out, and servers
+     that drain would wait for it.  */
+  if (has_announced (draft->next))
+    return GBD_STEP_ANNOUNCED;
   step = gbd_draft_change_roster (draft);
   if (step != GBD_STEP_IDLE)
     return step;
@@ -116,6 +121,15 @@
   return step;
 }
 
+static bool
+has_announced (const gbd_table_t *next)
+{
+  for (uint32_t i = 0; i < next->bucket_count; i++)
+    if (next->buckets[i].phase == GBD_BUCKET_ANNOUNCED)
+      return true;
+  return false;
+}
+
 static bool
 open_draft (gbd_draft_t *draft, const gbd_table_t *table,
             const gbd_coordinator_input_t *input)
--- a/src/libgooseberrydrum/coordinator_roster.c
+++ b/src/libgooseberrydrum/coordinator_roster.c
@@ -23,7 +23,6 @@
 static bool is_next_complete (const gbd_draft_t *draft);
 static gbd_step_t leave_settled (gbd_draft_t *draft);
 static gbd_step_t leave_joining (gbd_draft_t *draft);
-static bool has_announced (const gbd_table_t *next);
 static bool reopen_settling (gbd_table_t *next);
 static void settle (gbd_table_t *next, const gbd_member_t *members,
                     uint8_t count);
@@ -186,24 +185,11 @@
     return GBD_STEP_NO_MEMBER;
   if (is_equal_roster (draft, next->roster, next->roster_count))
     return GBD_STEP_IDLE;
-  /* Each version may have to wait for the silence time-out, and servers that
-     drain wait for theirs.  */
-  if (has_announced (next))
-    return GBD_STEP_ANNOUNCED;
   if (!reopen_settling (next))
     join (draft);
   return GBD_STEP_READY;
 }
 
-static bool
-has_announced (const gbd_table_t *next)
-{
-  for (uint32_t i = 0; i < next->bucket_count; i++)
-    if (next->buckets[i].phase == GBD_BUCKET_ANNOUNCED)
-      return true;
-  return false;
-}
-
 /* While the old keepers are asked, the change may still be called off or aim
    at other members.  */
 static gbd_step_t
