--- a/src/libgooseberrydrum/node.c
+++ b/src/libgooseberrydrum/node.c
@@ -10,7 +10,8 @@
 /* How long packets may rely on what the last tick saw; less than a heartbeat
    interval, by which the touch time-out is shorter than the silence one. */
 #define TOUCH_VALID (300 * GBD_MILLISECOND)
-#define FALLBACK_AFTER (5 * GBD_SECOND)
+/* Longer than two waits of a watch, which confirms when it answers. */
+#define FALLBACK_AFTER (30 * GBD_SECOND)
 #define FALLBACK_TIME (60 * GBD_SECOND)
 #define WATCH_KEY UINT64_C (0x7761746368657273)
 
