Ask the keepers for flows cached at a server that is gone

Cause: an opening packet that went to a dying backend server is sent again, and another instance may open the flow at a server that lives. An instance that still had the flow cached at the server that is gone reset it. A reset for such a server was also counted as a new flow of the customer, which nothing ever ended.

Change: while the bucket moves, a flow cached at a gone server is asked of the keepers; the question carries the slot, so that flows which they do not know are reset as before. Only refusals by a limit count as demand.

--- a/src/libgooseberrydrum/engine_commit.c
+++ b/src/libgooseberrydrum/engine_commit.c
@@ -51,8 +51,10 @@
   commit.service = &engine->services[commit.index];
   if (decision->corrects)
     correct_earlier (&commit);
-  /* Refused flows count as demand. */
-  if (decision->kind == GBD_ACTION_RESET && engine->admission)
+  /* Refused flows count as demand; a reset for a server that is gone ends a
+     flow and opens none. */
+  if (decision->kind == GBD_ACTION_RESET && decision->rule == GBD_RULE_LIMIT
+      && engine->admission)
     engine->admission->opened (engine->admission_data,
                                commit.service->customer, now);
   if (decision->kind == GBD_ACTION_DROP || decision->kind == GBD_ACTION_RESET)
--- a/src/libgooseberrydrum/policy_keepers.c
+++ b/src/libgooseberrydrum/policy_keepers.c
@@ -8,6 +8,9 @@
                            gbd_time_t now, gbd_decision_t *decision);
 static bool is_near_version (const gbd_route_t *route);
 static void route_later (gbd_route_t *route);
+static bool may_be_opened_anew (const gbd_route_t *route);
+static gbd_slot_t get_unregistered_slot (const gbd_route_t *route);
+static gbd_slot_t get_gone_slot (const gbd_route_t *route);
 static void finish_known (gbd_route_t *route, gbd_rule_t rule,
                           gbd_slot_t slot);
 static bool is_passed_along (const gbd_route_t *route);
@@ -54,7 +57,8 @@
   gbd_flow_hash_t hash = route->decision->hash;
   const gbd_registered_flow_t *known;
 
-  if (route->cached && route->cached->slot != GBD_SLOT_NONE)
+  if (route->cached && route->cached->slot != GBD_SLOT_NONE
+      && !may_be_opened_anew (route))
     {
       finish_known (route, GBD_RULE_CACHED, route->cached->slot);
       return;
@@ -77,6 +81,37 @@
     gbd_route_drop (route, GBD_RULE_INCOMPLETE, GBD_DROP_UNCERTAIN);
 }
 
+/* An opening packet that its server never answered is sent again, and another
+   instance may have opened the flow at a server that lives; the keepers
+   know. */
+static bool
+may_be_opened_anew (const gbd_route_t *route)
+{
+  return gbd_bucket_is_ambiguous (route->bucket)
+         && gbd_engine_get_slot_state (route->table, route->cached->slot)
+                == GBD_BACKEND_GONE
+         && gbd_engine_get_touch (route->engine, route->now) == GBD_TOUCH_FULL;
+}
+
+/* Where a flow that the keepers do not know was opened: at the slot that is
+   gone, if an instance has it there, and else by default. */
+static gbd_slot_t
+get_unregistered_slot (const gbd_route_t *route)
+{
+  gbd_slot_t slot = get_gone_slot (route);
+  return slot == GBD_SLOT_NONE ? gbd_bucket_default_slot (route->bucket)
+                               : slot;
+}
+
+static gbd_slot_t
+get_gone_slot (const gbd_route_t *route)
+{
+  if (route->cached && route->cached->slot != GBD_SLOT_NONE)
+    return route->cached->slot;
+  bool is_asked = route->shim && route->shim->kind == GBD_SHIM_LOOKUP;
+  return is_asked ? route->shim->slot : GBD_SLOT_NONE;
+}
+
 /* A packet that closes a registered flow goes along the chain like the one
    that opened it, so that each keeper may forget the flow. */
 static void
@@ -138,7 +173,7 @@
         && gbd_engine_is_live (route->engine, keepers.lookup[i]))
       {
         gbd_route_to_peer (route, GBD_RULE_ASK_KEEPER, keepers.lookup[i],
-                           GBD_SHIM_LOOKUP, GBD_SLOT_NONE);
+                           GBD_SHIM_LOOKUP, get_gone_slot (route));
         return;
       }
   gbd_route_drop (route, GBD_RULE_ASK_KEEPER, GBD_DROP_UNCERTAIN);
@@ -152,14 +187,14 @@
       && gbd_engine_has_majority (route->engine, route->now))
     {
       gbd_route_to_backend (route, GBD_RULE_BUCKET,
-                            gbd_bucket_default_slot (route->bucket));
+                            get_unregistered_slot (route));
       return;
     }
   uint8_t hops = route->shim ? route->shim->hops : 0;
   if (other && hops < LOOKUP_HOPS_MAX
       && gbd_engine_is_live (route->engine, other))
     gbd_route_to_peer (route, GBD_RULE_INCOMPLETE, other, GBD_SHIM_LOOKUP,
-                       GBD_SLOT_NONE);
+                       get_gone_slot (route));
   else
     gbd_route_drop (route, GBD_RULE_INCOMPLETE, GBD_DROP_UNCERTAIN);
 }
--- a/src/test_libgooseberrydrum/test_engine.c
+++ b/src/test_libgooseberrydrum/test_engine.c
@@ -167,6 +167,51 @@
   gbd_table_delete (gone);
 }
 
+/* The first opening packet went to a server that had died, the repeated one
+   reached another instance, which opened the flow elsewhere. */
+static void
+flow_of_a_gone_server_is_opened_anew_elsewhere (void **state)
+{
+  move_t *m = *state;
+  cluster_t *c = &m->cluster;
+  uint32_t lost = caller_on (c, m->stable, X, 1);
+  assert_backend (open_at (m, m->stranger), X);
+  assert_backend (send_kind (c, m->stranger, GBD_PACKET_OPENING, lost), X);
+  m->announced->backends[X].state = GBD_BACKEND_GONE;
+  m->active->backends[X].state = GBD_BACKEND_GONE;
+  set_table_everywhere (c, m->announced);
+  set_table_everywhere (c, m->active);
+  assert_backend (open_at (m, m->k1), Y);
+  assert_backend (middle_at (m, m->stranger), Y);
+  assert_dropped (send_kind (c, m->stranger, GBD_PACKET_MIDDLE, lost),
+                  GBD_RULE_GONE, GBD_DROP_NO_BACKEND);
+}
+
+/* The same while the bucket goes back to a server that lives, so that the
+   default slot is not the one that is gone. */
+static void
+flow_of_a_gone_target_is_opened_anew_elsewhere (void **state)
+{
+  move_t *m = *state;
+  cluster_t *c = &m->cluster;
+  uint32_t lost = caller_on (c, m->stable, X, 1);
+  gbd_flow_entry_t entries[]
+      = { { hash_of (c, m->caller), Y }, { hash_of (c, lost), Y } };
+  set_table_everywhere (c, m->announced);
+  set_table_everywhere (c, m->active);
+  gbd_engine_merge (c->engines[m->stranger], c->service, GBD_FLOWS_LEARNED,
+                    entries, 2, c->now);
+  assert_backend (middle_at (m, m->stranger), Y);
+  gbd_table_t *back = next_phase (m->active, GBD_BUCKET_ACTIVE, X, X);
+  back->backends[Y].state = GBD_BACKEND_GONE;
+  set_table_everywhere (c, back);
+  assert_backend (open_at (m, m->k1), X);
+  assert_backend (middle_at (m, m->stranger), X);
+  assert_dropped (send_kind (c, m->stranger, GBD_PACKET_MIDDLE, lost),
+                  GBD_RULE_GONE, GBD_DROP_NO_BACKEND);
+  gbd_table_delete (back);
+}
+
 /* A slot gets another backend server: flows of the former are not its own. */
 static void
 new_life_of_a_slot (void **state)
@@ -277,6 +322,45 @@
                   GBD_RULE_LIMIT, GBD_DROP_LIMIT);
 }
 
+static bool
+admit_all (const void *data, uint32_t customer, gbd_time_t now)
+{
+  (void)data;
+  (void)customer;
+  (void)now;
+  return true;
+}
+
+static void
+count_opened (void *data, uint32_t customer, gbd_time_t now)
+{
+  (void)customer;
+  (void)now;
+  ++*(int *)data;
+}
+
+static const gbd_admission_t counting = { admit_all, count_opened, note_end };
+
+static void
+reset_of_a_lost_flow_opens_none (void **state)
+{
+  move_t *m = *state;
+  cluster_t *c = &m->cluster;
+  int opened = 0;
+  gbd_engine_set_admission (c->engines[m->stranger], &counting, &opened);
+  assert_backend (open_at (m, m->stranger), X);
+  assert_int_equal (opened, 1);
+  m->announced->backends[X].state = GBD_BACKEND_GONE;
+  set_table_everywhere (c, m->announced);
+  gbd_packet_t packet
+      = make_packet (GBD_PACKET_MIDDLE, m->caller, &c->address, 5);
+  packet.has_ack = true;
+  outcome_t outcome = deliver (c, m->stranger, &packet);
+  assert_int_equal (outcome.kind, GBD_ACTION_RESET);
+  assert_int_equal (outcome.rule, GBD_RULE_GONE);
+  assert_int_equal (opened, 1);
+}
+
 /* An ICMP error follows its flow and leaves no trace. */
 static void
 icmp_leaves_no_state (void **state)
@@ -311,9 +395,12 @@
     ROW (port_reuse),
     ROW (idle_flow_is_opened_anew),
     ROW (gone_server_gets_nothing),
+    ROW (flow_of_a_gone_server_is_opened_anew_elsewhere),
+    ROW (flow_of_a_gone_target_is_opened_anew_elsewhere),
     ROW (new_life_of_a_slot),
     ROW (zone_cut_off),
     ROW (limit_refuses_only_what_was_not_passed_on),
+    ROW (reset_of_a_lost_flow_opens_none),
     ROW (icmp_leaves_no_state),
     ROW (stale_table_is_refused),
   };
