Copy from a member that wakes before the roster drops it

A frozen instance that woke while the roster was SWITCHED made all others copy registrations anew; the next version dropped it from the roster in the middle of that, and every instance took it for the loss of both keepers: event 503, unknown flows of moving buckets drop for the idle limit of 3,600 s. The coordinator did not see the copying, as a copy that was once complete stayed reported.

Change: an instance that needs a copy no longer reports the former as complete, and a SWITCHED roster settles when its members that are heard are complete.

--- a/src/libgooseberrydrum/coordinator_roster.c
+++ b/src/libgooseberrydrum/coordinator_roster.c
@@ -20,7 +20,7 @@
 static int compare_members (const void *a, const void *b);
 static bool is_equal_roster (const gbd_draft_t *draft,
                              const gbd_member_t *members, uint8_t count);
-static bool is_next_complete (const gbd_draft_t *draft);
+static bool is_next_complete (const gbd_draft_t *draft, bool without_silent);
 static gbd_step_t leave_settled (gbd_draft_t *draft);
 static gbd_step_t leave_joining (gbd_draft_t *draft);
 static bool reopen_settling (gbd_table_t *next);
@@ -82,7 +82,10 @@
       return leave_joining (draft);
     case GBD_ROSTER_SWITCHED:
       /* The next keepers answer already; a member lost since is removed by
-         another change.  */
+         another change.  One that is heard again may have registered flows,
+         which are copied before the roster drops it.  */
+      if (!is_next_complete (draft, true))
+        return GBD_STEP_INCOMPLETE;
       settle (next, next->next, next->next_count);
       return GBD_STEP_READY;
     default:
@@ -164,13 +167,15 @@
 }
 
 static bool
-is_next_complete (const gbd_draft_t *draft)
+is_next_complete (const gbd_draft_t *draft, bool without_silent)
 {
   const gbd_table_t *next = draft->next;
   for (uint8_t i = 0; i < next->next_count; i++)
     {
       const gbd_confirmation_t *found
           = gbd_confirmation_find (draft->input, next->next[i].id);
+      if (without_silent && found && found->is_silent)
+        continue;
       if (!found || found->complete < next->version)
         return false;
     }
@@ -202,7 +207,7 @@
     settle (next, next->roster, next->roster_count);
   else if (!is_equal_roster (draft, next->next, next->next_count))
     join (draft);
-  else if (is_next_complete (draft))
+  else if (is_next_complete (draft, false))
     next->roster_phase = GBD_ROSTER_SWITCHED;
   else
     return GBD_STEP_INCOMPLETE;
--- a/src/libgooseberrydrum/node_flows.c
+++ b/src/libgooseberrydrum/node_flows.c
@@ -56,6 +56,10 @@
   if (!table)
     return;
   service->copy_version = table->version;
+  /* The coordinator goes by what is complete now, not by what was. */
+  if (service->complete)
+    node->is_heartbeat_due = true;
+  service->complete = 0;
   service->has_exceptions = service->has_exceptions && !loses_exceptions;
   for (uint32_t i = 0; i < service->progress_count; i++)
     {
--- a/src/test_libgooseberrydrum/test_coordinator.c
+++ b/src/test_libgooseberrydrum/test_coordinator.c
@@ -468,6 +468,9 @@
   assert_int_equal (try_step (world), GBD_STEP_INCOMPLETE);
   assert_int_equal (step (world), GBD_STEP_READY);
   assert_int_equal (world->table->roster_phase, GBD_ROSTER_SWITCHED);
+  confirm (world);
+  confirmation_of (world, 31)->complete = 0; /* 21 was heard again */
+  assert_int_equal (try_step (world), GBD_STEP_INCOMPLETE);
   assert_int_equal (step (world), GBD_STEP_READY);
   assert_int_equal (world->table->roster_phase, GBD_ROSTER_SETTLED);
   assert_int_equal (world->table->roster_count, 7);
