Push tables as differences from the version before

Cause: when the watch brought a written table before the answer to the write, its base was already out of force and every peer got the whole table.

--- a/src/libgooseberrydrum/node.c
+++ b/src/libgooseberrydrum/node.c
@@ -73,6 +73,7 @@
       free (node->services[i].backends);
       free (node->services[i].weights);
       free (node->services[i].announced_at);
+      gbd_table_delete (node->services[i].previous);
       free (node->services[i].is_ripe);
     }
   while (node->bulk_first)
--- a/src/libgooseberrydrum/node_private.h
+++ b/src/libgooseberrydrum/node_private.h
@@ -47,6 +47,7 @@
   bool is_listed; /**< in the accepted lists */
   uint8_t step;
   gbd_time_t adopted_at; /**< of the version in force */
+  gbd_table_t *previous; /**< version before the one in force */
   uint32_t bucket_count;
   gbd_time_t *announced_at; /**< of each ANNOUNCED bucket */
   uint8_t *is_ripe;         /**< whether it was announced long enough */
--- a/src/libgooseberrydrum/node_tables.c
+++ b/src/libgooseberrydrum/node_tables.c
@@ -33,8 +33,7 @@
                                  gbd_instance_id_t id,
                                  gbd_confirmation_t *confirmations,
                                  uint8_t count, gbd_time_t now);
-static void push_table (gbd_node_t *node, service_t *service,
-                        const gbd_table_t *base);
+static void push_table (gbd_node_t *node, service_t *service);
 static bool is_covered (const gbd_node_t *node, const service_t *service,
                         gbd_time_t now);
 
@@ -76,11 +75,9 @@
     }
   service->object_version = object_version;
   service->platform_version = table->version;
-  const gbd_table_t *former = gbd_engine_get_table (node->engine, id);
-  gbd_table_t *base = former ? gbd_table_copy (former) : NULL;
+  /* The watch may have brought it before this answer. */
   node_adopt_table (node, service, table, now);
-  push_table (node, service, base);
-  gbd_table_delete (base);
+  push_table (node, service);
 }
 
 void
@@ -102,6 +99,8 @@
     note_roster_change (node, service, former, table, now);
   bool is_roster_moving = table->roster_phase == GBD_ROSTER_JOINING;
   uint64_t version = table->version;
+  gbd_table_delete (service->previous);
+  service->previous = former ? gbd_table_copy (former) : NULL;
   if (!note_announced (service, former, table, now))
     {
       gbd_table_delete (table);
@@ -472,8 +471,9 @@
 /* Tell everyone the version in force; those that lack the base ask for the
    whole. */
 static void
-push_table (gbd_node_t *node, service_t *service, const gbd_table_t *base)
+push_table (gbd_node_t *node, service_t *service)
 {
+  const gbd_table_t *base = service->previous;
   for (uint32_t i = 0; i < node->live_count; i++)
     {
       gbd_instance_id_t to = node->live[i].id;
--- a/src/test_libgooseberrydrum/group.c
+++ b/src/test_libgooseberrydrum/group.c
@@ -49,6 +49,9 @@
 static bool is_joined (const group_t *group);
 static gbd_backend_id_t carry (group_t *group, uint32_t node,
                                const gbd_packet_t *packet);
+static void trace_decision (const group_t *group, uint32_t index,
+                            const gbd_packet_t *packet,
+                            const gbd_decision_t *decision);
 static gbd_packet_t make_packet (const group_flow_t *flow,
                                  gbd_packet_kind_t kind);
 static int find_server (const group_t *group, gbd_backend_id_t id);
@@ -580,16 +583,7 @@
       gbd_engine_route (node->engine, packet, has_shim ? &shim : NULL,
                         group->now, &decision);
       gbd_engine_commit (node->engine, packet, &decision, group->now);
-      if (getenv ("GROUP_TRACE"))
-        fprintf (stderr,
-                 "%lld flow %d hop %d node %u kind %u rule %s action %u slot "
-                 "%u bucket %u phase %u version %llu\n",
-                 (long long)(group->now / GBD_MILLISECOND),
-                 packet->flow.caller.ip[2] << 8 | packet->flow.caller.ip[3],
-                 hop, index, packet->kind, gbd_rule_strings[decision.rule],
-                 decision.kind, decision.slot, decision.bucket,
-                 group_table (group, index)->buckets[decision.bucket].phase,
-                 (unsigned long long)decision.version);
+      trace_decision (group, index, packet, &decision);
       if (decision.kind == GBD_ACTION_BACKEND)
         {
           const gbd_table_t *table = group_table (group, index);
@@ -609,6 +603,24 @@
   return 0;
 }
 
+static void
+trace_decision (const group_t *group, uint32_t index,
+                const gbd_packet_t *packet, const gbd_decision_t *decision)
+{
+  const gbd_table_t *table = group_table (group, index);
+  if (!table || !getenv ("GROUP_TRACE"))
+    return;
+  fprintf (stderr,
+           "%lld flow %d node %u kind %u rule %s action %u slot %u bucket %u "
+           "phase %u version %llu\n",
+           (long long)(group->now / GBD_MILLISECOND),
+           packet->flow.caller.ip[2] << 8 | packet->flow.caller.ip[3], index,
+           packet->kind, gbd_rule_strings[decision->rule], decision->kind,
+           decision->slot, decision->bucket,
+           table->buckets[decision->bucket].phase,
+           (unsigned long long)decision->version);
+}
+
 static gbd_packet_t
 make_packet (const group_flow_t *flow, gbd_packet_kind_t kind)
 {
