--- a/src/test_gooseberrydrum/test_links.c
+++ b/src/test_gooseberrydrum/test_links.c
@@ -63,7 +63,7 @@
         {
           if (from == to)
             continue;
-          uint64_t version = (uint64_t)(from * 10 + to + 1);
+          uint64_t version = (uint64_t)from * 10 + (uint64_t)to + 1;
           gbd_instance_id_t id = nodes[to].settings.self;
           assert_int_equal (send_want (from, id, version), GBD_OK);
           RUN_UNTIL (nodes[to].newest == version);
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -14,8 +14,8 @@
 #define KIND "accepted"
 #define NAME "main"
 #define SWITCH_OFF                                                            \
-  "{\"down\":false,\"slow_ms\":0,\"lose_answers\":0,\"garble_answers\":0,"    \
-  "\"stale_reads\":false,\"cut_watches\":false,\"replay_watches\":false}"
+  ("{\"down\":false,\"slow_ms\":0,\"lose_answers\":0,\"garble_answers\":0,"   \
+   "\"stale_reads\":false,\"cut_watches\":false,\"replay_watches\":false}")
 
 typedef enum
 {
--- a/src/test_libgooseberrydrum/group.c
+++ b/src/test_libgooseberrydrum/group.c
@@ -611,11 +611,11 @@
   if (!table || !getenv ("GROUP_TRACE"))
     return;
   fprintf (stderr,
-           "%lld flow %d node %u kind %u rule %s action %u slot %u bucket %u "
+           "%lld flow %d node %u kind %d rule %s action %u slot %u bucket %u "
            "phase %u version %llu\n",
            (long long)(group->now / GBD_MILLISECOND),
            packet->flow.caller.ip[2] << 8 | packet->flow.caller.ip[3], index,
-           packet->kind, gbd_rule_strings[decision->rule], decision->kind,
+           (int)packet->kind, gbd_rule_strings[decision->rule], decision->kind,
            decision->slot, decision->bucket,
            table->buckets[decision->bucket].phase,
            (unsigned long long)decision->version);
--- a/src/test_standins/test_platform_store.c
+++ b/src/test_standins/test_platform_store.c
@@ -132,8 +132,9 @@
       row_t put = { .verb = PLATFORM_PUT, .name = name, .body = "1" };
       call (store, &put, NOW, &reply);
       json_decref (reply.body);
+      version++;
       row_t remove
-          = { .verb = PLATFORM_DELETE, .name = name, .version = ++version };
+          = { .verb = PLATFORM_DELETE, .name = name, .version = version };
       call (store, &remove, NOW, &reply);
       assert_int_equal (reply.status, 200);
       json_decref (reply.body);
