Let flows that a dead server never answered go on elsewhere

Ruled out: asking the keepers, for once the bucket has moved on none is asked. Change: an entry at a server that is gone counts only if a later packet was seen; else the flow goes on by exception or default, and is told to nobody. gone_server_gets_nothing asked for the reset of a flow of which nobody saw a later packet, which is what broke live ones; it now sends one, and a row of its own holds the other case. test_node leaves such flows out for the same reason: without that 5 pairs count 2 to 7 packets, all of flows never answered.

--- a/src/libgooseberrydrum/engine_commit.c
+++ b/src/libgooseberrydrum/engine_commit.c
@@ -214,6 +214,8 @@
   flow->seen_ms = (uint32_t)(uint64_t)(commit->now / GBD_MILLISECOND);
   if (flow->packets < UINT16_MAX)
     flow->packets++;
+  if (commit->packet->kind != GBD_PACKET_OPENING)
+    flow->flags |= GBD_CACHED_LATER;
   touch_facts (commit);
 }
 
--- a/src/libgooseberrydrum/engine_flows.c
+++ b/src/libgooseberrydrum/engine_flows.c
@@ -17,6 +17,8 @@
                         gbd_flow_hash_t hash, gbd_time_t now);
 static void visit_all (const gbd_registry_t *registry, gbd_flow_visit_t visit,
                        void *data);
+static bool is_perhaps_elsewhere (const gbd_table_t *table,
+                                  const gbd_cached_flow_t *flow);
 static bool stays_behind (const gbd_table_t *table, gbd_flow_hash_t hash,
                           gbd_slot_t slot);
 static bool is_behind (const gbd_registered_flow_t *flow,
@@ -97,6 +99,7 @@
           || gbd_engine_is_cached_over (engine, flow, now)
           || gbd_engine_find_cached (engine, index, flow->hash) != flow
           || !stays_behind (table, flow->hash, flow->slot)
+          || is_perhaps_elsewhere (table, flow)
           || gbd_registry_find (service->exceptions, flow->hash))
         continue;
       gbd_flow_entry_t entry = { flow->hash, flow->slot };
@@ -267,6 +270,15 @@
     }
 }
 
+/* A flow whose server is gone and of which only opening packets came here may
+   have been opened at another server since. */
+static bool
+is_perhaps_elsewhere (const gbd_table_t *table, const gbd_cached_flow_t *flow)
+{
+  return !(flow->flags & GBD_CACHED_LATER)
+         && gbd_engine_get_slot_state (table, flow->slot) == GBD_BACKEND_GONE;
+}
+
 static bool
 stays_behind (const gbd_table_t *table, gbd_flow_hash_t hash, gbd_slot_t slot)
 {
--- a/src/libgooseberrydrum/flow_cache.h
+++ b/src/libgooseberrydrum/flow_cache.h
@@ -18,6 +18,7 @@
 #define GBD_CACHED_CLOSED 4u    /**< the caller sent FIN or RST */
 #define GBD_CACHED_SEQUENCE 8u  /**< sequence is that of the opening packet */
 #define GBD_CACHED_ADMITTED 16u /**< the limits count it here */
+#define GBD_CACHED_LATER 32u    /**< a packet after the opening one was seen */
 
 /** One flow; slot is GBD_SLOT_NONE while its opening packet was passed to a
  *  keeper and the answer is not known here. */
--- a/src/libgooseberrydrum/policy_keepers.c
+++ b/src/libgooseberrydrum/policy_keepers.c
@@ -87,7 +87,11 @@
 static bool
 may_be_opened_anew (const gbd_route_t *route)
 {
-  return gbd_bucket_is_ambiguous (route->bucket)
+  /* Once the bucket has moved on, nobody can be asked; a flow of which only
+     opening packets came here was perhaps never answered. */
+  bool may_be_elsewhere = gbd_bucket_is_ambiguous (route->bucket)
+                          || !(route->cached->flags & GBD_CACHED_LATER);
+  return may_be_elsewhere
          && gbd_engine_get_slot_state (route->table, route->cached->slot)
                 == GBD_BACKEND_GONE
          && gbd_engine_get_touch (route->engine, route->now) == GBD_TOUCH_FULL;
--- a/src/test_libgooseberrydrum/group.c
+++ b/src/test_libgooseberrydrum/group.c
@@ -340,7 +340,16 @@
   if (!server)
     return false;
   if (server == flow->server)
-    return true;
+    {
+      flow->is_answered = true;
+      return true;
+    }
+  /* A flow that its server died on before a later packet came may be opened
+     again, so that other servers refuse its packets. */
+  int own = find_server (group, flow->server);
+  if (!flow->is_answered && own >= 0
+      && group->servers[own].state == GBD_BACKEND_GONE)
+    return false;
   group->wrong_server++;
   if (getenv ("GROUP_TRACE"))
     fprintf (stderr, "flow %u reached a wrong server\n", index);
--- a/src/test_libgooseberrydrum/group.h
+++ b/src/test_libgooseberrydrum/group.h
@@ -42,7 +42,8 @@
     gbd_flow_t flow;
     gbd_backend_id_t server; /**< that accepted it; 0 before */
     uint32_t sequence;
-    bool is_broken; /**< delivered to a server that does not know it */
+    bool is_answered; /**< a later packet reached its server */
+    bool is_broken;   /**< delivered to a server that does not know it */
   } group_flow_t;
 
   typedef struct
--- a/src/test_libgooseberrydrum/test_engine.c
+++ b/src/test_libgooseberrydrum/test_engine.c
@@ -157,6 +157,7 @@
   move_t *m = *state;
   cluster_t *c = &m->cluster;
   assert_backend (open_at (m, m->stranger), X);
+  assert_backend (middle_at (m, m->stranger), X);
   gbd_table_t *gone = next_phase (m->stable, GBD_BUCKET_STABLE, X, Y);
   gone->backends[X].state = GBD_BACKEND_GONE;
   set_table_everywhere (c, gone);
@@ -167,6 +168,22 @@
   gbd_table_delete (gone);
 }
 
+/* Without a later packet the flow was perhaps never answered at the server
+   that died, and goes on where its repeated opening packet went. */
+static void
+unanswered_flow_goes_on_elsewhere (void **state)
+{
+  move_t *m = *state;
+  cluster_t *c = &m->cluster;
+  assert_backend (open_at (m, m->stranger), X);
+  gbd_table_t *gone = next_phase (m->stable, GBD_BUCKET_STABLE, X, Y);
+  gone->backends[X].state = GBD_BACKEND_GONE;
+  set_table_everywhere (c, gone);
+  assert_backend (open_at (m, m->k1), Y);
+  assert_backend (middle_at (m, m->stranger), Y);
+  gbd_table_delete (gone);
+}
+
 /* The first opening packet went to a server that had died, the repeated one
    reached another instance, which opened the flow elsewhere. */
 static void
@@ -395,6 +412,7 @@
     ROW (port_reuse),
     ROW (idle_flow_is_opened_anew),
     ROW (gone_server_gets_nothing),
+    ROW (unanswered_flow_goes_on_elsewhere),
     ROW (flow_of_a_gone_server_is_opened_anew_elsewhere),
     ROW (flow_of_a_gone_target_is_opened_anew_elsewhere),
     ROW (new_life_of_a_slot),
