Split the node by what starts its work; keep declarations unindented

The marks for C++ are macros, so that the formatter no longer indents whole headers. explain answers for a later packet as the data path does, and a planned stop waits for up to 10 s, as three versions of a table may take longer than 3 s.

--- a/include/gooseberrydrum/lists_diff.h
+++ b/include/gooseberrydrum/lists_diff.h
@@ -6,25 +6,21 @@
 
 #include <jansson.h>
 
+#include "gooseberrydrum/decls.h"
 #include "gooseberrydrum/lists.h"
 
-#ifdef __cplusplus
-extern "C"
-{
-#endif
+GBD_BEGIN_DECLS
 
-  /** Compare two lists that have passed the check.
-   *  A fact is a text such as "customer casa-lampiao service visitas address
-   *  10.1.0.1:443" or "plan listings open_flows 400000".
-   *  @param before,after NULL for an empty list
-   *  @param removed,added  arrays of the facts that only one of them states,
-   *  in its order; owned by the caller
-   *  @return GBD_ERROR_MEMORY, with both set to NULL, when it is short. */
-  gbd_status_t gbd_lists_diff (gbd_list_t list, const json_t *before,
-                               const json_t *after, json_t **removed,
-                               json_t **added);
+/** Compare two lists that have passed the check.
+ *  A fact is a text such as "customer casa-lampiao service visitas address
+ *  10.1.0.1:443" or "plan listings open_flows 400000".
+ *  @param before,after NULL for an empty list
+ *  @param removed,added  arrays of the facts that only one of them states,
+ *  in its order; owned by the caller
+ *  @return GBD_ERROR_MEMORY, with both set to NULL, when it is short. */
+gbd_status_t gbd_lists_diff (gbd_list_t list, const json_t *before,
+                             const json_t *after, json_t **removed,
+                             json_t **added);
 
-#ifdef __cplusplus
-}
-#endif
+GBD_END_DECLS
 #endif
--- a/src/gooseberrydrum/serve_report.c
+++ b/src/gooseberrydrum/serve_report.c
@@ -409,7 +409,12 @@
 explain_kind (const gbd_serve_t *serve, const gbd_flow_t *flow,
               gbd_packet_kind_t kind)
 {
-  gbd_packet_t packet = { .kind = kind, .flow = *flow, .length = 60 };
+  gbd_packet_t packet = {
+    .kind = kind,
+    .flow = *flow,
+    .length = 60,
+    .has_ack = kind != GBD_PACKET_OPENING,
+  };
   gbd_decision_t decision;
   gbd_engine_route (serve->engine, &packet, NULL, gbd_serve_now (), &decision);
 
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -68,10 +68,11 @@
     " ms", 80, 60000, NULL, false,
     "After this long without a heartbeat the others go on without an "
     "instance." },
-  { "stop-forward-ms", &gbd_kind_number, FIELD (stop_forward_ms), "3000",
+  { "stop-forward-ms", &gbd_kind_number, FIELD (stop_forward_ms), "10000",
     " ms", 0, 600000, NULL, false,
-    "How long a planned stop goes on forwarding after the last packet of the "
-    "fabric." },
+    "How long after its signal a planned stop goes on forwarding at the most; "
+    "it ends sooner once the others have taken over and the fabric sends "
+    "nothing more." },
   { "cache-flows", &gbd_kind_power_of_two, FIELD (cache_flows), "1048576",
     " flows", 1024, 16777216, NULL, false, "Size of the flow cache." },
   { "registry-flows", &gbd_kind_number, FIELD (registry_flows), "262144",
--- a/src/libgooseberrydrum/node_private.h
+++ b/src/libgooseberrydrum/node_private.h
@@ -1,6 +1,7 @@
 /** @file node_private.h
  *  State of a node, shared by its source files:
- *  node.c events and queries, node_tables.c versions and steps,
+ *  node.c events and queries, node_tick.c what time brings,
+ *  node_tables.c versions and steps,
  *  node_flows.c copies of registrations and exchange of exceptions.
  */
 #ifndef LIB_NODE_PRIVATE_H
--- /dev/null
+++ b/src/libgooseberrydrum/node_tick.c
@@ -0,0 +1,266 @@
+/* What a node does as time passes: whom it hears, how far it may speak, who
+   watches, and heartbeats. */
+#include "libgooseberrydrum/node_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Every so many heartbeats all progress is sent again, to repair what a peer
+   missed. */
+#define FULL_PROGRESS_INTERVAL 10
+/* How long packets may rely on what the last tick saw; less than a heartbeat
+   interval, by which the touch time-out is shorter than the silence one. */
+#define TOUCH_VALID (300 * GBD_MILLISECOND)
+/* Longer than two waits of a watch, which confirms when it answers. */
+#define FALLBACK_AFTER (30 * GBD_SECOND)
+#define FALLBACK_TIME (60 * GBD_SECOND)
+#define WATCH_KEY UINT64_C (0x7761746368657273)
+
+static void send_heartbeats (gbd_node_t *node, gbd_time_t now);
+static uint16_t fill_progress (const gbd_node_t *node,
+                               gbd_progress_t *progress);
+static void update_live (gbd_node_t *node, gbd_time_t now);
+static void update_touch (gbd_node_t *node, gbd_time_t now);
+static void update_joined (gbd_node_t *node);
+static void update_watching (gbd_node_t *node, gbd_time_t now);
+static void update_covered (gbd_node_t *node, gbd_time_t now);
+static uint32_t count_higher (const gbd_node_t *node, bool only_watching,
+                              gbd_time_t now);
+
+void
+gbd_node_tick (gbd_node_t *node, gbd_time_t now)
+{
+  update_live (node, now);
+  update_touch (node, now);
+  update_watching (node, now);
+  update_covered (node, now);
+  for (uint32_t i = 0; i < node->service_count; i++)
+    node_advance_flows (node, &node->services[i], now);
+  node_step_tables (node, now);
+  node_send_told (node);
+  node_send_bulk (node, now);
+  if (node->is_heartbeat_due || gbd_membership_is_due (node->membership, now))
+    send_heartbeats (node, now);
+  gbd_engine_expire (node->engine, now);
+}
+
+bool
+gbd_node_is_coordinator (const gbd_node_t *node, gbd_time_t now)
+{
+  return node->is_watching && count_higher (node, true, now) == 0;
+}
+
+static void
+send_heartbeats (gbd_node_t *node, gbd_time_t now)
+{
+  bool is_full = node->heartbeat_count % FULL_PROGRESS_INTERVAL == 0
+                 || node->is_heartbeat_due;
+  gbd_progress_t *progress = NULL;
+  gbd_message_t message = { .type = GBD_MESSAGE_HEARTBEAT };
+  if (is_full && node->service_count)
+    {
+      progress = calloc (node->service_count, sizeof *progress);
+      if (!progress)
+        return;
+    }
+  message.body.heartbeat.progress = progress;
+  message.body.heartbeat.progress_count
+      = progress ? fill_progress (node, progress) : 0;
+  message.body.heartbeat.leaving = node->is_leaving;
+  message.body.heartbeat.watching = node->is_watching;
+  message.body.heartbeat.generation = node->generation;
+  message.body.heartbeat.covered_ms = gbd_node_get_covered_ms (node, now);
+  gbd_membership_make_heartbeat (node->membership, now, &message);
+
+  uint32_t count = gbd_membership_get_peer_count (node->membership);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      gbd_peer_info_t info;
+      gbd_membership_get_peer (node->membership, i, now, &info);
+      node_send (node, info.id, &message);
+    }
+  node->heartbeat_count++;
+  node->is_heartbeat_due = false;
+  free (progress);
+}
+
+static uint16_t
+fill_progress (const gbd_node_t *node, gbd_progress_t *progress)
+{
+  uint16_t count = 0;
+  for (uint32_t i = 0; i < node->service_count; i++)
+    {
+      const service_t *service = &node->services[i];
+      const gbd_table_t *table
+          = gbd_engine_get_table (node->engine, service->id);
+      if (!table)
+        continue;
+      progress[count].service = service->id;
+      progress[count].version = table->version;
+      progress[count].complete = service->complete;
+      count++;
+    }
+  return count;
+}
+
+static void
+update_live (gbd_node_t *node, gbd_time_t now)
+{
+  gbd_member_t live[GBD_LIVES_MAX];
+  uint32_t live_count = 0;
+  uint32_t count = gbd_membership_get_peer_count (node->membership);
+  for (uint32_t i = 0; i < count && live_count < GBD_LIVES_MAX; i++)
+    {
+      gbd_peer_info_t info;
+      gbd_membership_get_peer (node->membership, i, now, &info);
+      if (!info.is_heard)
+        continue;
+      live[live_count].id = info.id;
+      live[live_count].zone = info.zone;
+      live_count++;
+      /* A peer that was out of reach may have registered flows that this
+         instance did not see, and the other way round. */
+      if (!node_is_live (node, info.id))
+        {
+          for (uint32_t s = 0; s < node->service_count; s++)
+            {
+              service_t *service = &node->services[s];
+              node_require_copy (node, service, false);
+              node_begin_settling (service, service->settle_id, true);
+            }
+          node->actions->note (node->data, GBD_NOTE_PEER_HEARD, 0, info.id);
+        }
+    }
+  for (uint32_t i = 0; i < node->live_count; i++)
+    {
+      bool is_heard = false;
+      for (uint32_t j = 0; j < live_count; j++)
+        is_heard = is_heard || live[j].id == node->live[i].id;
+      if (!is_heard)
+        node->actions->note (node->data, GBD_NOTE_PEER_SILENT, 0,
+                             node->live[i].id);
+    }
+  memcpy (node->live, live, sizeof live);
+  node->live_count = live_count;
+  gbd_engine_set_live (node->engine, node->live, node->live_count);
+}
+
+static void
+update_touch (gbd_node_t *node, gbd_time_t now)
+{
+  /* The least of all services: a roster without this instance does not wait
+     for its confirmation. */
+  gbd_touch_t touch = GBD_TOUCH_FULL;
+  bool has_majority = true;
+  gbd_instance_id_t self = node->settings.membership.self;
+  for (uint32_t i = 0; i < node->service_count; i++)
+    {
+      const gbd_table_t *table
+          = gbd_engine_get_table (node->engine, node->services[i].id);
+      if (!table)
+        continue;
+      gbd_touch_t reach
+          = gbd_membership_get_touch (node->membership, table, now);
+      if (!gbd_table_has_member (table, self) && reach == GBD_TOUCH_FULL)
+        reach = GBD_TOUCH_NONE;
+      if (reach < touch)
+        touch = reach;
+      has_majority
+          = has_majority
+            && gbd_membership_has_majority (node->membership, table, now);
+    }
+  if (touch != node->touch)
+    {
+      if (node->touch == GBD_TOUCH_FULL)
+        for (uint32_t i = 0; i < node->service_count; i++)
+          node_require_copy (node, &node->services[i], true);
+      node->touch = touch;
+      node->actions->note (node->data, GBD_NOTE_TOUCH, 0, touch);
+    }
+  gbd_engine_set_touch_until (node->engine, touch, now + TOUCH_VALID);
+  gbd_engine_set_majority_until (node->engine, has_majority,
+                                 now + TOUCH_VALID);
+  update_joined (node);
+}
+
+static void
+update_joined (gbd_node_t *node)
+{
+  gbd_instance_id_t self = node->settings.membership.self;
+  uint32_t tables = 0;
+  uint32_t rosters = 0;
+  for (uint32_t i = 0; i < node->service_count; i++)
+    {
+      const gbd_table_t *table
+          = gbd_engine_get_table (node->engine, node->services[i].id);
+      if (!table)
+        continue;
+      tables++;
+      for (uint8_t m = 0; m < table->roster_count; m++)
+        rosters += table->roster[m].id == self;
+    }
+  bool is_joined = node->was_joined;
+  if (tables && rosters == tables)
+    is_joined = true;
+  /* Others took the roster over: what arrives here is passed to them. */
+  if (node->is_leaving && rosters == 0)
+    is_joined = false;
+  if (is_joined != node->is_joined)
+    node->actions->note (node->data, GBD_NOTE_JOINED, 0, is_joined);
+  node->is_joined = is_joined;
+  node->was_joined = node->was_joined || is_joined;
+  gbd_engine_set_joined (node->engine, is_joined);
+}
+
+static void
+update_watching (gbd_node_t *node, gbd_time_t now)
+{
+  bool is_ranked = count_higher (node, false, now) < node->settings.watchers;
+  gbd_time_t age = gbd_membership_get_platform_age (node->membership, now);
+  if (age > FALLBACK_AFTER && now - node->started_at > FALLBACK_AFTER)
+    node->fallback_until = now + FALLBACK_TIME;
+  /* When the ranked watchers cannot reach the platform, another may. */
+  bool is_fallback = now < node->fallback_until;
+  bool is_watching = !node->is_leaving && (is_ranked || is_fallback);
+  if (is_watching == node->is_watching)
+    return;
+  node->is_watching = is_watching;
+  node->is_heartbeat_due = true;
+  for (uint32_t i = 0; i < node->service_count; i++)
+    {
+      node->services[i].is_platform_known = false;
+      node->services[i].has_backends = false;
+    }
+  node->actions->set_watching (node->data, is_watching);
+}
+
+static void
+update_covered (gbd_node_t *node, gbd_time_t now)
+{
+  gbd_engine_stats_t stats;
+  gbd_engine_get_stats (node->engine, &stats);
+  if (stats.evictions != node->evictions)
+    node->loss_at = now;
+  node->evictions = stats.evictions;
+}
+
+/* Heard peers that come before this instance in the rendezvous order. */
+static uint32_t
+count_higher (const gbd_node_t *node, bool only_watching, gbd_time_t now)
+{
+  gbd_instance_id_t self = node->settings.membership.self;
+  uint64_t own = gbd_rendezvous (self, WATCH_KEY);
+  uint32_t higher = 0;
+  uint32_t count = gbd_membership_get_peer_count (node->membership);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      gbd_peer_info_t info;
+      gbd_membership_get_peer (node->membership, i, now, &info);
+      if (!info.is_heard || info.is_leaving)
+        continue;
+      if (only_watching && !info.is_watching)
+        continue;
+      higher += gbd_rendezvous (info.id, WATCH_KEY) > own;
+    }
+  return higher;
+}
