Serve a loopback administration address without TLS

Cause: with certificates set the address spoke TLS, which status, dump and explain do not, so that they reached no instance outside of tests. Seen: three instances over mutual TLS link up, take generation 2 and load certificates again on SIGHUP; status answered "does not answer" before and shows the instance now.

--- a/src/gooseberrydrum/cmd_serve.c
+++ b/src/gooseberrydrum/cmd_serve.c
@@ -242,9 +242,14 @@
   gbd_admin_settings_t admin = {
     .listen = settings->admin_listen,
     .token = settings->admin_token,
-    .certificate = path_or_null (settings->tls_certificate),
-    .key = path_or_null (settings->tls_key),
   };
+  /* What does not leave the machine needs no TLS, so that `status`, `dump` and
+     `explain` reach it. */
+  if (!gbd_address_is_loopback (&settings->admin_listen))
+    {
+      admin.certificate = path_or_null (settings->tls_certificate);
+      admin.key = path_or_null (settings->tls_key);
+    }
   if (settings->admin_listen.family)
     {
       serve->admin = gbd_admin_new (serve->context, &admin,
