Use one scan of msgpack bytes and one search of instances

Two walkers checked msgpack before the codec, and two modules searched a list of instances; one of each stays.

--- a/include/gooseberrydrum/types.h
+++ b/include/gooseberrydrum/types.h
@@ -82,6 +82,10 @@
 /** Rendezvous weight of a member for a key: the highest one wins. */
 uint64_t gbd_rendezvous (uint64_t member, uint64_t key);
 
+/** Whether a list of instances has one. */
+bool gbd_instances_have (const gbd_instance_id_t *ids, uint32_t count,
+                         gbd_instance_id_t id);
+
 /** Compare family, address and port. */
 bool gbd_address_is_equal (const gbd_address_t *a, const gbd_address_t *b);
 
--- a/src/libgooseberrydrum/limits.c
+++ b/src/libgooseberrydrum/limits.c
@@ -72,8 +72,6 @@
 static int find_member (const gbd_limits_t *limits, gbd_instance_id_t id);
 static void move_reports (const gbd_limits_t *limits, customer_t *customer,
                           const gbd_instance_id_t *members, uint32_t count);
-static bool has_member (const gbd_instance_id_t *members, uint32_t count,
-                        gbd_instance_id_t id);
 static int32_t own_open (const customer_t *customer);
 static void advance_delay (customer_t *customer, gbd_time_t now);
 static void share_out (const gbd_limits_t *limits, customer_t *customer);
@@ -345,7 +343,8 @@
   for (uint32_t i = 0; i < limits->member_count; i++)
     {
       const member_report_t *report = &customer->reports[i];
-      if (has_member (members, count, limits->members[i]) || report->open <= 0)
+      if (gbd_instances_have (members, count, limits->members[i])
+          || report->open <= 0)
         continue;
       customer->former += report->open;
       customer->former_until
@@ -356,18 +355,6 @@
   customer->silent_rounds = REPEAT_ROUNDS;
 }
 
-static bool
-has_member (const gbd_instance_id_t *members, uint32_t count,
-            gbd_instance_id_t id)
-{
-  for (uint32_t i = 0; i < count; i++)
-    {
-      if (members[i] == id)
-        return true;
-    }
-  return false;
-}
-
 static int32_t
 own_open (const customer_t *customer)
 {
--- a/src/libgooseberrydrum/load.c
+++ b/src/libgooseberrydrum/load.c
@@ -54,8 +54,6 @@
 static void update_members (gbd_load_t *load);
 static void add_member (gbd_instance_id_t *members, uint32_t *count,
                         gbd_instance_id_t id);
-static bool has_member (const gbd_instance_id_t *members, uint32_t count,
-                        gbd_instance_id_t id);
 static void send_limits (void *data, const gbd_limits_report_t *report);
 static void end_load_round (gbd_load_t *load, const receivers_t *receivers,
                             gbd_time_t now);
@@ -252,7 +250,7 @@
 static void
 update_members (gbd_load_t *load)
 {
-  gbd_instance_id_t members[GBD_LIVES_MAX];
+  gbd_instance_id_t members[GBD_LIVES_MAX] = { 0 };
   uint32_t count = 0;
   add_member (members, &count, load->self);
   for (uint32_t i = 0; i < load->service_count; i++)
@@ -266,7 +264,7 @@
     }
   for (uint32_t i = 0; i < load->member_count; i++)
     {
-      if (has_member (members, count, load->members[i]))
+      if (gbd_instances_have (members, count, load->members[i]))
         continue;
       for (uint32_t s = 0; s < load->service_count; s++)
         {
@@ -282,22 +280,10 @@
 static void
 add_member (gbd_instance_id_t *members, uint32_t *count, gbd_instance_id_t id)
 {
-  if (*count < GBD_LIVES_MAX && !has_member (members, *count, id))
+  if (*count < GBD_LIVES_MAX && !gbd_instances_have (members, *count, id))
     members[(*count)++] = id;
 }
 
-static bool
-has_member (const gbd_instance_id_t *members, uint32_t count,
-            gbd_instance_id_t id)
-{
-  for (uint32_t i = 0; i < count; i++)
-    {
-      if (members[i] == id)
-        return true;
-    }
-  return false;
-}
-
 static void
 send_limits (void *data, const gbd_limits_report_t *report)
 {
--- a/src/libgooseberrydrum/message_decode.c
+++ b/src/libgooseberrydrum/message_decode.c
@@ -1,12 +1,14 @@
 #include "gooseberrydrum/message.h"
 #include "message_private.h"
-#include "message_scan.h"
+#include "msgpack_scan.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include <msgpack.h>
 
+#define VALUES_MAX 32768 /* of one message */
+
 /** Entries of a message, taken one after the other; the first that is missing
  *  or of a wrong kind makes the whole message malformed. */
 typedef struct
@@ -65,7 +67,8 @@
                     gbd_message_t *message)
 {
   memset (message, 0, sizeof *message);
-  if (length > GBD_MESSAGE_LENGTH_MAX || !gbd_message_scan (bytes, length))
+  if (length > GBD_MESSAGE_LENGTH_MAX
+      || !gbd_msgpack_scan (bytes, length, VALUES_MAX))
     return GBD_ERROR_FORMAT;
 
   msgpack_unpacked unpacked;
--- a/src/libgooseberrydrum/message_scan.c
+++ b/src/libgooseberrydrum/msgpack_scan.c
@@ -1,6 +1,6 @@
-#include "message_scan.h"
+#include "msgpack_scan.h"
 
-/** What a first byte announces. */
+/* What a first byte announces. */
 typedef struct
 {
   bool is_valid;
@@ -14,7 +14,7 @@
 static size_t read_length (const uint8_t *bytes, size_t length_bytes);
 
 bool
-gbd_message_scan (const uint8_t *bytes, size_t length)
+gbd_msgpack_scan (const uint8_t *bytes, size_t length, size_t values_max)
 {
   size_t due[GBD_SCAN_DEPTH_MAX + 1] = { 1 }; /* values due at each depth */
   size_t depth = 0;
@@ -27,7 +27,7 @@
         depth--;
       if (due[depth] == 0)
         return offset == length;
-      if (offset == length || ++values > GBD_SCAN_VALUES_MAX)
+      if (offset == length || ++values > values_max)
         return false;
 
       due[depth]--;
@@ -70,7 +70,7 @@
   return read_long_header (first);
 }
 
-/* Maps and extension types are refused: no message has them, and an
+/* Maps and extension types are refused: nothing here has them, and an
    extension of 2^32 - 1 bytes overflows inside the codec. */
 static header_t
 read_long_header (uint8_t first)
--- a/src/libgooseberrydrum/table_codec.c
+++ b/src/libgooseberrydrum/table_codec.c
@@ -15,7 +15,7 @@
 #include <msgpack.h>
 #include <xxhash.h>
 
-#include "msgpack_check.h"
+#include "msgpack_scan.h"
 
 enum
 {
@@ -39,7 +39,7 @@
   KIND_DIFFERENCE
 };
 
-#define DEPTH_MAX 4       /* later releases may add nested fields */
+#define VALUES_MAX 1024   /* later releases may add fields */
 #define MEMBER_SIZE 12    /* id, zone */
 #define BACKEND_SIZE 32   /* id, zone, state, family, port, address */
 #define BUCKET_SIZE 5     /* phase, from, to */
@@ -136,7 +136,7 @@
 gbd_table_unpack (const uint8_t *bytes, size_t length, const gbd_table_t *base)
 {
   if (length > GBD_TABLE_TEXT_MAX
-      || !gbd_msgpack_is_whole (bytes, length, DEPTH_MAX))
+      || !gbd_msgpack_scan (bytes, length, VALUES_MAX))
     return NULL;
 
   msgpack_unpacked unpacked;
--- a/src/libgooseberrydrum/types.c
+++ b/src/libgooseberrydrum/types.c
@@ -40,6 +40,18 @@
   return XXH3_64bits (pair, sizeof pair);
 }
 
+bool
+gbd_instances_have (const gbd_instance_id_t *ids, uint32_t count,
+                    gbd_instance_id_t id)
+{
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (ids[i] == id)
+        return true;
+    }
+  return false;
+}
+
 bool
 gbd_address_is_equal (const gbd_address_t *a, const gbd_address_t *b)
 {
