Find a platform that is back sooner; hold limits from the first second

A watch that was cut asked with a wait of 10 s, during which the half-open circuit breaker let nothing else pass, and four watches shared one free retry a second. They now ask without a wait after a failure, at most a second apart. At the start each instance knew its own demand but not yet the others'. Now what the others have not heard of stays spread among all.

--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -10,7 +10,7 @@
 #define BREAKER_FAILURES 5
 #define BREAKER_FIRST_PAUSE (250 * GBD_MILLISECOND)
 #define BUDGET_TOKENS (10 * GBD_RETRY_COST)
-#define BUDGET_FREE_PER_SECOND 1
+#define BUDGET_FREE_PER_SECOND 4 /* one a watch of an instance */
 
 typedef enum
 {
--- a/src/gooseberrydrum/platform_private.h
+++ b/src/gooseberrydrum/platform_private.h
@@ -11,7 +11,7 @@
 #include "platform_http.h"
 
 #define GBD_PLATFORM_BACKOFF_FIRST (50 * GBD_MILLISECOND)
-#define GBD_PLATFORM_BACKOFF_LONGEST (5 * GBD_SECOND)
+#define GBD_PLATFORM_BACKOFF_LONGEST GBD_SECOND
 
 struct gbd_platform
 {
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -103,7 +103,10 @@
 ask (gbd_platform_watch_t *watch)
 {
   gbd_platform_t *platform = watch->platform;
-  uint32_t wait_ms = watch->is_listed ? platform->settings.watch_wait_ms : 0;
+  /* After a failure the answer comes at once: the circuit breaker lets no
+     other call pass until it has. */
+  bool is_waiting = watch->is_listed && !watch->is_retry;
+  uint32_t wait_ms = is_waiting ? platform->settings.watch_wait_ms : 0;
   char *path
       = watch->is_listed
             ? g_strdup_printf ("/v1/%s?since=%" G_GUINT64_FORMAT "&wait_ms=%u",
--- a/src/libgooseberrydrum/limits.c
+++ b/src/libgooseberrydrum/limits.c
@@ -410,7 +410,16 @@
   if (demand > limit)
     share = limit * own / demand;
   else
-    share = own + (limit - demand) / limits->member_count;
+    {
+      /* What the others know too; what they have not heard of yet they still
+         spread among all. */
+      uint64_t known
+          = customer->has_reported ? customer->reported.demand : own;
+      if (known > own)
+        known = own;
+      uint64_t spare = limit - (demand - own + known);
+      share = known + spare / limits->member_count;
+    }
   customer->share = (uint32_t)share;
   if (open < 0)
     open = 0;
--- a/src/standins/callers.c
+++ b/src/standins/callers.c
@@ -55,6 +55,8 @@
 static flow_t *find_flow (callers_t *callers, const inner_segment_t *segment,
                           uint32_t *index);
 static gbd_address_t caller_address (uint32_t index, uint8_t family);
+static bool is_stale_refusal (const flow_t *flow,
+                              const inner_segment_t *segment);
 static void handle_segment (callers_t *callers, uint32_t index,
                             const inner_segment_t *segment, gbd_time_t now);
 static void handle_opened (callers_t *callers, uint32_t index,
@@ -228,11 +230,23 @@
   return is_right ? flow : NULL;
 }
 
+/* The refusal of a repeated opening packet has sequence number 0, outside the
+   window of a caller that has opened its flow, and is ignored (RFC 9293,
+   section 3.10.7.4). */
+static bool
+is_stale_refusal (const flow_t *flow, const inner_segment_t *segment)
+{
+  return flow->state != FLOW_OPENING && segment->sequence == 0
+         && (segment->flags & INNER_RST) && (segment->flags & INNER_ACK);
+}
+
 static void
 handle_segment (callers_t *callers, uint32_t index,
                 const inner_segment_t *segment, gbd_time_t now)
 {
   flow_t *flow = &callers->flows[index];
+  if (is_stale_refusal (flow, segment))
+    return;
   if (segment->flags & INNER_RST)
     {
       verdict_reset (callers->verdict, &flow->judged);
--- a/src/standins/endpoint.c
+++ b/src/standins/endpoint.c
@@ -13,6 +13,7 @@
   uint32_t caller_start; /* sequence number of the opening packet */
   uint32_t start;        /* sequence number of its answer */
   bool is_closed;
+  bool is_served; /* a request came */
 } connection_t;
 
 struct endpoint
@@ -29,8 +30,7 @@
 static size_t open_connection (endpoint_t *endpoint, connection_t *connection,
                                const inner_segment_t *segment, gbd_time_t now,
                                uint8_t *answer);
-static size_t answer_request (const endpoint_t *endpoint,
-                              const connection_t *connection,
+static size_t answer_request (endpoint_t *endpoint, connection_t *connection,
                               const inner_segment_t *segment, uint8_t *answer);
 static size_t reply (const inner_segment_t *segment, uint32_t sequence,
                      uint32_t consumed, uint8_t flags, uint8_t *answer);
@@ -155,7 +155,7 @@
 }
 
 static size_t
-answer_request (const endpoint_t *endpoint, const connection_t *connection,
+answer_request (endpoint_t *endpoint, connection_t *connection,
                 const inner_segment_t *segment, uint8_t *answer)
 {
   exchange_answer_t said = { 0 };
@@ -163,6 +163,8 @@
   if (!exchange_read_request (segment->payload, segment->payload_length,
                               &said.id))
     return 0;
+  endpoint->counts.served += !connection->is_served;
+  connection->is_served = true;
   said.checksum
       = exchange_checksum (segment->payload, segment->payload_length);
   memcpy (said.service, endpoint->service, sizeof said.service);
--- a/src/standins/endpoint.h
+++ b/src/standins/endpoint.h
@@ -10,6 +10,7 @@
 typedef struct
 {
   uint64_t connections; /**< opened so far */
+  uint64_t served;      /**< connections that a request came on */
   uint64_t unknown;     /**< packets of connections that it does not have */
   uint64_t refused;     /**< opening packets reset while shedding load */
   uint64_t bytes;       /**< of the packets received */
--- a/src/standins/main_backend.c
+++ b/src/standins/main_backend.c
@@ -315,10 +315,11 @@
       const endpoint_counts_t *counts
           = endpoint_get_counts (backend->endpoints[i]);
       json_array_append_new (
-          list, json_pack ("{s:s, s:I, s:I, s:I, s:I}", "uid",
+          list, json_pack ("{s:s, s:I, s:I, s:I, s:I, s:I}", "uid",
                            endpoint_get_uid (backend->endpoints[i]),
                            "connections", (json_int_t)counts->connections,
-                           "unknown", (json_int_t)counts->unknown, "refused",
+                           "served", (json_int_t)counts->served, "unknown",
+                           (json_int_t)counts->unknown, "refused",
                            (json_int_t)counts->refused, "bytes",
                            (json_int_t)counts->bytes));
     }
