Write pushed lists once for all peers; drop what nothing reads

Cause: a push of the lists or instances wrote the same JSON once for each linked peer. It is now written once.

--- a/bench/bench_control.c
+++ b/bench/bench_control.c
@@ -29,8 +29,6 @@
   double platform_calls;
   double cpu_seconds;
   double resident_kb;
-  double detoured;
-  double packets;
 } sample_t;
 
 typedef struct
@@ -119,10 +117,6 @@
                         "gooseberrydrum_platform_received_bytes_total");
   sample->platform_calls
       = find_counter (counters, "gooseberrydrum_platform_calls_total");
-  sample->detoured
-      = find_counter (counters, "gooseberrydrum_detour_packets_total");
-  sample->packets
-      = find_counter (counters, "gooseberrydrum_fabric_packets_total");
   g_free (counters);
   return read_processor (instance->pid, &sample->cpu_seconds)
          && read_resident (instance->pid, &sample->resident_kb);
--- a/src/gooseberrydrum/serve_peers.c
+++ b/src/gooseberrydrum/serve_peers.c
@@ -12,6 +12,9 @@
 static void receive_config (gbd_serve_t *serve, const gbd_message_t *message);
 static void send_json (gbd_serve_t *serve, gbd_instance_id_t to,
                        uint64_t generation, json_t *value);
+static void push_json (gbd_serve_t *serve, uint64_t generation, json_t *value);
+static void send_text (gbd_serve_t *serve, gbd_instance_id_t to,
+                       uint64_t generation, char *text);
 
 const gbd_links_callbacks_t gbd_serve_links_callbacks
     = { link_up, link_down, received };
@@ -26,15 +29,13 @@
 void
 gbd_serve_push_accepted (gbd_serve_t *serve)
 {
-  for (uint32_t i = 0; i < serve->linked_count; i++)
-    send_json (serve, serve->linked[i].id, serve->generation, serve->accepted);
+  push_json (serve, serve->generation, serve->accepted);
 }
 
 void
 gbd_serve_push_instances (gbd_serve_t *serve)
 {
-  for (uint32_t i = 0; i < serve->linked_count; i++)
-    send_json (serve, serve->linked[i].id, 0, serve->instance_values);
+  push_json (serve, 0, serve->instance_values);
 }
 
 void
@@ -125,12 +126,28 @@
            json_t *value)
 {
   char *text = json_dumps (value, JSON_COMPACT);
-  if (!text)
-    return;
+  if (text)
+    send_text (serve, to, generation, text);
+  free (text);
+}
+
+/* To all linked peers, written once. */
+static void
+push_json (gbd_serve_t *serve, uint64_t generation, json_t *value)
+{
+  char *text = json_dumps (value, JSON_COMPACT);
+  for (uint32_t i = 0; text && i < serve->linked_count; i++)
+    send_text (serve, serve->linked[i].id, generation, text);
+  free (text);
+}
+
+static void
+send_text (gbd_serve_t *serve, gbd_instance_id_t to, uint64_t generation,
+           char *text)
+{
   gbd_message_t message = { .type = GBD_MESSAGE_CONFIG, .from = serve->self };
   message.body.config.generation = generation;
   message.body.config.length = (uint32_t)strlen (text);
   message.body.config.bytes = (uint8_t *)text;
   gbd_links_send (serve->links, to, &message);
-  free (text);
 }
--- a/src/test_libgooseberrydrum/group.c
+++ b/src/test_libgooseberrydrum/group.c
@@ -353,7 +353,6 @@
   group->wrong_server++;
   if (getenv ("GROUP_TRACE"))
     fprintf (stderr, "flow %u reached a wrong server\n", index);
-  flow->is_broken = true;
   return false;
 }
 
@@ -406,7 +405,6 @@
   uint8_t *bytes = gbd_message_encode (message, &length);
   if (!bytes)
     abort ();
-  group->message_bytes += length;
   gbd_time_t due = group->now + group->delay_ms * GBD_MILLISECOND;
   if (group_random (group, 100) < group->late_percent)
     due += LATE;
--- a/src/test_libgooseberrydrum/group.h
+++ b/src/test_libgooseberrydrum/group.h
@@ -41,7 +41,6 @@
   gbd_backend_id_t server; /**< that accepted it; 0 before */
   uint32_t sequence;
   bool is_answered; /**< a later packet reached its server */
-  bool is_broken;   /**< delivered to a server that does not know it */
 } group_flow_t;
 
 typedef struct
@@ -67,7 +66,6 @@
   uint32_t lists_version; /**< of instances and servers */
   gbd_cut_off_t cut_off;  /**< of instances started from now on */
   struct group_message *messages;
-  uint64_t message_bytes;
   uint32_t second_server; /**< opening packets that reached a second one */
   uint32_t wrong_server;  /**< later packets that reached another one */
   uint32_t fallen_version;
