--- a/include/gooseberrydrum/packet.h
+++ b/include/gooseberrydrum/packet.h
@@ -59,7 +59,8 @@
   bool is_reset;           /**< the caller resets the flow */
   bool has_ack;            /**< the acknowledgment number counts */
   uint16_t payload_length; /**< bytes of TCP payload */
-  uint16_t length;         /**< bytes of the whole IP packet */
+  uint16_t length;         /**< bytes of the whole packet */
+  uint32_t cookie;         /**< routing cookie; 0 if the format has none */
 } gbd_packet_t;
 
 /** Read one IP packet.
--- a/src/gooseberrydrum/admin.c
+++ b/src/gooseberrydrum/admin.c
@@ -19,6 +19,7 @@
 {
   gbd_admin_t *admin; /* NULL once deleted */
   char host[GBD_ADDRESS_TEXT_MAX];
+  char host_and_port[GBD_ADDRESS_TEXT_MAX]; /* names the vhost */
 } owner_t;
 
 struct gbd_admin
@@ -30,6 +31,7 @@
   const char *key;
   gbd_admin_callbacks_t callbacks;
   void *data;
+  bool is_public;
   char token[TOKEN_LENGTH_MAX + 1]; /* zero-padded; empty for none */
   uint32_t responses;               /* under way */
 };
@@ -40,6 +42,7 @@
   const char *path;
   void (*answer) (gbd_admin_t *admin, struct lws *wsi,
                   gbd_admin_response_t *response);
+  bool is_public; /* also on a public server */
 } route_t;
 
 static int handle (struct lws *wsi, enum lws_callback_reasons reason,
@@ -56,6 +59,8 @@
                          gbd_admin_response_t *response);
 static void answer_explain (gbd_admin_t *admin, struct lws *wsi,
                             gbd_admin_response_t *response);
+static void answer_ready (gbd_admin_t *admin, struct lws *wsi,
+                          gbd_admin_response_t *response);
 static bool is_authorized (const gbd_admin_t *admin, struct lws *wsi);
 static bool load_files (const gbd_admin_t *admin, SSL_CTX *context);
 static struct lws_vhost *make_vhost (struct lws_context *context,
@@ -70,10 +75,12 @@
 };
 
 static const route_t routes[] = {
-  { "/counters", answer_counters },
-  { "/status", answer_status },
-  { "/dump", answer_dump },
-  { "/explain", answer_explain },
+  { "/counters", answer_counters, false },
+  { "/status", answer_status, false },
+  { "/dump", answer_dump, false },
+  { "/explain", answer_explain, false },
+  { "/ready", answer_ready, true },
+  { "/metrics", answer_counters, true },
 };
 
 gbd_admin_t *
@@ -88,7 +95,8 @@
       *error = "the admin token is longer than 128 characters; shorten it";
       return NULL;
     }
-  if (!token[0] && !gbd_address_is_loopback (&settings->listen))
+  if (!token[0] && !settings->is_public
+      && !gbd_address_is_loopback (&settings->listen))
     {
       *error = "the admin address is not a loopback address; set an admin "
                "token";
@@ -105,6 +113,7 @@
   admin->owner = owner;
   admin->callbacks = *callbacks;
   admin->data = data;
+  admin->is_public = settings->is_public;
   admin->certificate = settings->certificate;
   admin->key = settings->key;
   snprintf (admin->token, sizeof admin->token, "%s", token);
@@ -248,14 +257,18 @@
     }
   for (size_t i = 0; i < sizeof routes / sizeof routes[0]; i++)
     {
-      if (strcmp (routes[i].path, path) == 0)
+      if ((routes[i].is_public || !admin->is_public)
+          && strcmp (routes[i].path, path) == 0)
         {
           routes[i].answer (admin, wsi, response);
           return;
         }
     }
   gbd_admin_response_fail (response, HTTP_STATUS_NOT_FOUND, "no such path",
-                           "use /counters, /status, /dump or /explain?flow=");
+                           admin->is_public
+                               ? "use /ready or /metrics"
+                               : "use /counters, /status, /dump or "
+                                 "/explain?flow=");
 }
 
 static void
@@ -307,6 +320,20 @@
     gbd_admin_response_set_json (response, explanation);
 }
 
+static void
+answer_ready (gbd_admin_t *admin, struct lws *wsi,
+              gbd_admin_response_t *response)
+{
+  (void)wsi;
+  bool (*is_ready) (void *) = admin->callbacks.is_ready;
+  if (is_ready && !is_ready (admin->data))
+    gbd_admin_response_fail (response, HTTP_STATUS_SERVICE_UNAVAILABLE,
+                             "this instance takes no packets now",
+                             "send them to another one");
+  else
+    gbd_admin_response_set_json (response, json_pack ("{s:b}", "ready", 1));
+}
+
 /* Both buffers are compared whole, so that the time tells nothing. */
 static bool
 is_authorized (const gbd_admin_t *admin, struct lws *wsi)
@@ -339,8 +366,9 @@
   const gbd_address_t *listen = &settings->listen;
   inet_ntop (listen->family == 6 ? AF_INET6 : AF_INET, listen->ip, owner->host,
              sizeof owner->host);
+  gbd_address_format (listen, owner->host_and_port);
   struct lws_context_creation_info info = {
-    .vhost_name = "admin",
+    .vhost_name = owner->host_and_port,
     .iface = owner->host,
     .port = listen->port,
     .protocols = protocols,
--- a/src/gooseberrydrum/admin.h
+++ b/src/gooseberrydrum/admin.h
@@ -8,6 +8,12 @@
  *                              FLOW is CALLER-SERVICE, as
  *                              10.0.0.1:1234-10.1.0.1:443
  *
+ *    GET /ready                whether this instance takes packets (200, 503)
+ *    GET /metrics              the same as /counters
+ *
+ *  A public server has only the last two, for the platform; it needs no token
+ *  on any address.
+ *
  *  Nothing can be changed here.  Without a token the server listens only on
  *  a loopback address; with one every request must carry it as
  *  "Authorization: Bearer TOKEN".  Errors are JSON with "error" and "remedy".
@@ -30,6 +36,7 @@
 {
   gbd_address_t listen;
   const char *token; /**< NULL or "" for none */
+  bool is_public;    /**< only /ready and /metrics, without a token */
   /** PEM files; both NULL for plain HTTP.  The texts are kept, not copied;
    *  the context needs LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT for them. */
   const char *certificate;
@@ -45,6 +52,8 @@
   json_t *(*dump) (void *data);
   /** @return NULL when no service has the flow's address. */
   json_t *(*explain) (void *data, const gbd_flow_t *flow);
+  /** Whether this instance takes packets; NULL: always. */
+  bool (*is_ready) (void *data);
 } gbd_admin_callbacks_t;
 
 typedef struct gbd_admin gbd_admin_t;
--- a/src/gooseberrydrum/cmd_serve.c
+++ b/src/gooseberrydrum/cmd_serve.c
@@ -10,7 +10,11 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <glib.h>
+
 #include "command.h"
+#include "cookie_serve.h"
+#include "loop.h"
 #include "serve.h"
 #include "share/log.h"
 
@@ -22,34 +26,20 @@
 #define CALL_TIMEOUT_MS 2000
 #define BULK_BYTES_PER_SECOND 2000
 #define WATCHERS 2
-#define DESCRIPTOR_COUNT 3
-
-/* A descriptor that the loop polls for its owner. */
-typedef struct
-{
-  gbd_serve_t *serve;
-  int fd;
-  void (*handle) (gbd_serve_t *serve, int fd);
-} descriptor_t;
 
-static int raw_callback (struct lws *wsi, enum lws_callback_reasons reason,
-                         void *user, void *in, size_t length);
+static int serve_group (const gbd_settings_t *settings);
 static bool start (gbd_serve_t *serve);
-static bool adopt_descriptors (gbd_serve_t *serve, descriptor_t *descriptors);
 static bool start_decisions (gbd_serve_t *serve);
 static bool start_sockets (gbd_serve_t *serve);
 static void finish (gbd_serve_t *serve);
 static const char *path_or_null (const char *path);
 static uint8_t find_cut_off (const char *name);
-static bool adopt (struct lws_vhost *vhost, descriptor_t *descriptor);
-static void handle_packets (gbd_serve_t *serve, int fd);
-static int open_signals (void);
-static void handle_signal (gbd_serve_t *serve, int fd);
+static void handle_packets (void *data, int fd);
+static void handle_signal (void *data, int fd);
 static void reload_certificates (gbd_serve_t *serve);
 static void begin_stop (gbd_serve_t *serve);
 static void check_stop (gbd_serve_t *serve, gbd_time_t now);
 static void tick (lws_sorted_usec_list_t *timer);
-static gbd_time_t read_clock (void *data);
 static gbd_instance_id_t make_identity (const char *name);
 static void node_send_message (void *data, gbd_instance_id_t to,
                                const gbd_message_t *message);
@@ -65,9 +55,6 @@
         "zone cut off: new flows go to its own backend servers",
         "in touch: all versions here are in force" };
 
-static const struct lws_protocols raw_protocols[]
-    = { { .name = "descriptors", .callback = raw_callback }, { 0 } };
-
 static const gbd_node_actions_t node_actions = {
   .send = node_send_message,
   .write_table = node_write_table,
@@ -80,24 +67,47 @@
 gbd_command_serve (int argc, char **argv)
 {
   gbd_settings_t settings;
-  gbd_status_t status = gbd_settings_parse (&argc, &argv, &settings);
-  if (status != GBD_OK)
-    return GBD_EXIT_USAGE;
+  /* Parsing removes the flags that it understands. */
+  char **flags = g_strdupv (argv);
+  char **rest = argv;
+  gbd_status_t status = gbd_settings_parse (&argc, &rest, &settings);
+  int exit_status = GBD_EXIT_USAGE;
+  if (status == GBD_OK && strcmp (settings.policy, GBD_POLICY_COOKIE) == 0)
+    exit_status = gbd_serve_cookie (&settings, flags);
+  else if (status == GBD_OK)
+    exit_status = serve_group (&settings);
+  g_strfreev (flags);
+  return exit_status;
+}
+
+gbd_time_t
+gbd_serve_now (void)
+{
+  return gbd_loop_now (NULL);
+}
+
+static int
+serve_group (const gbd_settings_t *settings)
+{
 
   int exit_status = GBD_EXIT_FAILED;
-  gbd_serve_t serve = { .settings = &settings };
-  int signal_fd = open_signals ();
+  gbd_serve_t serve = { .settings = settings };
+  int signal_fd = gbd_loop_open_signals ();
   if (signal_fd < 0 || !start (&serve))
     goto done;
-  descriptor_t descriptors[DESCRIPTOR_COUNT] = {
+  gbd_descriptor_t descriptors[] = {
     { &serve, signal_fd, handle_signal },
     { &serve, gbd_datapath_get_fabric_fd (serve.datapath), handle_packets },
     { &serve, gbd_datapath_get_peer_fd (serve.datapath), handle_packets },
   };
-  if (!adopt_descriptors (&serve, descriptors))
-    goto done;
+  if (!gbd_loop_adopt (serve.context, descriptors,
+                       sizeof descriptors / sizeof descriptors[0]))
+    {
+      gbd_log (GBD_EVENT_FATAL, "descriptors cannot be polled");
+      goto done;
+    }
 
-  gbd_log (GBD_EVENT_STARTED, settings.name, "0.1.0");
+  gbd_log (GBD_EVENT_STARTED, settings->name, "0.1.0");
   while (!serve.is_done)
     {
       if (lws_service (serve.context, 0) < 0)
@@ -113,12 +123,6 @@
   return exit_status;
 }
 
-gbd_time_t
-gbd_serve_now (void)
-{
-  return read_clock (NULL);
-}
-
 static bool
 start (gbd_serve_t *serve)
 {
@@ -129,7 +133,7 @@
 
   struct lws_context_creation_info info = {
     .port = CONTEXT_PORT_NO_LISTEN,
-    .protocols = raw_protocols,
+    .protocols = gbd_loop_protocols,
     .options
     = LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT,
     .user = serve,
@@ -143,26 +147,6 @@
   return true;
 }
 
-static bool
-adopt_descriptors (gbd_serve_t *serve, descriptor_t *descriptors)
-{
-  struct lws_context_creation_info info = {
-    .port = CONTEXT_PORT_NO_LISTEN,
-    .protocols = raw_protocols,
-    .vhost_name = "descriptors",
-  };
-  struct lws_vhost *vhost = lws_create_vhost (serve->context, &info);
-  for (int i = 0; i < DESCRIPTOR_COUNT; i++)
-    {
-      if (!vhost || !adopt (vhost, &descriptors[i]))
-        {
-          gbd_log (GBD_EVENT_FATAL, "descriptors cannot be polled");
-          return false;
-        }
-    }
-  return true;
-}
-
 static bool
 start_decisions (gbd_serve_t *serve)
 {
@@ -217,7 +201,7 @@
     .fabric_listen = settings->fabric_listen,
     .peer_listen = settings->peer_listen,
     .socket_buffer = SOCKET_BUFFER,
-    .clock = read_clock,
+    .clock = gbd_loop_now,
   };
   memcpy (datapath.key, settings->group_key, sizeof datapath.key);
   serve->datapath = gbd_datapath_new (&datapath, serve->engine, &error);
@@ -295,37 +279,10 @@
   free (serve->endpoints);
 }
 
-static bool
-adopt (struct lws_vhost *vhost, descriptor_t *descriptor)
-{
-  /* libwebsockets closes what it adopts; the owner keeps its descriptor. */
-  lws_sock_file_fd_type copy = { .filefd = dup (descriptor->fd) };
-  if (copy.filefd < 0)
-    return false;
-  struct lws *wsi = lws_adopt_descriptor_vhost (
-      vhost, LWS_ADOPT_RAW_FILE_DESC, copy, raw_protocols[0].name, NULL);
-  if (!wsi)
-    return false;
-  lws_set_opaque_user_data (wsi, descriptor);
-  return true;
-}
-
-static int
-raw_callback (struct lws *wsi, enum lws_callback_reasons reason, void *user,
-              void *in, size_t length)
-{
-  (void)user;
-  (void)in;
-  (void)length;
-  descriptor_t *descriptor = lws_get_opaque_user_data (wsi);
-  if (reason == LWS_CALLBACK_RAW_RX_FILE && descriptor)
-    descriptor->handle (descriptor->serve, descriptor->fd);
-  return 0;
-}
-
 static void
-handle_packets (gbd_serve_t *serve, int fd)
+handle_packets (void *data, int fd)
 {
+  gbd_serve_t *serve = data;
   gbd_datapath_receive (serve->datapath, fd);
 }
 
@@ -343,24 +300,10 @@
   return strcmp (name, "any") == 0 ? GBD_CUT_OFF_ANY : GBD_CUT_OFF_OWN;
 }
 
-static int
-open_signals (void)
-{
-  sigset_t signals;
-  sigemptyset (&signals);
-  sigaddset (&signals, SIGTERM);
-  sigaddset (&signals, SIGINT);
-  sigaddset (&signals, SIGHUP);
-  sigaddset (&signals, SIGUSR1);
-  signal (SIGPIPE, SIG_IGN);
-  if (sigprocmask (SIG_BLOCK, &signals, NULL) < 0)
-    return -1;
-  return signalfd (-1, &signals, SFD_NONBLOCK | SFD_CLOEXEC);
-}
-
 static void
-handle_signal (gbd_serve_t *serve, int fd)
+handle_signal (void *data, int fd)
 {
+  gbd_serve_t *serve = data;
   struct signalfd_siginfo info;
   while (read (fd, &info, sizeof info) == (ssize_t)sizeof info)
     {
@@ -436,17 +379,6 @@
     lws_sul_schedule (serve->context, 0, &serve->timer, tick, TICK_US);
 }
 
-static gbd_time_t
-read_clock (void *data)
-{
-  (void)data;
-  struct timespec time;
-  /* Goes on while the machine is suspended, so that time spent in a pause
-     counts against trust. */
-  clock_gettime (CLOCK_BOOTTIME, &time);
-  return (gbd_time_t)time.tv_sec * GBD_SECOND + time.tv_nsec / 1000;
-}
-
 static gbd_instance_id_t
 make_identity (const char *name)
 {
--- /dev/null
+++ b/src/gooseberrydrum/cookie_report.c
@@ -0,0 +1,377 @@
+#include "cookie_serve.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "counters.h"
+#include "loop.h"
+
+#define FLOW_TEXT_MAX (2 * GBD_ADDRESS_TEXT_MAX)
+
+static void count_opening (gbd_cookie_serve_t *serve, gbd_time_t time);
+static gbd_event_t event_of (const gbd_direction_t *direction);
+static json_t *make_fields (const gbd_cookie_serve_t *serve,
+                            const gbd_packet_t *packet,
+                            const gbd_direction_t *direction, gbd_time_t now);
+static void log_silence (gbd_cookie_serve_t *serve,
+                         const gbd_direction_t *direction, gbd_time_t now);
+static const char *server_name (const gbd_cookie_serve_t *serve,
+                                gbd_pool_handle_t handle);
+static char *write_counters (void *data);
+static void add_counter (gbd_counters_t *counters, const char *name,
+                         const char *help, gbd_counter_kind_t kind,
+                         const char *label, const char *value,
+                         uint64_t number);
+static void add_path_counters (gbd_counters_t *counters,
+                               const gbd_cookie_path_t *path);
+static void add_decision_counters (gbd_counters_t *counters,
+                                   const gbd_cookie_serve_t *serve);
+static void add_opening_counters (gbd_counters_t *counters,
+                                  const gbd_cookie_serve_t *serve);
+static void add_state_counters (gbd_counters_t *counters,
+                                const gbd_cookie_serve_t *serve);
+static json_t *make_status (void *data);
+static json_t *make_dump (void *data);
+static json_t *make_explanation (void *data, const gbd_flow_t *flow);
+static json_t *make_servers (const gbd_cookie_serve_t *serve, gbd_time_t now);
+static bool is_ready (void *data);
+
+const gbd_admin_callbacks_t gbd_cookie_admin_callbacks = {
+  .counters = write_counters,
+  .status = make_status,
+  .dump = make_dump,
+  .explain = make_explanation,
+  .is_ready = is_ready,
+};
+
+static const char *const state_strings[] = { "ready", "draining", "gone" };
+static const char *const action_strings[]
+    = { "drop", "backend server", "instance", "reset" };
+
+void
+gbd_cookie_report_decision (void *data, const gbd_packet_t *packet,
+                            const gbd_direction_t *direction,
+                            const gbd_flow_signs_t *signs, gbd_time_t now)
+{
+  gbd_cookie_serve_t *serve = data;
+  if (signs->is_opened)
+    count_opening (serve, signs->opening_time);
+  if (signs->is_silent_now)
+    log_silence (serve, direction, now);
+  if (signs->is_heard_now
+      && gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_HEARD, now))
+    gbd_journal_write (
+        serve->journal, GBD_EVENT_SERVER_HEARD,
+        json_pack ("{s:s}", "server", server_name (serve, direction->server)));
+  /* A packet that its cookie sends on changes nothing. */
+  if (direction->rule == GBD_DIRECTION_COOKIE
+      || direction->rule == GBD_DIRECTION_SAME)
+    return;
+  gbd_event_t event = event_of (direction);
+  if (gbd_journal_admits (serve->journal, event, now))
+    gbd_journal_write (serve->journal, event,
+                       make_fields (serve, packet, direction, now));
+}
+
+void
+gbd_cookie_report_dump (gbd_cookie_serve_t *serve)
+{
+  json_t *dump = make_dump (serve);
+  char *text = json_dumps (dump, JSON_COMPACT);
+  if (text)
+    fprintf (stderr, "%s\n", text);
+  free (text);
+  json_decref (dump);
+}
+
+static void
+count_opening (gbd_cookie_serve_t *serve, gbd_time_t time)
+{
+  uint32_t bucket = 0;
+  while (bucket + 1 < GBD_OPENING_BUCKETS
+         && time > (GBD_MILLISECOND << bucket))
+    bucket++;
+  serve->openings[bucket]++;
+}
+
+static gbd_event_t
+event_of (const gbd_direction_t *direction)
+{
+  if (direction->kind == GBD_ACTION_DROP)
+    return GBD_EVENT_FLOW_DROPPED;
+  if (direction->kind == GBD_ACTION_RESET)
+    return GBD_EVENT_FLOW_REFUSED;
+  return direction->rule == GBD_DIRECTION_MOVED ? GBD_EVENT_FLOW_MOVED
+                                                : GBD_EVENT_FLOW_PLACED;
+}
+
+static json_t *
+make_fields (const gbd_cookie_serve_t *serve, const gbd_packet_t *packet,
+             const gbd_direction_t *direction, gbd_time_t now)
+{
+  char caller[GBD_ADDRESS_TEXT_MAX];
+  char service[GBD_ADDRESS_TEXT_MAX];
+  char flow[FLOW_TEXT_MAX];
+  gbd_address_format (&packet->flow.caller, caller);
+  gbd_address_format (&packet->flow.service, service);
+  snprintf (flow, sizeof flow, "%s-%s", caller, service);
+  json_t *fields
+      = json_pack ("{s:s, s:s, s:I, s:I}", "flow", flow, "rule",
+                   gbd_direction_strings[direction->rule], "version",
+                   (json_int_t)direction->version, "version_age_ms",
+                   (json_int_t)((now - serve->routes_at) / GBD_MILLISECOND));
+  if (direction->server != GBD_POOL_NONE)
+    {
+      const gbd_pool_server_t *server = gbd_pool_peek (
+          gbd_director_peek_pool (serve->director), direction->server);
+      json_object_set_new (fields, "server", json_string (server->entry.name));
+      json_object_set_new (fields, "waiting",
+                           json_integer (server->load.waiting));
+      json_object_set_new (fields, "unanswered",
+                           json_integer (server->load.suspicion.unanswered));
+    }
+  if (direction->former != GBD_POOL_NONE)
+    json_object_set_new (fields, "former",
+                         json_string (server_name (serve, direction->former)));
+  if (direction->kind == GBD_ACTION_DROP)
+    json_object_set_new (fields, "cause",
+                         json_string (gbd_drop_strings[direction->drop]));
+  return fields;
+}
+
+static void
+log_silence (gbd_cookie_serve_t *serve, const gbd_direction_t *direction,
+             gbd_time_t now)
+{
+  if (!gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_SILENT, now))
+    return;
+  gbd_pool_handle_t handle = direction->rule == GBD_DIRECTION_MOVED
+                                 ? direction->former
+                                 : direction->server;
+  const gbd_pool_server_t *server
+      = gbd_pool_peek (gbd_director_peek_pool (serve->director), handle);
+  gbd_time_t answered_at = server->load.suspicion.answered_at;
+  gbd_journal_write (
+      serve->journal, GBD_EVENT_SERVER_SILENT,
+      json_pack (
+          "{s:s, s:I, s:i}", "server", server->entry.name, "answered_ms_ago",
+          answered_at ? (json_int_t)((now - answered_at) / GBD_MILLISECOND)
+                      : (json_int_t)-1,
+          "waiting", (int)server->load.waiting));
+}
+
+static const char *
+server_name (const gbd_cookie_serve_t *serve, gbd_pool_handle_t handle)
+{
+  return gbd_pool_peek (gbd_director_peek_pool (serve->director), handle)
+      ->entry.name;
+}
+
+static char *
+write_counters (void *data)
+{
+  const gbd_cookie_serve_t *serve = data;
+  gbd_counters_t *counters = gbd_counters_new ();
+  if (!counters)
+    return NULL;
+  add_path_counters (counters, serve->path);
+  add_decision_counters (counters, serve);
+  add_opening_counters (counters, serve);
+  add_state_counters (counters, serve);
+  char *text = gbd_counters_format (counters);
+  gbd_counters_delete (counters);
+  return text;
+}
+
+static void
+add_counter (gbd_counters_t *counters, const char *name, const char *help,
+             gbd_counter_kind_t kind, const char *label, const char *value,
+             uint64_t number)
+{
+  const gbd_counter_info_t info = { name, help, kind, label, value };
+  gbd_counters_set (counters, gbd_counters_add (counters, &info), number);
+}
+
+static void
+add_path_counters (gbd_counters_t *counters, const gbd_cookie_path_t *path)
+{
+  gbd_cookie_path_stats_t stats;
+  gbd_cookie_path_get_stats (path, &stats);
+  add_counter (counters, "gooseberrydrum_fabric_packets_total",
+               "Packets from the fabric.", GBD_COUNTER_SUM, NULL, NULL,
+               stats.packets);
+  add_counter (counters, "gooseberrydrum_fabric_bytes_total",
+               "Bytes from the fabric.", GBD_COUNTER_SUM, NULL, NULL,
+               stats.bytes);
+  add_counter (counters, "gooseberrydrum_backend_packets_total",
+               "Packets sent to backend servers.", GBD_COUNTER_SUM, NULL, NULL,
+               stats.to_backend_packets);
+  add_counter (counters, "gooseberrydrum_backend_bytes_total",
+               "Bytes sent to backend servers.", GBD_COUNTER_SUM, NULL, NULL,
+               stats.to_backend_bytes);
+  add_counter (counters, "gooseberrydrum_resets_total",
+               "Packets answered with a reset.", GBD_COUNTER_SUM, NULL, NULL,
+               stats.resets);
+  for (int i = GBD_DROP_NONE + 1; i < GBD_DROP_COUNT; i++)
+    add_counter (counters, "gooseberrydrum_drops_total",
+                 "Packets that went nowhere.", GBD_COUNTER_SUM, "cause",
+                 gbd_drop_strings[i], stats.drops[i]);
+}
+
+static void
+add_decision_counters (gbd_counters_t *counters,
+                       const gbd_cookie_serve_t *serve)
+{
+  gbd_director_stats_t stats;
+  gbd_director_get_stats (serve->director, &stats);
+  for (int i = 0; i < GBD_DIRECTION_COUNT; i++)
+    add_counter (counters, "gooseberrydrum_decisions_total",
+                 "Decisions by the rule that made them.", GBD_COUNTER_SUM,
+                 "rule", gbd_direction_strings[i], stats.rules[i]);
+  add_counter (counters, "gooseberrydrum_watched_flows",
+               "Flows watched for answers.", GBD_COUNTER_GAUGE, NULL, NULL,
+               stats.watched_flows);
+}
+
+static void
+add_opening_counters (gbd_counters_t *counters,
+                      const gbd_cookie_serve_t *serve)
+{
+  uint64_t sum = 0;
+  for (uint32_t i = 0; i < GBD_OPENING_BUCKETS; i++)
+    {
+      char bound[GBD_NAME_MAX];
+      sum += serve->openings[i];
+      if (i + 1 < GBD_OPENING_BUCKETS)
+        snprintf (bound, sizeof bound, "%g", (double)(1u << i) / 1000.0);
+      else
+        snprintf (bound, sizeof bound, "+Inf");
+      add_counter (counters, "gooseberrydrum_opening_seconds_bucket",
+                   "Time from an opening packet to the caller's next packet.",
+                   GBD_COUNTER_SUM, "le", bound, sum);
+    }
+}
+
+static void
+add_state_counters (gbd_counters_t *counters, const gbd_cookie_serve_t *serve)
+{
+  gbd_time_t now = gbd_loop_now (NULL);
+  const gbd_routes_t *routes = gbd_director_get_routes (serve->director);
+  const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
+  gbd_platform_stats_t platform;
+  gbd_platform_get_stats (serve->platform, &platform);
+  add_counter (counters, "gooseberrydrum_routes_version",
+               "Version of the routes in force.", GBD_COUNTER_GAUGE, NULL,
+               NULL, routes ? gbd_routes_get_version (routes) : 0);
+  add_counter (counters, "gooseberrydrum_routes_age_seconds",
+               "Time since the routes in force were read.", GBD_COUNTER_GAUGE,
+               NULL, NULL,
+               routes ? (uint64_t)((now - serve->routes_at) / GBD_SECOND) : 0);
+  add_counter (counters, "gooseberrydrum_backend_servers",
+               "Backend servers that the platform lists.", GBD_COUNTER_GAUGE,
+               NULL, NULL, gbd_pool_get_count (pool));
+  add_counter (counters, "gooseberrydrum_platform_away",
+               "1 while the platform does not answer.", GBD_COUNTER_GAUGE,
+               NULL, NULL, gbd_pool_is_away (pool));
+  add_counter (counters, "gooseberrydrum_platform_calls_total",
+               "Calls to the platform.", GBD_COUNTER_SUM, NULL, NULL,
+               platform.calls);
+  add_counter (counters, "gooseberrydrum_platform_failures_total",
+               "Calls to the platform that failed.", GBD_COUNTER_SUM, NULL,
+               NULL, platform.failures);
+  add_counter (counters, "gooseberrydrum_log_suppressed_total",
+               "Log lines left out.", GBD_COUNTER_SUM, NULL, NULL,
+               gbd_journal_get_suppressed (serve->journal));
+  uint32_t room = gbd_pool_get_room (pool);
+  for (uint32_t i = 0; i < room; i++)
+    {
+      const gbd_pool_server_t *server
+          = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
+      if (server->is_used
+          && gbd_suspicion_is_suspected (&server->load.suspicion))
+        add_counter (counters, "gooseberrydrum_suspected",
+                     "Flows unanswered by a backend server since its last "
+                     "answer.",
+                     GBD_COUNTER_GAUGE, "server", server->entry.name,
+                     server->load.suspicion.unanswered);
+    }
+}
+
+static json_t *
+make_status (void *data)
+{
+  gbd_cookie_serve_t *serve = data;
+  const gbd_routes_t *routes = gbd_director_get_routes (serve->director);
+  const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
+  return json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:i, s:i}", "name",
+                    serve->settings->name, "zone", serve->settings->zone,
+                    "policy", serve->settings->policy, "ready",
+                    is_ready (serve), "stopping", serve->is_stopping,
+                    "platform_away", gbd_pool_is_away (pool), "routes_version",
+                    routes ? (json_int_t)gbd_routes_get_version (routes)
+                           : (json_int_t)0,
+                    "routes", routes ? (int)gbd_routes_get_count (routes) : 0,
+                    "backend_servers", (int)gbd_pool_get_count (pool));
+}
+
+static json_t *
+make_dump (void *data)
+{
+  gbd_cookie_serve_t *serve = data;
+  json_t *dump = make_status (serve);
+  json_object_set_new (dump, "servers",
+                       make_servers (serve, gbd_loop_now (NULL)));
+  return dump;
+}
+
+/* What an opening packet of the flow would meet now; a later packet goes
+   where its cookie says, which the flow's addresses do not tell. */
+static json_t *
+make_explanation (void *data, const gbd_flow_t *flow)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_packet_t packet = { .kind = GBD_PACKET_OPENING, .flow = *flow };
+  gbd_direction_t direction;
+  gbd_director_route (serve->director, &packet, now, &direction);
+  json_t *fields = make_fields (serve, &packet, &direction, now);
+  json_object_set_new (fields, "action",
+                       json_string (action_strings[direction.kind]));
+  return fields;
+}
+
+static json_t *
+make_servers (const gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
+  json_t *servers = json_array ();
+  uint32_t room = gbd_pool_get_room (pool);
+  for (uint32_t i = 0; i < room; i++)
+    {
+      const gbd_pool_server_t *server
+          = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
+      if (!server->is_used)
+        continue;
+      char address[GBD_ADDRESS_TEXT_MAX];
+      gbd_address_format (&server->entry.backend.address, address);
+      json_array_append_new (
+          servers,
+          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:I, s:I}",
+                     "name", server->entry.name, "address", address, "state",
+                     state_strings[server->entry.backend.state], "listed",
+                     server->is_listed, "cold", now < server->entry.warm_at,
+                     "waiting", (int)server->load.waiting, "open",
+                     (int)server->load.open, "suspected",
+                     (int)server->load.suspicion.unanswered, "placed",
+                     (json_int_t)server->load.placed, "unanswered",
+                     (json_int_t)server->load.unanswered));
+    }
+  return servers;
+}
+
+static bool
+is_ready (void *data)
+{
+  gbd_cookie_serve_t *serve = data;
+  return gbd_director_is_ready (serve->director) && !serve->is_stopping;
+}
--- /dev/null
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -0,0 +1,345 @@
+#include "cookie_serve.h"
+
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <glib.h>
+
+#include "command.h"
+#include "loop.h"
+#include "platform/adapter.h"
+
+#define TICK_US (100 * LWS_US_PER_MS)
+#define SOCKET_BUFFER (256 * 1024) /* bytes: 0.2 s of a 10 Mbit/s link */
+#define FLOWS_WATCHED 2048
+#define SETTINGS_INTERVAL (2 * GBD_SECOND) /* between looks at the file */
+/* The fabric takes an instance out after two misses at two looks a second;
+   until then, and a while after, packets still come. */
+#define STOP_MINIMUM (1500 * GBD_MILLISECOND)
+#define STOP_QUIET (500 * GBD_MILLISECOND)
+#define DESCRIPTOR_COUNT 2
+#define MS_PER_S 1000
+#define NS_PER_S 1000000000
+
+static bool start (gbd_cookie_serve_t *serve);
+static bool start_path (gbd_cookie_serve_t *serve, const char **error);
+static bool start_servers (gbd_cookie_serve_t *serve, const char **error);
+static gbd_admin_t *open_public (gbd_cookie_serve_t *serve,
+                                 const gbd_address_t *listen,
+                                 const char **error);
+static void finish (gbd_cookie_serve_t *serve);
+static void handle_packets (void *data, int fd);
+static void handle_signal (void *data, int fd);
+static void begin_stop (gbd_cookie_serve_t *serve);
+static void check_stop (gbd_cookie_serve_t *serve, gbd_time_t now);
+static void check_ready (gbd_cookie_serve_t *serve, gbd_time_t now);
+static void check_settings (gbd_cookie_serve_t *serve, gbd_time_t now);
+static int64_t read_settings_stamp (void);
+static void read_settings_again (gbd_cookie_serve_t *serve, gbd_time_t now);
+static const char *name_restart_setting (const gbd_settings_t *old,
+                                         const gbd_settings_t *new);
+static void tick (lws_sorted_usec_list_t *timer);
+static void log_event (gbd_cookie_serve_t *serve, gbd_event_t event,
+                       gbd_time_t now, json_t *fields);
+
+int
+gbd_serve_cookie (gbd_settings_t *settings, char **flags)
+{
+  int exit_status = GBD_EXIT_FAILED;
+  gbd_cookie_serve_t serve = { .settings = settings,
+                               .flags = flags,
+                               .started_at = gbd_loop_now (NULL) };
+  serve.journal = gbd_journal_new (STDOUT_FILENO, settings->name,
+                                   settings->log_priority, serve.started_at);
+  int signal_fd = gbd_loop_open_signals ();
+  if (!serve.journal || signal_fd < 0 || !start (&serve))
+    goto done;
+  gbd_descriptor_t descriptors[DESCRIPTOR_COUNT] = {
+    { &serve, signal_fd, handle_signal },
+    { &serve, gbd_cookie_path_get_fd (serve.path), handle_packets },
+  };
+  if (!gbd_loop_adopt (serve.context, descriptors, DESCRIPTOR_COUNT))
+    {
+      log_event (&serve, GBD_EVENT_FATAL, serve.started_at,
+                 json_pack ("{s:s}", "cause", "descriptors cannot be polled"));
+      goto done;
+    }
+  while (!serve.is_done)
+    {
+      if (lws_service (serve.context, 0) < 0)
+        goto done;
+    }
+  log_event (&serve, GBD_EVENT_STOPPED, gbd_loop_now (NULL),
+             json_pack ("{s:s}", "cause", "planned"));
+  exit_status = GBD_EXIT_OK;
+
+done:
+  finish (&serve);
+  if (signal_fd >= 0)
+    close (signal_fd);
+  return exit_status;
+}
+
+static bool
+start (gbd_cookie_serve_t *serve)
+{
+  gbd_time_t now = serve->started_at;
+  const char *error = "out of memory; raise the memory limit";
+  lws_set_log_level (LLL_ERR, NULL);
+  struct lws_context_creation_info info = {
+    .port = CONTEXT_PORT_NO_LISTEN,
+    .protocols = gbd_loop_protocols,
+    .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS,
+    .user = serve,
+  };
+  if (getrandom (&serve->random, sizeof serve->random, 0)
+      != sizeof serve->random)
+    serve->random = (uint64_t)now ^ gbd_id_from_name (serve->settings->name);
+  serve->context = lws_create_context (&info);
+  if (!serve->context || !start_path (serve, &error)
+      || !start_servers (serve, &error)
+      || !gbd_cookie_store_start (serve, &error))
+    {
+      log_event (serve, GBD_EVENT_FATAL, now,
+                 json_pack ("{s:s}", "cause", error));
+      return false;
+    }
+  serve->settings_stamp = read_settings_stamp ();
+  serve->settings_due = now + SETTINGS_INTERVAL;
+  log_event (serve, GBD_EVENT_STARTED, now,
+             json_pack ("{s:s, s:s}", "zone", serve->settings->zone, "policy",
+                        serve->settings->policy));
+  lws_sul_schedule (serve->context, 0, &serve->timer, tick, 1);
+  return true;
+}
+
+static bool
+start_path (gbd_cookie_serve_t *serve, const char **error)
+{
+  gbd_director_settings_t director = {
+    .zone = gbd_zone_from_name (serve->settings->zone),
+    .flow_capacity = FLOWS_WATCHED,
+  };
+  serve->director = gbd_director_new (&director);
+  if (!serve->director)
+    return false;
+  gbd_cookie_path_settings_t path = {
+    .listen = serve->settings->fabric_listen,
+    .codec = &gbd_packet_codec_echo,
+    .socket_buffer = SOCKET_BUFFER,
+    .clock = gbd_loop_now,
+    .observe = gbd_cookie_report_decision,
+    .data = serve,
+  };
+  serve->path = gbd_cookie_path_new (&path, serve->director, error);
+  return serve->path;
+}
+
+static bool
+start_servers (gbd_cookie_serve_t *serve, const char **error)
+{
+  const gbd_settings_t *settings = serve->settings;
+  gbd_admin_settings_t admin = {
+    .listen = settings->admin_listen,
+    .token = settings->admin_token,
+  };
+  if (settings->admin_listen.family)
+    {
+      serve->admin = gbd_admin_new (serve->context, &admin,
+                                    &gbd_cookie_admin_callbacks, serve, error);
+      if (!serve->admin)
+        return false;
+    }
+  if (settings->ready_listen.family)
+    {
+      serve->ready_server
+          = open_public (serve, &settings->ready_listen, error);
+      if (!serve->ready_server)
+        return false;
+    }
+  if (settings->metrics_listen.family)
+    {
+      serve->metrics_server
+          = open_public (serve, &settings->metrics_listen, error);
+      if (!serve->metrics_server)
+        return false;
+    }
+  return true;
+}
+
+static gbd_admin_t *
+open_public (gbd_cookie_serve_t *serve, const gbd_address_t *listen,
+             const char **error)
+{
+  gbd_admin_settings_t settings = { .listen = *listen, .is_public = true };
+  return gbd_admin_new (serve->context, &settings, &gbd_cookie_admin_callbacks,
+                        serve, error);
+}
+
+static void
+finish (gbd_cookie_serve_t *serve)
+{
+  lws_sul_cancel (&serve->timer);
+  gbd_platform_watch_delete (serve->servers_watch);
+  gbd_platform_watch_delete (serve->routes_watch);
+  gbd_platform_delete (serve->platform);
+  gbd_admin_delete (serve->admin);
+  gbd_admin_delete (serve->ready_server);
+  gbd_admin_delete (serve->metrics_server);
+  if (serve->context)
+    lws_context_destroy (serve->context);
+  gbd_cookie_path_delete (serve->path);
+  gbd_director_delete (serve->director);
+  gbd_journal_delete (serve->journal);
+}
+
+static void
+handle_packets (void *data, int fd)
+{
+  (void)fd;
+  gbd_cookie_serve_t *serve = data;
+  gbd_cookie_path_receive (serve->path);
+}
+
+static void
+handle_signal (void *data, int fd)
+{
+  gbd_cookie_serve_t *serve = data;
+  struct signalfd_siginfo info;
+  while (read (fd, &info, sizeof info) == (ssize_t)sizeof info)
+    {
+      if (info.ssi_signo == SIGUSR1)
+        gbd_cookie_report_dump (serve);
+      else if (info.ssi_signo == SIGHUP)
+        read_settings_again (serve, gbd_loop_now (NULL));
+      else
+        begin_stop (serve);
+    }
+}
+
+static void
+begin_stop (gbd_cookie_serve_t *serve)
+{
+  if (serve->is_stopping)
+    return;
+  gbd_time_t now = gbd_loop_now (NULL);
+  serve->is_stopping = true;
+  serve->stop_asked_at = now;
+  serve->stop_at = now + serve->settings->stop_forward_ms * GBD_MILLISECOND;
+  log_event (serve, GBD_EVENT_STOPPING, now,
+             json_pack ("{s:i}", "forward_ms",
+                        (int)serve->settings->stop_forward_ms));
+}
+
+/* Forward until the fabric has stopped sending here. */
+static void
+check_stop (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  if (!serve->is_stopping)
+    return;
+  gbd_cookie_path_stats_t stats;
+  gbd_cookie_path_get_stats (serve->path, &stats);
+  bool is_quiet = now - serve->stop_asked_at >= STOP_MINIMUM
+                  && now - stats.newest_packet_at >= STOP_QUIET;
+  serve->is_done = is_quiet || now >= serve->stop_at;
+}
+
+static void
+check_ready (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  bool is_ready = gbd_director_is_ready (serve->director);
+  if (is_ready && !serve->was_ready)
+    log_event (
+        serve, GBD_EVENT_READY, now,
+        json_pack ("{s:I}", "start_ms",
+                   (json_int_t)((now - serve->started_at) / GBD_MILLISECOND)));
+  serve->was_ready = is_ready;
+}
+
+/* The file may change without a signal. */
+static void
+check_settings (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  if (now < serve->settings_due)
+    return;
+  serve->settings_due = now + SETTINGS_INTERVAL;
+  if (read_settings_stamp () != serve->settings_stamp)
+    read_settings_again (serve, now);
+}
+
+static int64_t
+read_settings_stamp (void)
+{
+  const char *path = getenv (GBD_SETTINGS_FILE_VARIABLE);
+  struct stat status;
+  if (!path || stat (path, &status) < 0)
+    return 0;
+  return (int64_t)status.st_mtim.tv_sec * NS_PER_S + status.st_mtim.tv_nsec;
+}
+
+static void
+read_settings_again (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  gbd_settings_t settings;
+  serve->settings_stamp = read_settings_stamp ();
+  char **flags = g_strdupv (serve->flags);
+  char **rest = flags;
+  int count = (int)g_strv_length (flags);
+  gbd_status_t status = gbd_settings_parse (&count, &rest, &settings);
+  g_free (flags);
+  if (status != GBD_OK)
+    return;
+  const char *restart = name_restart_setting (serve->settings, &settings);
+  serve->settings->log_priority = settings.log_priority;
+  serve->settings->stop_forward_ms = settings.stop_forward_ms;
+  gbd_journal_set_priority (serve->journal, settings.log_priority);
+  log_event (serve, GBD_EVENT_SETTINGS_READ, now,
+             json_pack ("{s:s?}", "restart", restart));
+}
+
+/* Settings that a running instance cannot change; the first that differs. */
+static const char *
+name_restart_setting (const gbd_settings_t *old, const gbd_settings_t *new)
+{
+  if (!gbd_address_is_equal (&old->platform, &new->platform))
+    return "platform";
+  if (!gbd_address_is_equal (&old->fabric_listen, &new->fabric_listen))
+    return "fabric-listen";
+  if (!gbd_address_is_equal (&old->ready_listen, &new->ready_listen))
+    return "ready-listen";
+  return strcmp (old->zone, new->zone) != 0 ? "zone" : NULL;
+}
+
+static void
+tick (lws_sorted_usec_list_t *timer)
+{
+  gbd_cookie_serve_t *serve
+      = lws_container_of (timer, gbd_cookie_serve_t, timer);
+  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_platform_tick (serve->platform, now);
+  gbd_cookie_store_tick (serve, now);
+  gbd_director_tick (serve->director, now);
+  check_ready (serve, now);
+  check_settings (serve, now);
+  check_stop (serve, now);
+  gbd_journal_flush (serve->journal);
+  if (serve->is_done)
+    lws_cancel_service (serve->context);
+  else
+    lws_sul_schedule (serve->context, 0, &serve->timer, tick, TICK_US);
+}
+
+static void
+log_event (gbd_cookie_serve_t *serve, gbd_event_t event, gbd_time_t now,
+           json_t *fields)
+{
+  if (serve->journal && gbd_journal_admits (serve->journal, event, now))
+    gbd_journal_write (serve->journal, event, fields);
+  else
+    json_decref (fields);
+}
--- /dev/null
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -0,0 +1,74 @@
+/** @file cookie_serve.h
+ *  `gooseberrydrum serve --policy=cookie`: one instance that routes by cookie
+ *  and shares nothing with its peers but what the platform holds.
+ */
+#ifndef PROGRAM_COOKIE_SERVE_H
+#define PROGRAM_COOKIE_SERVE_H
+
+#include "admin.h"
+#include "cookie_path.h"
+#include "journal.h"
+#include "platform_client.h"
+#include "settings.h"
+
+/** Latency histogram, in powers of two of milliseconds. */
+#define GBD_OPENING_BUCKETS 12
+
+typedef struct
+{
+  gbd_settings_t *settings;
+  char **flags; /**< of the command line, to read settings again */
+  struct lws_context *context;
+  gbd_journal_t *journal;
+  gbd_director_t *director;
+  gbd_cookie_path_t *path;
+  gbd_platform_t *platform;
+  const gbd_platform_dialect_t *dialect;
+  gbd_platform_watch_t *servers_watch;
+  gbd_platform_watch_t *routes_watch;
+  gbd_admin_t *admin;
+  gbd_admin_t *ready_server;
+  gbd_admin_t *metrics_server;
+  uint64_t random;   /**< proposes a key */
+  bool is_key_asked; /**< a call for the key is under way */
+  bool has_key;
+  bool was_ready;
+  bool is_listing;     /**< between two reports of the servers' watch */
+  bool is_routes_lost; /**< the watch on routes fails */
+  gbd_time_t started_at;
+  gbd_time_t lost_at;      /**< while the platform is away */
+  gbd_time_t routes_at;    /**< the routes in force were read */
+  gbd_time_t settings_due; /**< of the next look at the settings file */
+  int64_t settings_stamp;  /**< time of change of the settings file, in ns */
+  bool is_stopping;
+  bool is_done;
+  gbd_time_t stop_asked_at;
+  gbd_time_t stop_at; /**< end of forwarding at the latest */
+  uint64_t openings[GBD_OPENING_BUCKETS]; /**< answered, by time */
+  lws_sorted_usec_list_t timer;
+} gbd_cookie_serve_t;
+
+/** Run until a planned stop.
+ *  @param flags of the command line, ends with NULL
+ *  @return a gbd_exit_t. */
+int gbd_serve_cookie (gbd_settings_t *settings, char **flags);
+
+/* cookie_store.c */
+
+/** Start to read what the platform holds.  @return false with `error` set. */
+bool gbd_cookie_store_start (gbd_cookie_serve_t *serve, const char **error);
+/** Ask again for what is missing. */
+void gbd_cookie_store_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+
+/* cookie_report.c */
+
+extern const gbd_admin_callbacks_t gbd_cookie_admin_callbacks;
+/** Log a decision; an observer of the packet path. */
+void gbd_cookie_report_decision (void *data, const gbd_packet_t *packet,
+                                 const gbd_direction_t *direction,
+                                 const gbd_flow_signs_t *signs,
+                                 gbd_time_t now);
+/** Write the dump to standard error, in one line. */
+void gbd_cookie_report_dump (gbd_cookie_serve_t *serve);
+
+#endif
--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -24,10 +24,9 @@
   gbd_platform_t *platform;
   call_state_t state;
   bool is_write;
-  const char *method;
   char *kind;
   char *name;
-  char *path;
+  gbd_platform_request_t request;
   gbd_http_call_t *http_call;
   gbd_time_t due; /* time-out, or next attempt */
   gbd_backoff_t backoff;
@@ -47,6 +46,7 @@
 
 static const meaning_t meanings[] = {
   { 200, GBD_OK, GBD_OK, false },
+  { 201, GBD_OK, GBD_OK, false },
   { 400, GBD_ERROR_FORMAT, GBD_ERROR_FORMAT, false },
   { 404, GBD_ERROR_NOT_FOUND, GBD_ERROR_NOT_FOUND, false },
   { 409, GBD_ERROR_CONFLICT, GBD_ERROR_CONFLICT, false },
@@ -58,21 +58,21 @@
 static const meaning_t unknown_meaning
     = { 0, GBD_ERROR_UNAVAILABLE, GBD_ERROR_UNKNOWN, true };
 
-static call_t *call_new (gbd_platform_t *platform, const char *method,
-                         const char *kind, const char *name, gbd_time_t now,
+static call_t *call_new (gbd_platform_t *platform, const char *kind,
+                         const char *name, gbd_time_t now,
                          gbd_platform_done_t done, void *data);
 static void call_free (gpointer data);
-static void attempt (call_t *call, char *body);
+static void attempt (call_t *call);
 static void fail_attempt (call_t *call, gbd_status_t status);
 static void end_later (call_t *call, gbd_status_t status);
 static void report (call_t *call, gbd_status_t status, uint64_t version,
                     json_t *value);
 static void receive (void *data, const gbd_http_answer_t *answer);
 static void tick_call (call_t *call);
-static void read_body (const gbd_http_answer_t *answer, bool is_write,
+static void read_body (const gbd_platform_t *platform,
+                       const gbd_http_answer_t *answer, bool is_write,
                        gbd_platform_result_t *result);
 static const meaning_t *find_meaning (int http_status);
-static char *make_path (const char *kind, const char *name);
 
 gbd_platform_t *
 gbd_platform_new (struct lws_context *context,
@@ -85,6 +85,8 @@
   platform->settings = *settings;
   if (!platform->settings.call_timeout_ms)
     platform->settings.call_timeout_ms = CALL_TIMEOUT_MS;
+  if (!platform->settings.dialect)
+    platform->settings.dialect = &gbd_platform_dialect_own;
   platform->settings.watch_wait_ms
       = MIN (settings->watch_wait_ms, WATCH_WAIT_MS_MAX);
   platform->http = http;
@@ -122,9 +124,9 @@
 gbd_platform_get (gbd_platform_t *platform, const char *kind, const char *name,
                   gbd_time_t now, gbd_platform_done_t done, void *data)
 {
-  call_t *call = call_new (platform, "GET", kind, name, now, done, data);
-  call->path = make_path (kind, name);
-  attempt (call, NULL);
+  call_t *call = call_new (platform, kind, name, now, done, data);
+  platform->settings.dialect->get (kind, name, &call->request);
+  attempt (call);
 }
 
 void
@@ -132,21 +134,16 @@
                   uint64_t version, json_t *value, gbd_time_t now,
                   gbd_platform_done_t done, void *data)
 {
-  call_t *call = call_new (platform, "PUT", kind, name, now, done, data);
+  call_t *call = call_new (platform, kind, name, now, done, data);
+  gbd_platform_request_t *request = &call->request;
   call->is_write = true;
-  char *object_path = make_path (kind, name);
-  call->path = g_strdup_printf ("%s?version=%" G_GUINT64_FORMAT, object_path,
-                                version);
-  g_free (object_path);
-
-  char *body = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
-  if (body && strlen (body) <= VALUE_BYTES_MAX)
-    {
-      attempt (call, body);
-      return;
-    }
-  end_later (call, body ? GBD_ERROR_RANGE : GBD_ERROR_FORMAT);
-  g_free (body);
+  platform->settings.dialect->put (kind, name, version, value, request);
+  if (!request->body)
+    end_later (call, GBD_ERROR_FORMAT);
+  else if (strlen (request->body) > VALUE_BYTES_MAX)
+    end_later (call, GBD_ERROR_RANGE);
+  else
+    attempt (call);
 }
 
 void
@@ -154,13 +151,10 @@
                      const char *name, uint64_t version, gbd_time_t now,
                      gbd_platform_done_t done, void *data)
 {
-  call_t *call = call_new (platform, "DELETE", kind, name, now, done, data);
+  call_t *call = call_new (platform, kind, name, now, done, data);
   call->is_write = true;
-  char *object_path = make_path (kind, name);
-  call->path = g_strdup_printf ("%s?version=%" G_GUINT64_FORMAT, object_path,
-                                version);
-  g_free (object_path);
-  attempt (call, NULL);
+  platform->settings.dialect->remove (kind, name, version, &call->request);
+  attempt (call);
 }
 
 void
@@ -194,7 +188,7 @@
 {
   memset (result, 0, sizeof *result);
   if (answer->outcome == GBD_HTTP_ANSWERED)
-    read_body (answer, is_write, result);
+    read_body (platform, answer, is_write, result);
   else
     {
       bool is_unknown = is_write && answer->outcome == GBD_HTTP_CUT;
@@ -267,14 +261,12 @@
 }
 
 static call_t *
-call_new (gbd_platform_t *platform, const char *method, const char *kind,
-          const char *name, gbd_time_t now, gbd_platform_done_t done,
-          void *data)
+call_new (gbd_platform_t *platform, const char *kind, const char *name,
+          gbd_time_t now, gbd_platform_done_t done, void *data)
 {
   call_t *call = g_new0 (call_t, 1);
   platform->now = MAX (platform->now, now);
   call->platform = platform;
-  call->method = method;
   call->kind = g_strdup (kind);
   call->name = g_strdup (name);
   call->done = done;
@@ -294,16 +286,20 @@
     gbd_http_cancel (call->http_call);
   g_free (call->kind);
   g_free (call->name);
-  g_free (call->path);
+  g_free (call->request.path);
+  g_free (call->request.body);
   g_free (call);
 }
 
 static void
-attempt (call_t *call, char *body)
+attempt (call_t *call)
 {
   gbd_platform_t *platform = call->platform;
-  call->http_call = gbd_platform_start (platform, call->method, call->path,
-                                        body, receive, call);
+  /* The exchange frees its body; a read, which alone is repeated, has none. */
+  char *body = call->request.body;
+  call->request.body = NULL;
+  call->http_call = gbd_platform_start (
+      platform, call->request.method, call->request.path, body, receive, call);
   if (!call->http_call)
     {
       fail_attempt (call, GBD_ERROR_UNAVAILABLE);
@@ -384,7 +380,7 @@
     return;
   if (call->state == CALL_WAITING)
     {
-      attempt (call, NULL);
+      attempt (call);
       return;
     }
   gbd_http_call_t *http_call = call->http_call;
@@ -394,20 +390,21 @@
 }
 
 static void
-read_body (const gbd_http_answer_t *answer, bool is_write,
-           gbd_platform_result_t *result)
+read_body (const gbd_platform_t *platform, const gbd_http_answer_t *answer,
+           bool is_write, gbd_platform_result_t *result)
 {
   const meaning_t *meaning = find_meaning (answer->status);
   result->status = is_write ? meaning->write : meaning->read;
   result->is_failure = meaning->is_failure;
   if (answer->length > 0)
-    result->body = json_loadb (answer->body, answer->length, 0, NULL);
+    result->body = platform->settings.dialect->translate (
+        json_loadb (answer->body, answer->length, 0, NULL));
   json_t *version = json_object_get (result->body, "version");
   bool is_whole
       = json_is_integer (version) && json_integer_value (version) >= 0;
   if (is_whole)
     result->version = (uint64_t)json_integer_value (version);
-  if (answer->status != 200 || is_whole)
+  if (meaning->read != GBD_OK || is_whole)
     return;
   /* After garbage nobody knows what a write did. */
   result->status = is_write ? GBD_ERROR_UNKNOWN : GBD_ERROR_FORMAT;
@@ -424,14 +421,3 @@
     }
   return &unknown_meaning;
 }
-
-static char *
-make_path (const char *kind, const char *name)
-{
-  char *kind_text = g_uri_escape_string (kind, NULL, FALSE);
-  char *name_text = g_uri_escape_string (name, NULL, FALSE);
-  char *path = g_strconcat ("/v1/", kind_text, "/", name_text, NULL);
-  g_free (kind_text);
-  g_free (name_text);
-  return path;
-}
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -10,14 +10,15 @@
 #include <libwebsockets.h>
 #include <jansson.h>
 
-#include "gooseberrydrum/types.h"
+#include "platform_dialect.h"
 
 typedef struct
 {
   gbd_address_t platform;
-  uint32_t call_timeout_ms; /**< 2000 unless set */
-  uint32_t watch_wait_ms;   /**< longest wait of one watch call */
-  uint64_t random_seed;     /**< of the jitter */
+  const gbd_platform_dialect_t *dialect; /**< NULL for the own API */
+  uint32_t call_timeout_ms;              /**< 2000 unless set */
+  uint32_t watch_wait_ms;                /**< longest wait of one watch call */
+  uint64_t random_seed;                  /**< of the jitter */
 } gbd_platform_settings_t;
 
 typedef struct gbd_platform gbd_platform_t;
@@ -67,6 +68,9 @@
   /** The platform answered; everything up to now was reported.
    *  @param asked_at when the answered request was sent */
   void (*confirmed) (void *data, gbd_time_t asked_at);
+  /** The platform did not answer, or not usefully; may be NULL.  Each
+   *  attempt until the next `confirmed` is reported. */
+  void (*failed) (void *data, gbd_time_t now);
 } gbd_platform_watch_callbacks_t;
 
 typedef struct gbd_platform_watch gbd_platform_watch_t;
--- /dev/null
+++ b/src/gooseberrydrum/platform_dialect.c
@@ -0,0 +1,192 @@
+#include "platform_dialect.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define PREFIX "/v1/"
+#define VERSION_FORMAT "%" G_GUINT64_FORMAT
+
+static void make_list (const char *kind, const char *after,
+                       gbd_platform_request_t *request);
+static void make_watch (const char *kind, uint64_t version, uint32_t wait_ms,
+                        gbd_platform_request_t *request);
+static void make_get (const char *kind, const char *name,
+                      gbd_platform_request_t *request);
+static void make_put (const char *kind, const char *name, uint64_t version,
+                      json_t *value, gbd_platform_request_t *request);
+static void make_remove (const char *kind, const char *name, uint64_t version,
+                         gbd_platform_request_t *request);
+static json_t *keep (json_t *body);
+static gbd_status_t read_server (const char *name, const json_t *value,
+                                 gbd_time_t now, gbd_pool_entry_t *entry,
+                                 const char **wrong);
+static gbd_routes_t *read_routes (const json_t *value, const char **wrong);
+static bool read_route (const json_t *item, gbd_route_t *route);
+
+const gbd_platform_dialect_t gbd_platform_dialect_own = {
+  .name = "own",
+  .list = make_list,
+  .watch = make_watch,
+  .get = make_get,
+  .put = make_put,
+  .remove = make_remove,
+  .translate = keep,
+  .servers_kind = "endpoints",
+  .routes_kind = "routes",
+  .routes_name = "main",
+  .read_server = read_server,
+  .read_routes = read_routes,
+};
+
+char *
+gbd_platform_make_path (const char *prefix, const char *kind, const char *name)
+{
+  char *kind_text = g_uri_escape_string (kind, NULL, FALSE);
+  char *name_text = name ? g_uri_escape_string (name, NULL, FALSE) : NULL;
+  char *path = name ? g_strconcat (prefix, kind_text, "/", name_text, NULL)
+                    : g_strconcat (prefix, kind_text, NULL);
+  g_free (kind_text);
+  g_free (name_text);
+  return path;
+}
+
+static void
+make_list (const char *kind, const char *after,
+           gbd_platform_request_t *request)
+{
+  /* The own API lists everything in one answer. */
+  (void)after;
+  request->method = "GET";
+  request->path = gbd_platform_make_path (PREFIX, kind, NULL);
+}
+
+static void
+make_watch (const char *kind, uint64_t version, uint32_t wait_ms,
+            gbd_platform_request_t *request)
+{
+  char *path = gbd_platform_make_path (PREFIX, kind, NULL);
+  request->method = "GET";
+  request->path = g_strdup_printf ("%s?since=" VERSION_FORMAT "&wait_ms=%u",
+                                   path, version, wait_ms);
+  g_free (path);
+}
+
+static void
+make_get (const char *kind, const char *name, gbd_platform_request_t *request)
+{
+  request->method = "GET";
+  request->path = gbd_platform_make_path (PREFIX, kind, name);
+}
+
+static void
+make_put (const char *kind, const char *name, uint64_t version, json_t *value,
+          gbd_platform_request_t *request)
+{
+  char *path = gbd_platform_make_path (PREFIX, kind, name);
+  request->method = "PUT";
+  request->path
+      = g_strdup_printf ("%s?version=" VERSION_FORMAT, path, version);
+  request->body = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
+  g_free (path);
+}
+
+static void
+make_remove (const char *kind, const char *name, uint64_t version,
+             gbd_platform_request_t *request)
+{
+  char *path = gbd_platform_make_path (PREFIX, kind, name);
+  request->method = "DELETE";
+  request->path
+      = g_strdup_printf ("%s?version=" VERSION_FORMAT, path, version);
+  g_free (path);
+}
+
+static json_t *
+keep (json_t *body)
+{
+  return body;
+}
+
+static gbd_status_t
+read_server (const char *name, const json_t *value, gbd_time_t now,
+             gbd_pool_entry_t *entry, const char **wrong)
+{
+  const char *service = json_string_value (json_object_get (value, "service"));
+  const char *address = json_string_value (json_object_get (value, "address"));
+  const char *zone = json_string_value (json_object_get (value, "zone"));
+  const char *state = json_string_value (json_object_get (value, "state"));
+  json_int_t slots = json_integer_value (json_object_get (value, "slots"));
+  json_int_t warm_ms
+      = json_integer_value (json_object_get (value, "warm_up_ms"));
+  memset (entry, 0, sizeof *entry);
+  *wrong = "service, address, zone or state is missing";
+  if (!service || !address || !zone || !state)
+    return GBD_ERROR_FORMAT;
+  *wrong = "the address is no IP number with a port";
+  if (gbd_address_parse (address, &entry->backend.address) != GBD_OK)
+    return GBD_ERROR_FORMAT;
+  *wrong = "the state is neither ready nor draining";
+  bool is_draining = strcmp (state, "draining") == 0;
+  if (!is_draining && strcmp (state, "ready") != 0)
+    return GBD_ERROR_FORMAT;
+  entry->backend.id = gbd_id_from_name (name);
+  entry->backend.zone = gbd_zone_from_name (zone);
+  entry->backend.state
+      = is_draining ? GBD_BACKEND_DRAINING : GBD_BACKEND_READY;
+  entry->service = gbd_id_from_name (service);
+  entry->slots = slots > 0 ? (uint32_t)slots : 1;
+  entry->born_ms = json_integer_value (json_object_get (value, "born_ms"));
+  entry->warm_at = warm_ms > 0 ? now + warm_ms * GBD_MILLISECOND : 0;
+  g_strlcpy (entry->name, name, sizeof entry->name);
+  return GBD_OK;
+}
+
+static gbd_routes_t *
+read_routes (const json_t *value, const char **wrong)
+{
+  json_t *items = json_object_get (value, "routes");
+  json_int_t version = json_integer_value (json_object_get (value, "version"));
+  *wrong = "version or routes are missing";
+  if (version <= 0 || !json_is_array (items))
+    return NULL;
+  gbd_routes_t *routes = gbd_routes_new ((uint64_t)version);
+  size_t index;
+  json_t *item;
+  json_array_foreach (items, index, item)
+  {
+    gbd_route_t route = { .target_count = 0 };
+    *wrong = "a route has no address or no service, or shares its address";
+    if (!routes || !read_route (item, &route)
+        || gbd_routes_add (routes, &route) != GBD_OK)
+      {
+        gbd_routes_delete (routes);
+        return NULL;
+      }
+  }
+  return routes;
+}
+
+static bool
+read_route (const json_t *item, gbd_route_t *route)
+{
+  const char *address = json_string_value (json_object_get (item, "address"));
+  json_t *services = json_object_get (item, "services");
+  if (!address || gbd_address_parse (address, &route->address) != GBD_OK)
+    return false;
+  size_t index;
+  json_t *service;
+  json_array_foreach (services, index, service)
+  {
+    const char *name = json_string_value (json_object_get (service, "name"));
+    json_int_t weight
+        = json_integer_value (json_object_get (service, "weight"));
+    if (!name || weight < 0 || weight > UINT32_MAX
+        || route->target_count == GBD_ROUTE_TARGETS_MAX)
+      return false;
+    route->targets[route->target_count++]
+        = (gbd_route_target_t){ .service = gbd_id_from_name (name),
+                                .weight = (uint32_t)weight };
+  }
+  return route->target_count > 0;
+}
--- a/src/gooseberrydrum/platform_http.c
+++ b/src/gooseberrydrum/platform_http.c
@@ -8,6 +8,11 @@
 /* An answer over this is given up, to bound the memory. */
 #define ANSWER_BYTES_MAX (64u << 20)
 #define READ_BYTES 65536
+/* A connection that went silent without a reset is found within 3 s: a
+   waiting watch would else show it only at its time-out. */
+#define KEEPALIVE_TIME_S 1
+#define KEEPALIVE_INTERVAL_S 1
+#define KEEPALIVE_PROBES 2
 #define LENGTH_TEXT_BYTES 24
 
 struct gbd_http
@@ -67,6 +72,9 @@
   info.vhost_name = "platform-client";
   info.port = CONTEXT_PORT_NO_LISTEN;
   info.protocols = protocols;
+  info.ka_time = KEEPALIVE_TIME_S;
+  info.ka_interval = KEEPALIVE_INTERVAL_S;
+  info.ka_probes = KEEPALIVE_PROBES;
   http->context = context;
   http->vhost = lws_create_vhost (context, &info);
   if (!http->vhost)
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -7,9 +7,11 @@
   char *prefix;
   gbd_platform_watch_callbacks_t callbacks;
   void *data;
-  bool is_listed;   /* a full listing has been reported */
-  uint64_t version; /* up to which everything was reported */
-  GHashTable *seen; /* name -> version, a uint64_t */
+  bool is_listed;        /* a full listing has been reported */
+  char *after;           /* last name of the page before; NULL: first page */
+  uint64_t page_version; /* of the first page of the listing under way */
+  uint64_t version;      /* up to which everything was reported */
+  GHashTable *seen;      /* name -> version, a uint64_t */
   gbd_http_call_t *http_call;
   gbd_time_t asked_at;
   gbd_time_t timeout_at;
@@ -24,12 +26,14 @@
 static void receive (void *data, const gbd_http_answer_t *answer);
 static void take_in (gbd_platform_watch_t *watch,
                      const gbd_platform_result_t *result);
-static void report_list (gbd_platform_watch_t *watch, json_t *items);
+static void report_page (gbd_platform_watch_t *watch,
+                         const gbd_platform_result_t *result, json_t *items);
 static void report_items (gbd_platform_watch_t *watch, json_t *items);
 static void report_item (gbd_platform_watch_t *watch, json_t *item);
 static void pause_watch (gbd_platform_watch_t *watch);
+static void list_again (gbd_platform_watch_t *watch);
 static bool is_newer (gbd_platform_watch_t *watch, const char *name,
-                      uint64_t version);
+                      uint64_t version, bool is_deletion);
 
 gbd_platform_watch_t *
 gbd_platform_watch_new (gbd_platform_t *platform, const char *kind,
@@ -40,7 +44,7 @@
   gbd_platform_watch_t *watch = g_new0 (gbd_platform_watch_t, 1);
   platform->now = MAX (platform->now, now);
   watch->platform = platform;
-  watch->kind = g_uri_escape_string (kind, NULL, FALSE);
+  watch->kind = g_strdup (kind);
   watch->prefix = g_strdup (prefix);
   watch->callbacks = *callbacks;
   watch->data = data;
@@ -72,6 +76,7 @@
     gbd_http_cancel (watch->http_call);
   g_hash_table_destroy (watch->seen);
   g_free (watch->kind);
+  g_free (watch->after);
   g_free (watch->prefix);
   g_free (watch);
 }
@@ -107,18 +112,19 @@
      other call pass until it has. */
   bool is_waiting = watch->is_listed && !watch->is_retry;
   uint32_t wait_ms = is_waiting ? platform->settings.watch_wait_ms : 0;
-  char *path
-      = watch->is_listed
-            ? g_strdup_printf ("/v1/%s?since=%" G_GUINT64_FORMAT "&wait_ms=%u",
-                               watch->kind, watch->version, wait_ms)
-            : g_strconcat ("/v1/", watch->kind, NULL);
+  const gbd_platform_dialect_t *dialect = platform->settings.dialect;
+  gbd_platform_request_t request = { 0 };
+  if (watch->is_listed)
+    dialect->watch (watch->kind, watch->version, wait_ms, &request);
+  else
+    dialect->list (watch->kind, watch->after, &request);
   uint32_t timeout_ms = wait_ms + platform->settings.call_timeout_ms;
   watch->asked_at = platform->now;
   watch->timeout_at = platform->now + timeout_ms * GBD_MILLISECOND;
   gbd_retry_budget_earn (&platform->budget);
-  watch->http_call
-      = gbd_platform_start (platform, "GET", path, NULL, receive, watch);
-  g_free (path);
+  watch->http_call = gbd_platform_start (platform, request.method,
+                                         request.path, NULL, receive, watch);
+  g_free (request.path);
   if (!watch->http_call)
     pause_watch (watch);
 }
@@ -141,8 +147,9 @@
       gbd_platform_watch_free (watch);
       return;
     }
-  /* At most one call a tick, however fast the answers come. */
-  if (!watch->is_retry && watch->asked_at < platform->now)
+  /* At most one call a tick, however fast the answers come, but for the pages
+     of a listing. */
+  if (!watch->is_retry && (watch->after || watch->asked_at < platform->now))
     ask (watch);
 }
 
@@ -152,7 +159,7 @@
   if (result->status == GBD_ERROR_STALE)
     {
       /* The platform no longer knows the changes since then. */
-      watch->is_listed = false;
+      list_again (watch);
       return;
     }
   json_t *items
@@ -167,23 +174,41 @@
   watch->is_retry = false;
   watch->retry_at = 0;
   gbd_backoff_reset (&watch->backoff);
-  if (watch->is_listed)
-    report_items (watch, items);
+  if (!watch->is_listed)
+    report_page (watch, result, items);
   else
-    report_list (watch, items);
-  watch->version = result->version;
-  if (!watch->is_deleted && watch->callbacks.confirmed)
+    {
+      report_items (watch, items);
+      watch->version = result->version;
+    }
+  if (!watch->is_deleted && watch->is_listed && watch->callbacks.confirmed)
     watch->callbacks.confirmed (watch->data, watch->asked_at);
 }
 
 static void
-report_list (gbd_platform_watch_t *watch, json_t *items)
+report_page (gbd_platform_watch_t *watch, const gbd_platform_result_t *result,
+             json_t *items)
 {
-  g_hash_table_remove_all (watch->seen);
-  if (watch->callbacks.reset)
-    watch->callbacks.reset (watch->data);
+  if (!watch->after)
+    {
+      g_hash_table_remove_all (watch->seen);
+      watch->page_version = result->version;
+      if (watch->callbacks.reset)
+        watch->callbacks.reset (watch->data);
+    }
   report_items (watch, items);
+  json_t *last = json_array_get (items, json_array_size (items) - 1);
+  const char *name = json_string_value (json_object_get (last, "name"));
+  g_free (watch->after);
+  watch->after = NULL;
+  if (name && json_is_true (json_object_get (result->body, "more")))
+    {
+      watch->after = g_strdup (name);
+      return;
+    }
+  /* Changes made between two pages are among those after the first. */
   watch->is_listed = true;
+  watch->version = watch->page_version;
 }
 
 static void
@@ -206,7 +231,7 @@
   uint64_t version
       = (uint64_t)json_integer_value (json_object_get (item, "version"));
   if (!name || !value || !g_str_has_prefix (name, watch->prefix)
-      || !is_newer (watch, name, version))
+      || !is_newer (watch, name, version, json_is_null (value)))
     return;
   if (json_is_null (value))
     {
@@ -221,15 +246,29 @@
 {
   watch->is_retry = true;
   watch->retry_at = watch->platform->now + gbd_backoff_next (&watch->backoff);
+  if (!watch->is_deleted && watch->callbacks.failed)
+    watch->callbacks.failed (watch->data, watch->platform->now);
+}
+
+static void
+list_again (gbd_platform_watch_t *watch)
+{
+  watch->is_listed = false;
+  g_free (watch->after);
+  watch->after = NULL;
 }
 
-/* A change that came before, by a watch replayed, is reported once. */
+/* A change that came before, by a watch replayed, is reported once.  A
+   deletion may carry the version of the change before it. */
 static bool
-is_newer (gbd_platform_watch_t *watch, const char *name, uint64_t version)
+is_newer (gbd_platform_watch_t *watch, const char *name, uint64_t version,
+          bool is_deletion)
 {
+  const uint64_t *seen = g_hash_table_lookup (watch->seen, name);
+  if (is_deletion)
+    return !seen || *seen <= version;
   if (watch->is_listed && version <= watch->version)
     return false;
-  const uint64_t *seen = g_hash_table_lookup (watch->seen, name);
   if (seen && *seen >= version)
     return false;
   uint64_t *copy = g_new (uint64_t, 1);
--- a/src/gooseberrydrum/settings.c
+++ b/src/gooseberrydrum/settings.c
@@ -10,6 +10,7 @@
 #include "share/log.h"
 
 #define SETTINGS_MAX 64
+#define FILE_GROUP "serve"
 #define SECRET_LENGTH_MAX 255 /* bytes of a secret's line in a file */
 
 /** What one reading of the settings passes around. */
@@ -21,13 +22,15 @@
   uint32_t reports;
   gchar *texts[SETTINGS_MAX]; /* of the flags; NULL where none was given */
   gboolean switches[SETTINGS_MAX]; /* flags that take no value */
+  GKeyFile *file;                  /* NULL if there is none */
+  gchar *filed[SETTINGS_MAX];      /* texts of the file that are in use */
 } reading_t;
 
 static bool read_flags (reading_t *reading, int *argc, char ***argv);
 static void fill_entries (reading_t *reading, GOptionEntry *entries);
 static void read_setting (reading_t *reading, size_t index);
-static const char *find_text (const reading_t *reading, size_t index,
-                              char *source);
+static void read_file (reading_t *reading);
+static const char *find_text (reading_t *reading, size_t index, char *source);
 static void read_secret_files (reading_t *reading);
 static void read_secret_file (reading_t *reading, const char *path,
                               const char *name, const char *file_name);
@@ -54,6 +57,7 @@
   memset (settings, 0, sizeof *settings);
   if (read_flags (&reading, argc, argv))
     {
+      read_file (&reading);
       for (size_t i = 0; i < gbd_setting_count; i++)
         read_setting (&reading, i);
       read_secret_files (&reading);
@@ -62,7 +66,12 @@
   if (reading.reports == 0)
     reading.reports = gbd_settings_check (settings, report, data);
   for (size_t i = 0; i < gbd_setting_count; i++)
-    g_free (reading.texts[i]);
+    {
+      g_free (reading.texts[i]);
+      g_free (reading.filed[i]);
+    }
+  if (reading.file)
+    g_key_file_free (reading.file);
   return reading.reports == 0 ? GBD_OK : GBD_ERROR_RANGE;
 }
 
@@ -139,8 +148,24 @@
     reading->settings->has_group_key = true;
 }
 
+/* Keys that are no settings are ignored: a newer platform may add some. */
+static void
+read_file (reading_t *reading)
+{
+  const char *path = getenv (GBD_SETTINGS_FILE_VARIABLE);
+  if (!path)
+    return;
+  GError *error = NULL;
+  reading->file = g_key_file_new ();
+  if (g_key_file_load_from_file (reading->file, path, G_KEY_FILE_NONE, &error))
+    return;
+  tell (reading, GBD_SETTINGS_FILE_VARIABLE, error->message,
+        "name a file with a group [serve] and lines NAME=VALUE");
+  g_error_free (error);
+}
+
 static const char *
-find_text (const reading_t *reading, size_t index, char *source)
+find_text (reading_t *reading, size_t index, char *source)
 {
   const gbd_setting_t *setting = &gbd_setting_table[index];
   snprintf (source, GBD_REMEDY_LENGTH_MAX, "--%s", setting->name);
@@ -151,7 +176,18 @@
 
   gbd_setting_get_variable (setting, source);
   const char *text = getenv (source);
-  return text ? text : setting->standard;
+  if (text)
+    return text;
+  if (!reading->file || setting->is_secret)
+    return setting->standard;
+  g_free (reading->filed[index]);
+  reading->filed[index]
+      = g_key_file_get_string (reading->file, FILE_GROUP, setting->name, NULL);
+  if (!reading->filed[index])
+    return setting->standard;
+  snprintf (source, GBD_REMEDY_LENGTH_MAX, "%s in the settings file",
+            setting->name);
+  return reading->filed[index];
 }
 
 static void
--- a/src/gooseberrydrum/settings.h
+++ b/src/gooseberrydrum/settings.h
@@ -1,8 +1,10 @@
 /** @file settings.h
- *  Settings of `gooseberrydrum serve`: flags, environment, defaults.
+ *  Settings of `gooseberrydrum serve`: flags, environment, a file, defaults.
  *
  *  A flag --fabric-listen goes before the variable
- *  GOOSEBERRYDRUM_FABRIC_LISTEN, and that before the default.  Secrets come
+ *  GOOSEBERRYDRUM_FABRIC_LISTEN, that before "fabric-listen=" in the group
+ *  [serve] of the file that GOOSEBERRYDRUM_SETTINGS names, and that before
+ *  the default.  Secrets come
  *  from the environment or a file only, as flags are seen by every user of
  *  the machine.  Everything is checked before the program starts to serve.
  */
@@ -18,6 +20,12 @@
 #define GBD_TOKEN_LENGTH_MAX 128 /**< characters */
 #define GBD_GROUP_KEY_LENGTH 16  /**< bytes; twice as many hex digits */
 
+/** Policy that needs no peers, tables or registrations. */
+#define GBD_POLICY_COOKIE "cookie"
+
+/** Variable with the path of the settings file. */
+#define GBD_SETTINGS_FILE_VARIABLE "GOOSEBERRYDRUM_SETTINGS"
+
 typedef char gbd_name_text_t[GBD_NAME_MAX + 1];
 typedef char gbd_path_text_t[GBD_PATH_LENGTH_MAX + 1];
 
@@ -32,8 +40,13 @@
   gbd_address_t peer_listen;
   gbd_address_t link_listen;
   gbd_address_t admin_listen;                 /**< family 0 when it is off */
+  gbd_address_t ready_listen;                 /**< family 0 when it is off */
+  gbd_address_t metrics_listen;               /**< family 0 when it is off */
+  const char *platform_form;                  /**< "own" or "objects" */
+  const char *packet_form;                    /**< "ip" or "echo" */
   char admin_token[GBD_TOKEN_LENGTH_MAX + 1]; /**< empty if there is none */
-  const char *policy;              /**< a name that gbd_policy_find knows */
+  const char *policy;              /**< a name that gbd_policy_find knows, or
+                                        GBD_POLICY_COOKIE */
   gbd_path_text_t tls_certificate; /**< all three or none are empty */
   gbd_path_text_t tls_key;
   gbd_path_text_t tls_authority;
--- a/src/gooseberrydrum/settings_check.c
+++ b/src/gooseberrydrum/settings_check.c
@@ -11,6 +11,11 @@
   const char *remedy;
 } rule_t;
 
+static bool cookie_has_room (const gbd_settings_t *settings);
+static bool form_fits_policy (const gbd_settings_t *settings);
+static bool has_peer_listen (const gbd_settings_t *settings);
+static bool has_link_listen (const gbd_settings_t *settings);
+static bool is_cookie (const gbd_settings_t *settings);
 static bool has_group_key (const gbd_settings_t *settings);
 static bool has_whole_tls (const gbd_settings_t *settings);
 static bool has_tls_or_flag (const gbd_settings_t *settings);
@@ -22,6 +27,15 @@
 static bool admin_is_local_or_has_token (const gbd_settings_t *settings);
 
 static const rule_t rules[] = {
+  { cookie_has_room, "policy", "is cookie, but the packets carry none",
+    "give --packet-form=echo, or another policy" },
+  { form_fits_policy, "policy",
+    "does not fit --packet-form or --platform-form",
+    "give --policy=cookie with echo and objects" },
+  { has_peer_listen, "peer-listen", "is missing",
+    "give --peer-listen=ADDRESS:PORT, or --policy=cookie" },
+  { has_link_listen, "link-listen", "is missing",
+    "give --link-listen=ADDRESS:PORT, or --policy=cookie" },
   { has_group_key, "group-key", "is missing",
     "set GOOSEBERRYDRUM_GROUP_KEY, or --group-key-file, to 32 hexadecimal "
     "digits that the whole group has in common" },
@@ -64,10 +78,42 @@
   return reports;
 }
 
+static bool
+cookie_has_room (const gbd_settings_t *settings)
+{
+  return !is_cookie (settings) || strcmp (settings->packet_form, "echo") == 0;
+}
+
+static bool
+form_fits_policy (const gbd_settings_t *settings)
+{
+  return is_cookie (settings)
+         || (strcmp (settings->packet_form, "ip") == 0
+             && strcmp (settings->platform_form, "own") == 0);
+}
+
+static bool
+has_peer_listen (const gbd_settings_t *settings)
+{
+  return is_cookie (settings) || settings->peer_listen.family;
+}
+
+static bool
+has_link_listen (const gbd_settings_t *settings)
+{
+  return is_cookie (settings) || settings->link_listen.family;
+}
+
+static bool
+is_cookie (const gbd_settings_t *settings)
+{
+  return strcmp (settings->policy, GBD_POLICY_COOKIE) == 0;
+}
+
 static bool
 has_group_key (const gbd_settings_t *settings)
 {
-  return settings->has_group_key;
+  return is_cookie (settings) || settings->has_group_key;
 }
 
 static bool
@@ -82,8 +128,9 @@
 static bool
 has_tls_or_flag (const gbd_settings_t *settings)
 {
-  return settings->insecure_links || settings->tls_certificate[0]
-         || settings->tls_key[0] || settings->tls_authority[0];
+  return is_cookie (settings) || settings->insecure_links
+         || settings->tls_certificate[0] || settings->tls_key[0]
+         || settings->tls_authority[0];
 }
 
 static bool
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -9,7 +9,9 @@
 #define FIELD(field) offsetof (gbd_settings_t, field)
 
 static const char *const policies[]
-    = { "keepers", "modulo", "rendezvous", "cached", NULL };
+    = { "keepers", "modulo", "rendezvous", "cached", GBD_POLICY_COOKIE, NULL };
+static const char *const platform_forms[] = { "own", "objects", NULL };
+static const char *const packet_forms[] = { "ip", "echo", NULL };
 /* In the order of syslog's priorities from LOG_ERR on. */
 static const char *const cut_offs[] = { "known", "own", "any", NULL };
 
@@ -27,10 +29,30 @@
     false, "Address of the platform's object API." },
   { "fabric-listen", &gbd_kind_address, FIELD (fabric_listen), NULL, "", 0, 0,
     NULL, false, "Where the fabric sends packets (UDP)." },
-  { "peer-listen", &gbd_kind_address, FIELD (peer_listen), NULL, "", 0, 0,
-    NULL, false, "Where other instances pass packets on (UDP)." },
-  { "link-listen", &gbd_kind_address, FIELD (link_listen), NULL, "", 0, 0,
-    NULL, false, "Where other instances open links (TCP)." },
+  { "peer-listen", &gbd_kind_address, FIELD (peer_listen), "", "", 0, 0, NULL,
+    false,
+    "Where other instances pass packets on (UDP).  Every policy but cookie "
+    "needs it." },
+  { "link-listen", &gbd_kind_address, FIELD (link_listen), "", "", 0, 0, NULL,
+    false,
+    "Where other instances open links (TCP).  Every policy but cookie needs "
+    "it." },
+  { "ready-listen", &gbd_kind_optional_address, FIELD (ready_listen), "off",
+    "", 0, 0, NULL, false,
+    "Where GET /ready tells the fabric whether this instance takes packets "
+    "(HTTP); only for the policy cookie." },
+  { "metrics-listen", &gbd_kind_optional_address, FIELD (metrics_listen),
+    "off", "", 0, 0, NULL, false,
+    "Where GET /metrics serves the counters without a token (HTTP); only for "
+    "the policy cookie." },
+  { "platform-form", &gbd_kind_choice, FIELD (platform_form), "own", "", 0, 0,
+    platform_forms, false,
+    "Which object API the platform speaks; objects only for the policy "
+    "cookie." },
+  { "packet-form", &gbd_kind_choice, FIELD (packet_form), "ip", "", 0, 0,
+    packet_forms, false,
+    "How the fabric's packets look: ip, or echo, which carries a routing "
+    "cookie." },
   { "admin-listen", &gbd_kind_optional_address, FIELD (admin_listen),
     "127.0.0.1:7480", "", 0, 0, NULL, false,
     "Where status, dump, explain and counters are served (HTTP).  Anything "
@@ -56,8 +78,8 @@
     NULL, false, "Run links without TLS.  Only for tests." },
   { "policy", &gbd_kind_choice, FIELD (policy), "keepers", "", 0, 0, policies,
     false,
-    "How packets find their backend server; all but keepers are "
-    "baselines for measurements." },
+    "How packets find their backend server: keepers, or cookie where the "
+    "packets carry one; the others are baselines for measurements." },
   { "heartbeat-ms", &gbd_kind_number, FIELD (heartbeat_ms), "400", " ms", 20,
     10000, NULL, false, "Time between two heartbeats." },
   { "touch-timeout-ms", &gbd_kind_number, FIELD (touch_timeout_ms), "1400",
--- /dev/null
+++ b/src/libgooseberrydrum/director.c
@@ -0,0 +1,250 @@
+#include "gooseberrydrum/director.h"
+
+#include <stdlib.h>
+
+struct gbd_director
+{
+  gbd_director_settings_t settings;
+  gbd_pool_t *pool;
+  gbd_flow_watch_t *watch;
+  gbd_routes_t *routes; /* NULL before the first */
+  uint64_t key;
+  bool has_key;
+  uint64_t rules[GBD_DIRECTION_COUNT];
+};
+
+const char *const gbd_direction_strings[GBD_DIRECTION_COUNT]
+    = { "not_ready", "no_route", "no_server", "placed",     "same",
+        "moved",     "cookie",   "no_cookie", "server_gone" };
+
+static void route_opening (const gbd_director_t *director,
+                           const gbd_packet_t *packet, gbd_time_t now,
+                           gbd_direction_t *direction);
+static void route_later (const gbd_director_t *director,
+                         const gbd_packet_t *packet, gbd_time_t now,
+                         gbd_direction_t *direction);
+static void drop (gbd_direction_t *direction, gbd_direction_rule_t rule,
+                  gbd_drop_t cause);
+static void reset (gbd_direction_t *direction, gbd_direction_rule_t rule);
+static bool is_given_up (const gbd_director_t *director,
+                         const gbd_pool_server_t *server, gbd_time_t now);
+
+gbd_director_t *
+gbd_director_new (const gbd_director_settings_t *settings)
+{
+  gbd_director_t *director = calloc (1, sizeof *director);
+  if (!director)
+    return NULL;
+  director->settings = *settings;
+  director->pool = gbd_pool_new ();
+  if (director->pool)
+    director->watch
+        = gbd_flow_watch_new (director->pool, settings->flow_capacity);
+  if (director->watch)
+    return director;
+  gbd_director_delete (director);
+  return NULL;
+}
+
+void
+gbd_director_delete (gbd_director_t *director)
+{
+  if (!director)
+    return;
+  gbd_flow_watch_delete (director->watch);
+  gbd_pool_delete (director->pool);
+  gbd_routes_delete (director->routes);
+  free (director);
+}
+
+void
+gbd_director_set_key (gbd_director_t *director, uint64_t key)
+{
+  director->key = key;
+  director->has_key = true;
+}
+
+gbd_status_t
+gbd_director_set_routes (gbd_director_t *director, gbd_routes_t *routes)
+{
+  if (director->routes
+      && gbd_routes_get_version (routes)
+             <= gbd_routes_get_version (director->routes))
+    {
+      gbd_routes_delete (routes);
+      return GBD_ERROR_STALE;
+    }
+  gbd_routes_delete (director->routes);
+  director->routes = routes;
+  return GBD_OK;
+}
+
+gbd_pool_t *
+gbd_director_get_pool (gbd_director_t *director)
+{
+  return director->pool;
+}
+
+const gbd_pool_t *
+gbd_director_peek_pool (const gbd_director_t *director)
+{
+  return director->pool;
+}
+
+const gbd_routes_t *
+gbd_director_get_routes (const gbd_director_t *director)
+{
+  return director->routes;
+}
+
+bool
+gbd_director_is_ready (const gbd_director_t *director)
+{
+  return director->has_key && director->routes
+         && gbd_pool_is_known (director->pool);
+}
+
+void
+gbd_director_route (const gbd_director_t *director, const gbd_packet_t *packet,
+                    gbd_time_t now, gbd_direction_t *direction)
+{
+  *direction = (gbd_direction_t){
+    .kind = GBD_ACTION_BACKEND,
+    .server = GBD_POOL_NONE,
+    .former = GBD_POOL_NONE,
+    .hash = gbd_flow_hash (&packet->flow, director->key),
+  };
+  if (director->routes)
+    direction->version = gbd_routes_get_version (director->routes);
+  if (!gbd_director_is_ready (director))
+    drop (direction, GBD_DIRECTION_NOT_READY, GBD_DROP_NOT_JOINED);
+  else if (packet->kind == GBD_PACKET_OPENING)
+    route_opening (director, packet, now, direction);
+  else
+    route_later (director, packet, now, direction);
+}
+
+gbd_flow_signs_t
+gbd_director_commit (gbd_director_t *director, const gbd_packet_t *packet,
+                     const gbd_direction_t *direction, gbd_time_t now)
+{
+  director->rules[direction->rule]++;
+  if (direction->kind != GBD_ACTION_BACKEND)
+    return (gbd_flow_signs_t){ .is_silent_now = false };
+  return gbd_flow_watch_note (director->watch, packet, direction->hash,
+                              direction->server, now);
+}
+
+void
+gbd_director_tick (gbd_director_t *director, gbd_time_t now)
+{
+  gbd_flow_watch_tick (director->watch, now);
+  gbd_pool_tick (director->pool, now);
+}
+
+void
+gbd_director_get_stats (const gbd_director_t *director,
+                        gbd_director_stats_t *stats)
+{
+  for (int i = 0; i < GBD_DIRECTION_COUNT; i++)
+    stats->rules[i] = director->rules[i];
+  stats->watched_flows = gbd_flow_watch_get_count (director->watch);
+}
+
+static void
+route_opening (const gbd_director_t *director, const gbd_packet_t *packet,
+               gbd_time_t now, gbd_direction_t *direction)
+{
+  const gbd_route_t *route
+      = gbd_routes_find (director->routes, &packet->flow.service);
+  if (!route)
+    {
+      /* Out of touch, a route may exist that is not known here yet. */
+      if (gbd_pool_is_away (director->pool))
+        drop (direction, GBD_DIRECTION_NO_ROUTE, GBD_DROP_NO_SERVICE);
+      else
+        reset (direction, GBD_DIRECTION_NO_ROUTE);
+      return;
+    }
+  gbd_placement_t placement = {
+    .service = gbd_route_choose (route, direction->hash),
+    .zone = director->settings.zone,
+    .hash = direction->hash,
+    .avoid = GBD_POOL_NONE,
+  };
+  const gbd_watched_flow_t *flow
+      = gbd_flow_watch_find (director->watch, direction->hash);
+  bool is_known = flow && flow->phase == GBD_FLOW_OPENING
+                  && flow->sequence == packet->sequence;
+  /* The acknowledgment of an opening packet counts its repetitions. */
+  bool is_repeated = is_known && packet->acknowledgment > flow->acknowledgment;
+  if (is_repeated)
+    placement.avoid = flow->server;
+  direction->rule = is_repeated ? GBD_DIRECTION_MOVED : GBD_DIRECTION_PLACED;
+  if (is_known && !is_repeated)
+    {
+      direction->rule = GBD_DIRECTION_SAME;
+      direction->server = flow->server;
+    }
+  else
+    direction->server = gbd_placement_choose (director->pool, &placement, now);
+  direction->former = placement.avoid;
+  if (direction->server == GBD_POOL_NONE)
+    {
+      reset (direction, GBD_DIRECTION_NO_SERVER);
+      return;
+    }
+  const gbd_pool_server_t *server
+      = gbd_pool_peek (director->pool, direction->server);
+  direction->cookie
+      = gbd_cookie_make (director->key, &packet->flow, server->fingerprint);
+}
+
+static void
+route_later (const gbd_director_t *director, const gbd_packet_t *packet,
+             gbd_time_t now, gbd_direction_t *direction)
+{
+  gbd_fingerprint_t fingerprint
+      = gbd_cookie_read (director->key, &packet->flow, packet->cookie);
+  direction->server = gbd_pool_find (director->pool, fingerprint);
+  direction->cookie = packet->cookie;
+  direction->rule = GBD_DIRECTION_COOKIE;
+  if (direction->server == GBD_POOL_NONE)
+    {
+      drop (direction, GBD_DIRECTION_NO_COOKIE, GBD_DROP_UNCERTAIN);
+      return;
+    }
+  const gbd_pool_server_t *server
+      = gbd_pool_peek (director->pool, direction->server);
+  if (!packet->is_reset && is_given_up (director, server, now))
+    reset (direction, GBD_DIRECTION_SERVER_GONE);
+}
+
+static void
+drop (gbd_direction_t *direction, gbd_direction_rule_t rule, gbd_drop_t cause)
+{
+  direction->kind = GBD_ACTION_DROP;
+  direction->rule = rule;
+  direction->drop = cause;
+}
+
+static void
+reset (gbd_direction_t *direction, gbd_direction_rule_t rule)
+{
+  direction->kind = GBD_ACTION_RESET;
+  direction->rule = rule;
+}
+
+/* Whether the backend server is surely gone, so that its callers may as well
+   open another flow at once. */
+static bool
+is_given_up (const gbd_director_t *director, const gbd_pool_server_t *server,
+             gbd_time_t now)
+{
+  if (server->is_listed || gbd_pool_is_away (director->pool))
+    return false;
+  gbd_time_t wait = server->entry.backend.state == GBD_BACKEND_DRAINING
+                        ? GBD_DIRECTOR_RESET_DRAINED
+                        : GBD_DIRECTOR_RESET_LOST;
+  return now - server->gone_at >= wait;
+}
--- /dev/null
+++ b/src/libgooseberrydrum/flow_watch.c
@@ -0,0 +1,245 @@
+#include "gooseberrydrum/flow_watch.h"
+
+#include <stdlib.h>
+
+#define WAYS 4 /* places that a flow may take */
+
+struct gbd_flow_watch
+{
+  gbd_pool_t *pool;
+  uint32_t capacity;
+  uint32_t count;
+  gbd_watched_flow_t flows[];
+};
+
+static gbd_watched_flow_t *find (gbd_flow_watch_t *watch,
+                                 gbd_flow_hash_t hash);
+static gbd_watched_flow_t *take_place (gbd_flow_watch_t *watch,
+                                       gbd_flow_hash_t hash);
+static void release (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow);
+static void set_waiting (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow,
+                         bool is_waiting);
+static void note_opening (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow,
+                          const gbd_packet_t *packet, gbd_pool_handle_t server,
+                          gbd_time_t now, gbd_flow_signs_t *signs);
+static void note_later (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow,
+                        const gbd_packet_t *packet, gbd_time_t now,
+                        gbd_flow_signs_t *signs);
+static bool distrust (gbd_flow_watch_t *watch, const gbd_watched_flow_t *flow,
+                      gbd_time_t now);
+
+gbd_flow_watch_t *
+gbd_flow_watch_new (gbd_pool_t *pool, uint32_t capacity)
+{
+  gbd_flow_watch_t *watch
+      = calloc (1, sizeof *watch + capacity * sizeof watch->flows[0]);
+  if (!watch)
+    return NULL;
+  watch->pool = pool;
+  watch->capacity = capacity;
+  return watch;
+}
+
+void
+gbd_flow_watch_delete (gbd_flow_watch_t *watch)
+{
+  free (watch);
+}
+
+const gbd_watched_flow_t *
+gbd_flow_watch_find (const gbd_flow_watch_t *watch, gbd_flow_hash_t hash)
+{
+  uint32_t base = (uint32_t)hash & (watch->capacity - WAYS);
+  for (uint32_t i = 0; i < WAYS; i++)
+    {
+      const gbd_watched_flow_t *flow = &watch->flows[base + i];
+      if (flow->phase != GBD_FLOW_FREE && flow->hash == hash)
+        return flow;
+    }
+  return NULL;
+}
+
+gbd_flow_signs_t
+gbd_flow_watch_note (gbd_flow_watch_t *watch, const gbd_packet_t *packet,
+                     gbd_flow_hash_t hash, gbd_pool_handle_t server,
+                     gbd_time_t now)
+{
+  gbd_watched_flow_t *flow = find (watch, hash);
+  bool is_new = !flow;
+  if (is_new)
+    {
+      flow = take_place (watch, hash);
+      flow->server = server;
+      flow->sequence = packet->sequence;
+      flow->acknowledgment = packet->acknowledgment;
+      flow->sent_at = now;
+    }
+  gbd_flow_signs_t signs = { .is_silent_now = false };
+  flow->newest_at = now;
+  if (packet->kind == GBD_PACKET_OPENING)
+    note_opening (watch, flow, packet, server, now, &signs);
+  else if (flow->phase == GBD_FLOW_FREE)
+    {
+      /* Opened through another instance. */
+      flow->phase = GBD_FLOW_OPEN;
+      gbd_pool_get (watch->pool, server)->load.open++;
+    }
+  else
+    note_later (watch, flow, packet, now, &signs);
+  if (packet->kind == GBD_PACKET_CLOSING)
+    release (watch, flow);
+  return signs;
+}
+
+void
+gbd_flow_watch_tick (gbd_flow_watch_t *watch, gbd_time_t now)
+{
+  for (uint32_t i = 0; i < watch->capacity; i++)
+    {
+      gbd_watched_flow_t *flow = &watch->flows[i];
+      if (flow->phase == GBD_FLOW_FREE)
+        continue;
+      if (now - flow->newest_at > GBD_FLOW_WATCH_IDLE)
+        release (watch, flow);
+      else if (flow->is_waiting && now - flow->newest_at > GBD_FLOW_WATCH_WAIT)
+        set_waiting (watch, flow, false);
+    }
+}
+
+uint32_t
+gbd_flow_watch_get_count (const gbd_flow_watch_t *watch)
+{
+  return watch->count;
+}
+
+static gbd_watched_flow_t *
+find (gbd_flow_watch_t *watch, gbd_flow_hash_t hash)
+{
+  return (gbd_watched_flow_t *)gbd_flow_watch_find (watch, hash);
+}
+
+/* A free place, or that of the flow that was silent for the longest time. */
+static gbd_watched_flow_t *
+take_place (gbd_flow_watch_t *watch, gbd_flow_hash_t hash)
+{
+  uint32_t base = (uint32_t)hash & (watch->capacity - WAYS);
+  gbd_watched_flow_t *oldest = &watch->flows[base];
+  for (uint32_t i = 0; i < WAYS; i++)
+    {
+      gbd_watched_flow_t *flow = &watch->flows[base + i];
+      if (flow->phase == GBD_FLOW_FREE)
+        {
+          oldest = flow;
+          break;
+        }
+      if (flow->newest_at < oldest->newest_at)
+        oldest = flow;
+    }
+  if (oldest->phase != GBD_FLOW_FREE)
+    release (watch, oldest);
+  *oldest = (gbd_watched_flow_t){ .hash = hash };
+  watch->count++;
+  return oldest;
+}
+
+static void
+release (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow)
+{
+  gbd_pool_server_t *server = gbd_pool_get (watch->pool, flow->server);
+  set_waiting (watch, flow, false);
+  if (flow->phase == GBD_FLOW_OPEN && server->load.open > 0)
+    server->load.open--;
+  flow->phase = GBD_FLOW_FREE;
+  watch->count--;
+}
+
+static void
+set_waiting (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow,
+             bool is_waiting)
+{
+  gbd_pool_server_t *server = gbd_pool_get (watch->pool, flow->server);
+  if (flow->is_waiting == is_waiting)
+    return;
+  flow->is_waiting = is_waiting;
+  if (is_waiting)
+    server->load.waiting++;
+  else if (server->load.waiting > 0)
+    server->load.waiting--;
+}
+
+static void
+note_opening (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow,
+              const gbd_packet_t *packet, gbd_pool_handle_t server,
+              gbd_time_t now, gbd_flow_signs_t *signs)
+{
+  bool is_repeated = flow->phase == GBD_FLOW_OPENING
+                     && flow->sequence == packet->sequence
+                     && packet->acknowledgment > flow->acknowledgment;
+  signs->is_silent_now = is_repeated && distrust (watch, flow, now);
+  gbd_pool_server_t *load = gbd_pool_get (watch->pool, server);
+  if (is_repeated)
+    gbd_pool_get (watch->pool, flow->server)->load.unanswered++;
+  if (flow->phase == GBD_FLOW_OPEN && load->load.open > 0)
+    load->load.open--;
+
+  set_waiting (watch, flow, false);
+  if (flow->phase != GBD_FLOW_OPENING || flow->server != server)
+    {
+      gbd_suspicion_placed (&load->load.suspicion, now);
+      load->load.placed++;
+    }
+  flow->server = server;
+  flow->phase = GBD_FLOW_OPENING;
+  flow->sequence = packet->sequence;
+  flow->acknowledgment = packet->acknowledgment;
+  flow->sent_at = now;
+  set_waiting (watch, flow, true);
+}
+
+static void
+note_later (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow,
+            const gbd_packet_t *packet, gbd_time_t now,
+            gbd_flow_signs_t *signs)
+{
+  gbd_pool_server_t *server = gbd_pool_get (watch->pool, flow->server);
+  bool is_first = flow->phase == GBD_FLOW_OPENING;
+  bool has_advanced
+      = is_first
+        || (int32_t)(packet->acknowledgment - flow->acknowledgment) > 0;
+  if (is_first)
+    {
+      flow->phase = GBD_FLOW_OPEN;
+      server->load.open++;
+      signs->is_opened = true;
+      signs->opening_time = now - flow->sent_at;
+    }
+  if (has_advanced)
+    {
+      signs->is_heard_now
+          = gbd_suspicion_is_suspected (&server->load.suspicion);
+      flow->acknowledgment = packet->acknowledgment;
+      gbd_suspicion_answered (&server->load.suspicion, now);
+      if (!is_first)
+        set_waiting (watch, flow, false);
+    }
+  if (packet->payload_length == 0)
+    return;
+  bool is_repeated = !is_first && packet->sequence == flow->sequence;
+  set_waiting (watch, flow, true);
+  if (is_repeated)
+    {
+      signs->is_silent_now = !has_advanced && distrust (watch, flow, now);
+      return;
+    }
+  flow->sequence = packet->sequence;
+  flow->sent_at = now;
+}
+
+static bool
+distrust (gbd_flow_watch_t *watch, const gbd_watched_flow_t *flow,
+          gbd_time_t now)
+{
+  gbd_pool_server_t *server = gbd_pool_get (watch->pool, flow->server);
+  return gbd_suspicion_unanswered (&server->load.suspicion, flow->sent_at,
+                                   now);
+}
--- a/src/libgooseberrydrum/packet.c
+++ b/src/libgooseberrydrum/packet.c
@@ -318,6 +318,7 @@
   packet->is_reset = segment[13] & TCP_RST;
   packet->payload_length = (uint16_t)(length - header);
   packet->length = (uint16_t)ip->length;
+  packet->cookie = 0;
   return GBD_DROP_NONE;
 }
 
@@ -395,10 +396,12 @@
   set_address (&packet->flow.service, ip->family, quoted.source, tcp);
   packet->sequence = get32 (tcp + 4);
   packet->acknowledgment = 0;
+  packet->cookie = 0;
   packet->has_ack = false;
   packet->is_reset = false;
   packet->payload_length = 0;
   packet->length = (uint16_t)ip->length;
+  packet->cookie = 0;
   return GBD_DROP_NONE;
 }
 
--- /dev/null
+++ b/src/libgooseberrydrum/placement.c
@@ -0,0 +1,83 @@
+#include "gooseberrydrum/placement.h"
+
+#define COST_UNIT 1000u /* the time that one request takes */
+/* Keeps loads even below the number of slots. */
+#define SPREAD_COST 200u
+/* Orders the classes of candidates whatever their other costs are. */
+#define CLASS_COST ((uint64_t)1 << 32)
+#define TIE_MASK 0x3fu /* below every difference of costs that matters */
+
+/* Candidates of a lower class go first. */
+typedef enum
+{
+  CLASS_WELL,        /* not suspected, or its trial is due */
+  CLASS_SUSPECTED,   /* waits for its trial */
+  CLASS_AVOIDED,     /* did not answer this flow */
+  CLASS_LAST_RESORT, /* its entry went a short while ago */
+  CLASS_NONE         /* takes no new flows */
+} class_t;
+
+static class_t classify (const gbd_pool_server_t *server,
+                         gbd_pool_handle_t handle,
+                         const gbd_placement_t *placement, gbd_time_t now);
+static uint64_t cost_of (const gbd_pool_server_t *server,
+                         const gbd_placement_t *placement, gbd_time_t now);
+
+gbd_pool_handle_t
+gbd_placement_choose (const gbd_pool_t *pool, const gbd_placement_t *placement,
+                      gbd_time_t now)
+{
+  gbd_pool_handle_t best = GBD_POOL_NONE;
+  uint64_t best_cost = UINT64_MAX;
+  uint32_t room = gbd_pool_get_room (pool);
+  for (uint32_t i = 0; i < room; i++)
+    {
+      gbd_pool_handle_t handle = (gbd_pool_handle_t)i;
+      const gbd_pool_server_t *server = gbd_pool_peek (pool, handle);
+      if (!server->is_used || server->entry.service != placement->service)
+        continue;
+      class_t class = classify (server, handle, placement, now);
+      if (class == CLASS_NONE)
+        continue;
+      uint64_t cost = class * CLASS_COST + cost_of (server, placement, now);
+      if (cost < best_cost)
+        {
+          best = handle;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+static class_t
+classify (const gbd_pool_server_t *server, gbd_pool_handle_t handle,
+          const gbd_placement_t *placement, gbd_time_t now)
+{
+  if (server->entry.backend.state != GBD_BACKEND_READY)
+    return CLASS_NONE;
+  if (!server->is_listed)
+    return now - server->gone_at < GBD_PLACEMENT_LAST_RESORT
+               ? CLASS_LAST_RESORT
+               : CLASS_NONE;
+  if (handle == placement->avoid)
+    return CLASS_AVOIDED;
+  return gbd_suspicion_admits (&server->load.suspicion, now) ? CLASS_WELL
+                                                             : CLASS_SUSPECTED;
+}
+
+static uint64_t
+cost_of (const gbd_pool_server_t *server, const gbd_placement_t *placement,
+         gbd_time_t now)
+{
+  uint64_t slots = server->entry.slots;
+  uint64_t load = server->load.waiting;
+  uint64_t queued = load + 1 > slots ? load + 1 - slots : 0;
+  uint64_t cost = queued * COST_UNIT / slots + load * SPREAD_COST / slots;
+  if (server->entry.backend.zone != placement->zone)
+    cost += GBD_PLACEMENT_ZONE_COST;
+  if (now < server->entry.warm_at)
+    cost += GBD_PLACEMENT_COLD_COST;
+  uint64_t tie
+      = gbd_rendezvous (server->entry.backend.id, placement->hash) & TIE_MASK;
+  return cost + tie;
+}
--- /dev/null
+++ b/src/libgooseberrydrum/pool.c
@@ -0,0 +1,288 @@
+#include "gooseberrydrum/pool.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define FIRST_ROOM 32
+#define INDEX_LOAD 4 /* places of the index for each server */
+
+struct gbd_pool
+{
+  gbd_pool_server_t *servers;
+  uint32_t room;
+  uint32_t listed;
+  gbd_pool_handle_t *index; /* open addressing by fingerprint */
+  uint32_t index_room;      /* a power of two */
+  bool is_known;
+  bool is_away;
+  gbd_time_t settled_at; /* removals before this wait until then */
+};
+
+static gbd_pool_handle_t find_id (const gbd_pool_t *pool, gbd_backend_id_t id);
+static gbd_pool_handle_t take_handle (gbd_pool_t *pool);
+static bool build_index (gbd_pool_t *pool);
+static uint32_t hash_place (const gbd_pool_t *pool,
+                            gbd_fingerprint_t fingerprint);
+static void drop_entry (gbd_pool_t *pool, gbd_pool_server_t *server,
+                        gbd_time_t now);
+
+gbd_pool_t *
+gbd_pool_new (void)
+{
+  gbd_pool_t *pool = calloc (1, sizeof *pool);
+  if (!pool)
+    return NULL;
+  pool->settled_at = GBD_TIME_NEVER;
+  return pool;
+}
+
+void
+gbd_pool_delete (gbd_pool_t *pool)
+{
+  if (!pool)
+    return;
+  free (pool->servers);
+  free (pool->index);
+  free (pool);
+}
+
+gbd_status_t
+gbd_pool_put (gbd_pool_t *pool, const gbd_pool_entry_t *entry, gbd_time_t now)
+{
+  (void)now;
+  gbd_fingerprint_t fingerprint = gbd_cookie_fingerprint (entry->backend.id);
+  gbd_pool_handle_t handle = find_id (pool, entry->backend.id);
+  if (handle == GBD_POOL_NONE)
+    {
+      gbd_pool_handle_t other = gbd_pool_find (pool, fingerprint);
+      if (other != GBD_POOL_NONE && pool->servers[other].is_listed)
+        return GBD_ERROR_CONFLICT;
+      if (other != GBD_POOL_NONE)
+        pool->servers[other].is_used = false;
+      handle = take_handle (pool);
+      if (handle == GBD_POOL_NONE)
+        return GBD_ERROR_MEMORY;
+      memset (&pool->servers[handle], 0, sizeof pool->servers[handle]);
+    }
+  gbd_pool_server_t *server = &pool->servers[handle];
+  /* A new start knows nothing of former flows, and its silence is over. */
+  if (server->is_used && server->entry.born_ms != entry->born_ms)
+    memset (&server->load.suspicion, 0, sizeof server->load.suspicion);
+  if (!server->is_listed)
+    pool->listed++;
+  server->entry = *entry;
+  server->fingerprint = fingerprint;
+  server->is_used = true;
+  server->is_listed = true;
+  server->gone_at = GBD_TIME_NEVER;
+  server->removal_due = GBD_TIME_NEVER;
+  return build_index (pool) ? GBD_OK : GBD_ERROR_MEMORY;
+}
+
+void
+gbd_pool_remove (gbd_pool_t *pool, gbd_backend_id_t id, gbd_time_t now)
+{
+  gbd_pool_handle_t handle = find_id (pool, id);
+  if (handle == GBD_POOL_NONE || !pool->servers[handle].is_listed)
+    return;
+  gbd_pool_server_t *server = &pool->servers[handle];
+  if (pool->is_away || now < pool->settled_at)
+    {
+      if (server->removal_due == GBD_TIME_NEVER)
+        server->removal_due = pool->is_away ? INT64_MAX : pool->settled_at;
+      return;
+    }
+  drop_entry (pool, server, now);
+}
+
+void
+gbd_pool_begin_listing (gbd_pool_t *pool)
+{
+  /* An entry put again during the listing loses this mark. */
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      gbd_pool_server_t *server = &pool->servers[i];
+      if (server->is_used && server->is_listed
+          && server->removal_due == GBD_TIME_NEVER)
+        server->removal_due = INT64_MAX;
+    }
+}
+
+void
+gbd_pool_end_listing (gbd_pool_t *pool, gbd_time_t now)
+{
+  pool->is_known = true;
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      gbd_pool_server_t *server = &pool->servers[i];
+      if (!server->is_used || !server->is_listed
+          || server->removal_due == GBD_TIME_NEVER)
+        continue;
+      if (pool->is_away || now < pool->settled_at)
+        server->removal_due = pool->is_away ? INT64_MAX : pool->settled_at;
+      else
+        drop_entry (pool, server, now);
+    }
+}
+
+void
+gbd_pool_set_away (gbd_pool_t *pool, bool is_away, gbd_time_t now)
+{
+  if (pool->is_away == is_away)
+    return;
+  pool->is_away = is_away;
+  if (is_away)
+    return;
+  pool->settled_at = now + GBD_POOL_SETTLE_TIME;
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      gbd_pool_server_t *server = &pool->servers[i];
+      if (server->is_used && server->removal_due != GBD_TIME_NEVER)
+        server->removal_due = pool->settled_at;
+    }
+}
+
+void
+gbd_pool_tick (gbd_pool_t *pool, gbd_time_t now)
+{
+  bool has_changed = false;
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      gbd_pool_server_t *server = &pool->servers[i];
+      if (!server->is_used)
+        continue;
+      if (server->is_listed && server->removal_due != GBD_TIME_NEVER
+          && now >= server->removal_due)
+        drop_entry (pool, server, now);
+      if (!server->is_listed && now - server->gone_at > GBD_POOL_KEEP_TIME)
+        {
+          server->is_used = false;
+          has_changed = true;
+        }
+    }
+  if (has_changed)
+    build_index (pool);
+}
+
+bool
+gbd_pool_is_known (const gbd_pool_t *pool)
+{
+  return pool->is_known;
+}
+
+bool
+gbd_pool_is_away (const gbd_pool_t *pool)
+{
+  return pool->is_away;
+}
+
+gbd_pool_handle_t
+gbd_pool_find (const gbd_pool_t *pool, gbd_fingerprint_t fingerprint)
+{
+  if (!pool->index_room)
+    return GBD_POOL_NONE;
+  uint32_t place = hash_place (pool, fingerprint);
+  while (pool->index[place] != GBD_POOL_NONE)
+    {
+      gbd_pool_handle_t handle = pool->index[place];
+      if (pool->servers[handle].fingerprint == fingerprint
+          && pool->servers[handle].is_used)
+        return handle;
+      place = (place + 1) & (pool->index_room - 1);
+    }
+  return GBD_POOL_NONE;
+}
+
+uint32_t
+gbd_pool_get_room (const gbd_pool_t *pool)
+{
+  return pool->room;
+}
+
+gbd_pool_server_t *
+gbd_pool_get (gbd_pool_t *pool, gbd_pool_handle_t handle)
+{
+  return &pool->servers[handle];
+}
+
+const gbd_pool_server_t *
+gbd_pool_peek (const gbd_pool_t *pool, gbd_pool_handle_t handle)
+{
+  return &pool->servers[handle];
+}
+
+uint32_t
+gbd_pool_get_count (const gbd_pool_t *pool)
+{
+  return pool->listed;
+}
+
+static gbd_pool_handle_t
+find_id (const gbd_pool_t *pool, gbd_backend_id_t id)
+{
+  gbd_pool_handle_t handle = gbd_pool_find (pool, gbd_cookie_fingerprint (id));
+  if (handle != GBD_POOL_NONE && pool->servers[handle].entry.backend.id != id)
+    return GBD_POOL_NONE;
+  return handle;
+}
+
+static gbd_pool_handle_t
+take_handle (gbd_pool_t *pool)
+{
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      if (!pool->servers[i].is_used)
+        return (gbd_pool_handle_t)i;
+    }
+  uint32_t room = pool->room ? pool->room * 2 : FIRST_ROOM;
+  if (room > GBD_BACKENDS_MAX)
+    return GBD_POOL_NONE;
+  gbd_pool_server_t *servers = realloc (pool->servers, room * sizeof *servers);
+  if (!servers)
+    return GBD_POOL_NONE;
+  memset (servers + pool->room, 0, (room - pool->room) * sizeof *servers);
+  gbd_pool_handle_t handle = (gbd_pool_handle_t)pool->room;
+  pool->servers = servers;
+  pool->room = room;
+  return handle;
+}
+
+static bool
+build_index (gbd_pool_t *pool)
+{
+  uint32_t room = pool->room * INDEX_LOAD;
+  if (room != pool->index_room)
+    {
+      gbd_pool_handle_t *index = realloc (pool->index, room * sizeof *index);
+      if (!index)
+        return false;
+      pool->index = index;
+      pool->index_room = room;
+    }
+  memset (pool->index, 0xff, room * sizeof *pool->index);
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      if (!pool->servers[i].is_used)
+        continue;
+      uint32_t place = hash_place (pool, pool->servers[i].fingerprint);
+      while (pool->index[place] != GBD_POOL_NONE)
+        place = (place + 1) & (room - 1);
+      pool->index[place] = (gbd_pool_handle_t)i;
+    }
+  return true;
+}
+
+static uint32_t
+hash_place (const gbd_pool_t *pool, gbd_fingerprint_t fingerprint)
+{
+  return (uint32_t)gbd_rendezvous (fingerprint, 0) & (pool->index_room - 1);
+}
+
+static void
+drop_entry (gbd_pool_t *pool, gbd_pool_server_t *server, gbd_time_t now)
+{
+  server->is_listed = false;
+  server->removal_due = GBD_TIME_NEVER;
+  server->gone_at = now;
+  pool->listed--;
+}
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -20,8 +20,17 @@
   EVENT (INSECURE_LINKS, 106, LOG_WARNING, "links between instances run without TLS; give --tls-certificate, --tls-key and --tls-authority outside of tests") \
   EVENT (IN_FORCE,       201, LOG_NOTICE,  "configuration %lld in force: %u services, %u addresses") \
   EVENT (BAD_ACCEPTED,   202, LOG_ERR,     "accepted configuration %lld does not check; the former stays in force") \
+  EVENT (ROUTES,         203, LOG_NOTICE,  "routes in force") \
+  EVENT (BAD_ROUTES,     204, LOG_ERR,     "routes do not decode; the former stay in force") \
+  EVENT (SETTINGS_READ,  205, LOG_NOTICE,  "settings read again") \
   EVENT (WATCHING,       301, LOG_INFO,    "%s watching the platform") \
   EVENT (BAD_OBJECT,     302, LOG_WARNING, "object %s/%s does not decode; ignored") \
+  EVENT (PLATFORM_LOST,  303, LOG_WARNING, "platform does not answer") \
+  EVENT (PLATFORM_FOUND, 304, LOG_NOTICE,  "platform answers again") \
+  EVENT (SERVER_LISTED,  305, LOG_INFO,    "backend server listed") \
+  EVENT (SERVER_REMOVED, 306, LOG_INFO,    "backend server removed from the list") \
+  EVENT (KEY_KNOWN,      307, LOG_INFO,    "key of the routing cookies known") \
+  EVENT (READY,          308, LOG_NOTICE,  "this instance takes packets") \
   EVENT (LINK_UP,        401, LOG_INFO,    "link to %s is up") \
   EVENT (LINK_DOWN,      402, LOG_NOTICE,  "link to %s is down") \
   EVENT (TOUCH,          403, LOG_NOTICE,  "%s") \
@@ -34,6 +43,12 @@
   EVENT (TABLE,          501, LOG_INFO,    "service %s: table version %llu in force") \
   EVENT (COMPLETE,       502, LOG_DEBUG,   "service %s: copies complete for version %llu") \
   EVENT (CLAIMS_BLOCKED, 503, LOG_WARNING, "service %s: several members lost at once; unknown flows of moving buckets drop for %llu s") \
+  EVENT (FLOW_PLACED,    601, LOG_INFO,    "new flow sent to a backend server") \
+  EVENT (FLOW_MOVED,     602, LOG_NOTICE,  "opening packet repeated; sent to another backend server") \
+  EVENT (FLOW_REFUSED,   603, LOG_NOTICE,  "packet answered with a reset") \
+  EVENT (FLOW_DROPPED,   604, LOG_NOTICE,  "packet dropped") \
+  EVENT (SERVER_SILENT,  605, LOG_WARNING, "backend server does not answer") \
+  EVENT (SERVER_HEARD,   606, LOG_NOTICE,  "backend server answers again") \
   EVENT (STANDIN_READY,  801, LOG_INFO,    "stand-in %s listens on %s") \
   EVENT (STANDIN_FAILED, 802, LOG_ERR,     "stand-in %s: %s")
 /* clang-format on */
