--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -259,14 +259,15 @@
 }
 
 /* A change that came before, by a watch replayed, is reported once.  A
-   deletion may carry the version of the change before it. */
+   deletion may carry the version of the change before it; it counts while its
+   object is known. */
 static bool
 is_newer (gbd_platform_watch_t *watch, const char *name, uint64_t version,
           bool is_deletion)
 {
   const uint64_t *seen = g_hash_table_lookup (watch->seen, name);
   if (is_deletion)
-    return !seen || *seen <= version;
+    return seen && *seen <= version;
   if (watch->is_listed && version <= watch->version)
     return false;
   if (seen && *seen >= version)
