--- /dev/null
+++ b/src/test_libgooseberrydrum/prop_cookie.cc
@@ -0,0 +1,55 @@
+#include <rapidcheck.h>
+
+extern "C"
+{
+#include "gooseberrydrum/cookie.h"
+}
+
+static gbd_flow_t
+flow_of (uint32_t caller, uint16_t port, uint16_t service_port)
+{
+  gbd_flow_t flow = {};
+  flow.caller.family = 4;
+  flow.service.family = 4;
+  flow.caller.port = port;
+  flow.service.port = service_port;
+  for (int i = 0; i < 4; i++)
+    flow.caller.ip[i] = (uint8_t)(caller >> (8 * i));
+  return flow;
+}
+
+int
+main ()
+{
+  bool is_kept = true;
+  is_kept &= rc::check (
+      "a cookie gives back its fingerprint",
+      [] (uint64_t key, uint32_t caller, uint16_t port, uint32_t fingerprint) {
+        gbd_flow_t flow = flow_of (caller, port, 443);
+        uint32_t cookie = gbd_cookie_make (key, &flow, fingerprint);
+        RC_ASSERT (gbd_cookie_read (key, &flow, cookie) == fingerprint);
+      });
+  is_kept &= rc::check (
+      "every cookie has a fingerprint of its own",
+      [] (uint64_t key, uint32_t caller, uint32_t cookie, uint32_t other) {
+        RC_PRE (cookie != other);
+        gbd_flow_t flow = flow_of (caller, 1, 443);
+        RC_ASSERT (gbd_cookie_read (key, &flow, cookie)
+                   != gbd_cookie_read (key, &flow, other));
+      });
+  is_kept &= rc::check (
+      "a cookie names another server on another flow or with another key",
+      [] (uint64_t key, uint32_t caller, uint16_t port, uint32_t fingerprint) {
+        gbd_flow_t flow = flow_of (caller, port, 443);
+        gbd_flow_t service = flow_of (caller, port, 444);
+        gbd_flow_t next = flow_of (caller, (uint16_t)(port + 1), 443);
+        uint32_t cookie = gbd_cookie_make (key, &flow, fingerprint);
+        RC_ASSERT (gbd_cookie_read (key, &service, cookie) != fingerprint);
+        RC_ASSERT (gbd_cookie_read (key, &next, cookie) != fingerprint);
+        RC_ASSERT (gbd_cookie_read (key + 1, &flow, cookie) != fingerprint);
+      });
+  is_kept &= rc::check (
+      "identifiers of 32 bits are their own fingerprints",
+      [] (uint32_t id) { RC_ASSERT (gbd_cookie_fingerprint (id) == id); });
+  return is_kept ? 0 : 1;
+}
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -0,0 +1,255 @@
+#include "director_fixture.h"
+
+#define STEP (20 * GBD_MILLISECOND)
+
+static void
+fresh_process_drops_and_never_resets (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_director ();
+  gbd_packet_t opening = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_packet_t later = make_packet (GBD_PACKET_MIDDLE, 1);
+  for (int step = 0; step < 4; step++)
+    {
+      bool is_ready = step == 3;
+      assert_int_equal (gbd_director_is_ready (director), is_ready);
+      if (!is_ready)
+        {
+          assert_int_equal (pass (director, &opening, START).kind,
+                            GBD_ACTION_DROP);
+          assert_int_equal (pass (director, &later, START).kind,
+                            GBD_ACTION_DROP);
+        }
+      if (step == 0)
+        gbd_director_set_key (director, KEY);
+      else if (step == 1)
+        gbd_director_set_routes (director, make_routes (1, "web"));
+      else if (step == 2)
+        gbd_pool_end_listing (gbd_director_get_pool (director), START);
+    }
+  gbd_director_delete (director);
+}
+
+static void
+any_instance_follows_a_cookie (void **state)
+{
+  (void)state;
+  gbd_director_t *first = make_ready_director ();
+  gbd_director_t *second = make_ready_director ();
+  for (uint16_t port = 1; port <= 200; port++)
+    {
+      gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, port);
+      gbd_direction_t opening = pass (first, &packet, START + port * STEP);
+      packet.kind = GBD_PACKET_MIDDLE;
+      packet.cookie = opening.cookie;
+      gbd_direction_t later = pass (second, &packet, START + port * STEP);
+      assert_int_equal (later.rule, GBD_DIRECTION_COOKIE);
+      assert_int_equal (id_of (second, &later), id_of (first, &opening));
+    }
+  gbd_director_delete (first);
+  gbd_director_delete (second);
+}
+
+static void
+open_flows_survive_draining_and_a_lapsed_entry (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
+  gbd_direction_t opening = open_flow (director, 1, START);
+  gbd_backend_id_t id = id_of (director, &opening);
+  packet.cookie = opening.cookie;
+
+  gbd_pool_entry_t entry = make_entry (id, "web", "a");
+  entry.backend.state = GBD_BACKEND_DRAINING;
+  put_entry (director, &entry, START + GBD_SECOND);
+  gbd_direction_t later = pass (director, &packet, START + GBD_SECOND);
+  assert_int_equal (later.kind, GBD_ACTION_BACKEND);
+  assert_int_equal (id_of (director, &later), id);
+
+  /* Listed as ready again, then its entry lapses: it may live. */
+  entry.backend.state = GBD_BACKEND_READY;
+  put_entry (director, &entry, START + 2 * GBD_SECOND);
+  gbd_pool_remove (pool, id, START + 3 * GBD_SECOND);
+  later = pass (director, &packet, START + 5 * GBD_SECOND);
+  assert_int_equal (later.kind, GBD_ACTION_BACKEND);
+  assert_int_equal (id_of (director, &later), id);
+  gbd_director_delete (director);
+}
+
+static void
+flows_of_a_server_that_left_are_reset (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
+  gbd_direction_t opening = open_flow (director, 1, START);
+  gbd_backend_id_t id = id_of (director, &opening);
+  packet.cookie = opening.cookie;
+  gbd_pool_entry_t entry = make_entry (id, "web", "a");
+  entry.backend.state = GBD_BACKEND_DRAINING;
+  put_entry (director, &entry, START);
+  gbd_pool_remove (pool, id, START + GBD_SECOND);
+
+  gbd_time_t later = START + GBD_SECOND;
+  assert_int_equal (pass (director, &packet, later).kind, GBD_ACTION_BACKEND);
+  later += GBD_DIRECTOR_RESET_DRAINED;
+  gbd_direction_t reset = pass (director, &packet, later);
+  assert_int_equal (reset.kind, GBD_ACTION_RESET);
+  assert_int_equal (reset.rule, GBD_DIRECTION_SERVER_GONE);
+
+  /* Out of touch with the platform nothing is known to be gone. */
+  gbd_pool_set_away (pool, true, later);
+  assert_int_equal (pass (director, &packet, later).kind, GBD_ACTION_BACKEND);
+  gbd_director_delete (director);
+}
+
+static void
+only_known_routes_are_refused (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  packet.flow.service.port = 444;
+  gbd_direction_t direction = pass (director, &packet, START);
+  assert_int_equal (direction.kind, GBD_ACTION_RESET);
+  assert_int_equal (direction.rule, GBD_DIRECTION_NO_ROUTE);
+  gbd_pool_set_away (gbd_director_get_pool (director), true, START);
+  assert_int_equal (pass (director, &packet, START).kind, GBD_ACTION_DROP);
+  gbd_director_delete (director);
+}
+
+static void
+a_service_without_servers_is_refused_at_once (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_director_set_routes (director, make_routes (2, "nobody"));
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_direction_t direction = pass (director, &packet, START);
+  assert_int_equal (direction.kind, GBD_ACTION_RESET);
+  assert_int_equal (direction.rule, GBD_DIRECTION_NO_SERVER);
+  gbd_director_delete (director);
+}
+
+static void
+older_routes_never_come_into_force (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  assert_int_equal (gbd_director_set_routes (director, make_routes (7, "web")),
+                    GBD_OK);
+  assert_int_equal (
+      gbd_director_set_routes (director, make_routes (6, "mail")),
+      GBD_ERROR_STALE);
+  assert_int_equal (
+      gbd_director_set_routes (director, make_routes (7, "mail")),
+      GBD_ERROR_STALE);
+  assert_int_equal (
+      gbd_routes_get_version (gbd_director_get_routes (director)), 7);
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_direction_t direction = pass (director, &packet, START);
+  assert_int_not_equal (id_of (director, &direction), 5);
+  gbd_director_delete (director);
+}
+
+/* Load: copies of an opening packet, 200 and 600 ms later, as of a caller
+   whose backend server has crashed. */
+static void
+a_repeated_opening_goes_to_another_server (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_direction_t first = pass (director, &packet, START);
+  gbd_direction_t same = pass (director, &packet, START + GBD_MILLISECOND);
+  assert_int_equal (same.rule, GBD_DIRECTION_SAME);
+  assert_int_equal (same.server, first.server);
+  packet.acknowledgment = 1;
+  gbd_direction_t moved
+      = pass (director, &packet, START + 200 * GBD_MILLISECOND);
+  assert_int_equal (moved.rule, GBD_DIRECTION_MOVED);
+  assert_int_equal (moved.former, first.server);
+  assert_int_not_equal (moved.server, first.server);
+
+  /* The next flows avoid it as well. */
+  for (uint16_t port = 2; port < 40; port++)
+    {
+      packet = make_packet (GBD_PACKET_OPENING, port);
+      gbd_direction_t direction
+          = pass (director, &packet, START + 300 * GBD_MILLISECOND);
+      assert_int_not_equal (direction.server, first.server);
+    }
+  gbd_director_delete (director);
+}
+
+/* Load: one link in twenty packets loses one. */
+static void
+a_lossy_link_empties_no_service (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  uint32_t lost = 0;
+  for (uint16_t port = 1; port <= 2000; port++)
+    {
+      gbd_time_t now = START + port * 10 * GBD_MILLISECOND;
+      if (port % 20 != 0)
+        {
+          open_flow (director, port, now);
+          continue;
+        }
+      gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, port);
+      pass (director, &packet, now);
+      packet.acknowledgment = 1;
+      pass (director, &packet, now + 200 * GBD_MILLISECOND);
+      lost++;
+    }
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  assert_int_equal (lost, 100);
+  /* Each of the three of the own zone goes on taking flows. */
+  for (gbd_pool_handle_t handle = 0; handle < 3; handle++)
+    assert_true (gbd_pool_get (pool, handle)->load.placed > 200);
+  gbd_director_delete (director);
+}
+
+static void
+forged_cookies_reach_nobody (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_direction_t opening = open_flow (director, 1, START);
+  uint32_t reached = 0;
+  for (uint16_t port = 2; port < 60000; port++)
+    {
+      /* The cookie of one flow on all others. */
+      gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, port);
+      packet.cookie = opening.cookie;
+      gbd_direction_t direction;
+      gbd_director_route (director, &packet, START, &direction);
+      reached += direction.kind == GBD_ACTION_BACKEND;
+      assert_int_not_equal (direction.kind, GBD_ACTION_RESET);
+    }
+  /* 5 in 2^32 is the chance of one. */
+  assert_int_equal (reached, 0);
+  gbd_director_delete (director);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (fresh_process_drops_and_never_resets),
+    cmocka_unit_test (any_instance_follows_a_cookie),
+    cmocka_unit_test (open_flows_survive_draining_and_a_lapsed_entry),
+    cmocka_unit_test (flows_of_a_server_that_left_are_reset),
+    cmocka_unit_test (only_known_routes_are_refused),
+    cmocka_unit_test (a_service_without_servers_is_refused_at_once),
+    cmocka_unit_test (older_routes_never_come_into_force),
+    cmocka_unit_test (a_repeated_opening_goes_to_another_server),
+    cmocka_unit_test (a_lossy_link_empties_no_service),
+    cmocka_unit_test (forged_cookies_reach_nobody),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_flow_watch.c
@@ -0,0 +1,117 @@
+#include "director_fixture.h"
+
+#define MS GBD_MILLISECOND
+
+static const gbd_pool_load_t *
+load_of (gbd_director_t *director, gbd_pool_handle_t handle)
+{
+  return &gbd_pool_get (gbd_director_get_pool (director), handle)->load;
+}
+
+/* One request on an open flow: what its packets do to the load. */
+static void
+a_flow_waits_from_its_opening_to_its_answer (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_direction_t opening = pass (director, &packet, START);
+  const gbd_pool_load_t *load = load_of (director, opening.server);
+  assert_int_equal (load->waiting, 1);
+  assert_int_equal (load->open, 0);
+
+  packet.kind = GBD_PACKET_MIDDLE;
+  packet.cookie = opening.cookie;
+  packet.sequence = 7001;
+  packet.acknowledgment = 500;
+  packet.payload_length = 100;
+  pass (director, &packet, START + 10 * MS);
+  assert_int_equal (load->waiting, 1);
+  assert_int_equal (load->open, 1);
+
+  packet.sequence = 7101;
+  packet.acknowledgment = 2500;
+  packet.payload_length = 0;
+  pass (director, &packet, START + 40 * MS);
+  assert_int_equal (load->waiting, 0);
+
+  packet.kind = GBD_PACKET_CLOSING;
+  pass (director, &packet, START + 41 * MS);
+  assert_int_equal (load->open, 0);
+  gbd_director_delete (director);
+}
+
+/* Load: a backend server goes silent below open flows; the first of them
+   repeats its request after 200 ms. */
+static void
+repeated_data_shows_a_silent_server (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_direction_t opening = open_flow (director, 1, START);
+  const gbd_pool_load_t *load = load_of (director, opening.server);
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
+  packet.cookie = opening.cookie;
+  packet.sequence = 7001;
+  packet.acknowledgment = 90001;
+  packet.payload_length = 100;
+  pass (director, &packet, START + GBD_SECOND);
+  assert_false (gbd_suspicion_is_suspected (&load->suspicion));
+  pass (director, &packet, START + GBD_SECOND + 200 * MS);
+  assert_true (gbd_suspicion_is_suspected (&load->suspicion));
+  gbd_director_delete (director);
+}
+
+static void
+a_flow_that_goes_quiet_stops_waiting (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_direction_t opening = pass (director, &packet, START);
+  const gbd_pool_load_t *load = load_of (director, opening.server);
+  gbd_director_tick (director, START + GBD_FLOW_WATCH_WAIT);
+  assert_int_equal (load->waiting, 1);
+  gbd_director_tick (director, START + GBD_FLOW_WATCH_WAIT + 1);
+  assert_int_equal (load->waiting, 0);
+  gbd_director_tick (director, START + GBD_FLOW_WATCH_IDLE + 1);
+  gbd_director_stats_t stats;
+  gbd_director_get_stats (director, &stats);
+  assert_int_equal (stats.watched_flows, 0);
+  gbd_director_delete (director);
+}
+
+/* Load: more flows than the table holds. */
+static void
+a_full_table_forgets_flows_but_no_load (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  for (uint16_t port = 1; port <= 5 * FLOWS; port++)
+    open_flow (director, port, START + port * MS);
+  gbd_director_stats_t stats;
+  gbd_director_get_stats (director, &stats);
+  assert_true (stats.watched_flows <= FLOWS);
+  uint32_t open = 0;
+  for (gbd_pool_handle_t handle = 0; handle < 5; handle++)
+    open += load_of (director, handle)->open;
+  assert_int_equal (open, stats.watched_flows);
+  gbd_director_tick (director, START + 60 * GBD_SECOND);
+  for (gbd_pool_handle_t handle = 0; handle < 5; handle++)
+    assert_int_equal (load_of (director, handle)->open
+                          + load_of (director, handle)->waiting,
+                      0);
+  gbd_director_delete (director);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_flow_waits_from_its_opening_to_its_answer),
+    cmocka_unit_test (repeated_data_shows_a_silent_server),
+    cmocka_unit_test (a_flow_that_goes_quiet_stops_waiting),
+    cmocka_unit_test (a_full_table_forgets_flows_but_no_load),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -0,0 +1,151 @@
+#include "director_fixture.h"
+
+static gbd_pool_handle_t
+choose (gbd_director_t *director, gbd_flow_hash_t hash, gbd_time_t now)
+{
+  gbd_placement_t placement = { .service = gbd_id_from_name ("web"),
+                                .zone = gbd_zone_from_name ("a"),
+                                .hash = hash,
+                                .avoid = GBD_POOL_NONE };
+  return gbd_placement_choose (gbd_director_get_pool (director), &placement,
+                               now);
+}
+
+static void
+distrust (gbd_director_t *director, gbd_pool_handle_t handle, gbd_time_t now)
+{
+  gbd_suspicion_unanswered (
+      &gbd_pool_get (gbd_director_get_pool (director), handle)->load.suspicion,
+      now, now);
+}
+
+/* Load: slots are free everywhere. */
+static void
+flows_stay_in_their_zone_and_spread (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  uint32_t counts[5] = { 0 };
+  for (gbd_flow_hash_t hash = 0; hash < 3000; hash++)
+    counts[choose (director, hash * 0x9e3779b97f4a7c15u, START)]++;
+  for (int i = 0; i < 3; i++)
+    assert_in_range (counts[i], 800, 1200);
+  assert_int_equal (counts[3] + counts[4], 0);
+  gbd_director_delete (director);
+}
+
+/* Load: a burst fills the slots of the own zone. */
+static void
+a_full_zone_yields_to_another (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  uint32_t steps = 0;
+  while (choose (director, steps, START) < 3 && steps < 100)
+    gbd_pool_get (pool, choose (director, steps++, START))->load.waiting++;
+  /* At least the six slots of the zone, and not three requests' time of
+     waiting behind each. */
+  assert_in_range (steps, 6, 18);
+  gbd_director_delete (director);
+}
+
+static void
+suspected_servers_get_trials_only (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  distrust (director, 0, START);
+  distrust (director, 1, START);
+  for (gbd_flow_hash_t hash = 0; hash < 100; hash++)
+    assert_int_equal (choose (director, hash, START), 2);
+  gbd_time_t due = START + GBD_SUSPICION_FIRST_TRIAL;
+  uint32_t trials = 0;
+  for (gbd_flow_hash_t hash = 0; hash < 100; hash++)
+    {
+      gbd_pool_handle_t handle = choose (director, hash, due);
+      gbd_pool_t *pool = gbd_director_get_pool (director);
+      gbd_suspicion_placed (&gbd_pool_get (pool, handle)->load.suspicion, due);
+      trials += handle != 2;
+    }
+  assert_int_equal (trials, 2);
+  gbd_director_delete (director);
+}
+
+/* Load: a zone of which nothing answers. */
+static void
+another_zone_serves_when_the_own_is_silent (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  for (gbd_pool_handle_t handle = 0; handle < 3; handle++)
+    distrust (director, handle, START);
+  assert_int_equal (choose (director, 1, START), 3);
+  distrust (director, 3, START);
+  /* With all suspected, one that may live is better than none. */
+  assert_int_not_equal (choose (director, 1, START), GBD_POOL_NONE);
+  gbd_director_delete (director);
+}
+
+static void
+leaving_servers_get_no_new_flows (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  for (gbd_backend_id_t id = 1; id <= 4; id++)
+    {
+      gbd_pool_entry_t entry = make_entry (id, "web", id == 4 ? "b" : "a");
+      entry.backend.state = GBD_BACKEND_DRAINING;
+      put_entry (director, &entry, START);
+    }
+  assert_int_equal (choose (director, 1, START), GBD_POOL_NONE);
+  gbd_pool_remove (gbd_director_get_pool (director), 1, START);
+  assert_int_equal (choose (director, 1, START), GBD_POOL_NONE);
+  gbd_director_delete (director);
+}
+
+static void
+the_last_entry_that_went_stands_in_for_a_while (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  for (gbd_backend_id_t id = 1; id <= 4; id++)
+    gbd_pool_remove (gbd_director_get_pool (director), id, START);
+  gbd_time_t end = START + GBD_PLACEMENT_LAST_RESORT;
+  assert_int_not_equal (choose (director, 1, end - 1), GBD_POOL_NONE);
+  assert_int_equal (choose (director, 1, end), GBD_POOL_NONE);
+  gbd_director_delete (director);
+}
+
+/* Load: servers of a release start cold. */
+static void
+a_cold_server_takes_fewer_flows (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_entry_t entry = make_entry (1, "web", "a");
+  entry.warm_at = START + GBD_SECOND;
+  put_entry (director, &entry, START);
+  for (gbd_flow_hash_t hash = 0; hash < 100; hash++)
+    assert_int_not_equal (choose (director, hash, START), 0);
+  uint32_t taken = 0;
+  for (gbd_flow_hash_t hash = 0; hash < 100; hash++)
+    taken += choose (director, hash, START + GBD_SECOND) == 0;
+  assert_true (taken > 10);
+  gbd_director_delete (director);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (flows_stay_in_their_zone_and_spread),
+    cmocka_unit_test (a_full_zone_yields_to_another),
+    cmocka_unit_test (suspected_servers_get_trials_only),
+    cmocka_unit_test (another_zone_serves_when_the_own_is_silent),
+    cmocka_unit_test (leaving_servers_get_no_new_flows),
+    cmocka_unit_test (the_last_entry_that_went_stands_in_for_a_while),
+    cmocka_unit_test (a_cold_server_takes_fewer_flows),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_routes.c
@@ -0,0 +1,57 @@
+#include "director_fixture.h"
+
+static void
+routes_are_found_by_their_whole_address (void **state)
+{
+  (void)state;
+  gbd_routes_t *routes = gbd_routes_new (3);
+  gbd_route_t route = { .address = address_of ("198.18.0.1:1"),
+                        .target_count = 1,
+                        .targets = { { 9, 1 } } };
+  for (uint16_t port = 500; port > 0; port--)
+    {
+      route.address.port = port;
+      route.targets[0].service = port;
+      assert_int_equal (gbd_routes_add (routes, &route), GBD_OK);
+    }
+  assert_int_equal (gbd_routes_add (routes, &route), GBD_ERROR_CONFLICT);
+  for (uint16_t port = 1; port <= 500; port++)
+    {
+      route.address.port = port;
+      assert_int_equal (
+          gbd_routes_find (routes, &route.address)->targets[0].service, port);
+    }
+  route.address.port = 501;
+  assert_null (gbd_routes_find (routes, &route.address));
+  route.address = address_of ("198.18.0.2:1");
+  assert_null (gbd_routes_find (routes, &route.address));
+  assert_int_equal (gbd_routes_get_count (routes), 500);
+  route.target_count = 0;
+  assert_int_equal (gbd_routes_add (routes, &route), GBD_ERROR_RANGE);
+  gbd_routes_delete (routes);
+}
+
+static void
+shares_follow_the_weights (void **state)
+{
+  (void)state;
+  gbd_route_t route
+      = { .target_count = 3, .targets = { { 1, 90 }, { 2, 0 }, { 3, 10 } } };
+  uint32_t counts[4] = { 0 };
+  for (uint64_t i = 0; i < 10000; i++)
+    counts[gbd_route_choose (&route, gbd_rendezvous (i, 1))]++;
+  assert_in_range (counts[1], 8800, 9200);
+  assert_int_equal (counts[2], 0);
+  gbd_route_t none = { .target_count = 1, .targets = { { 5, 0 } } };
+  assert_int_equal (gbd_route_choose (&none, 7), 5);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (routes_are_found_by_their_whole_address),
+    cmocka_unit_test (shares_follow_the_weights),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
