--- /dev/null
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -0,0 +1,359 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "platform/adapter.h"
+
+#define NOW (1000 * GBD_SECOND)
+
+static const gbd_packet_codec_t *const codec = &gbd_packet_codec_echo;
+static const gbd_platform_dialect_t *const dialect
+    = &gbd_platform_dialect_objects;
+
+/* SYN from 100.64.0.7:40001 to 198.18.0.1:443, as the platform's page has it.
+ */
+static const uint8_t sample[32]
+    = { 0xa1, 0xb2, 0xc3, 0xd5, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x11,
+        0x22, 0x33, 0x44, 0x00, 0x00, 0x00, 0x00, 0x04, 0x00, 0x01, 0xbb,
+        0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41 };
+/* The reset that answers it. */
+static const uint8_t sample_reset[32]
+    = { 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+        0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0x00, 0x9c, 0x41,
+        0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb };
+
+static void
+packets_decode_as_the_page_shows (void **state)
+{
+  (void)state;
+  gbd_packet_t packet;
+  char text[GBD_ADDRESS_TEXT_MAX];
+  assert_int_equal (codec->parse (sample, sizeof sample, &packet),
+                    GBD_DROP_NONE);
+  assert_int_equal (packet.kind, GBD_PACKET_OPENING);
+  assert_int_equal (packet.sequence, 0x11223344);
+  gbd_address_format (&packet.flow.caller, text);
+  assert_string_equal (text, "100.64.0.7:40001");
+  gbd_address_format (&packet.flow.service, text);
+  assert_string_equal (text, "198.18.0.1:443");
+
+  uint8_t reset[GBD_RESET_LENGTH_MAX];
+  assert_int_equal (codec->build_reset (&packet, reset), sizeof sample_reset);
+  assert_memory_equal (reset, sample_reset, sizeof sample_reset);
+}
+
+static void
+the_cookie_alone_is_written (void **state)
+{
+  (void)state;
+  uint8_t bytes[sizeof sample];
+  gbd_packet_t packet;
+  memcpy (bytes, sample, sizeof sample);
+  codec->set_cookie (bytes, 0xdeadbeef);
+  assert_int_equal (codec->parse (bytes, sizeof bytes, &packet),
+                    GBD_DROP_NONE);
+  assert_int_equal (packet.cookie, 0xdeadbeef);
+  memcpy (bytes + 6, sample + 6, 4);
+  assert_memory_equal (bytes, sample, sizeof sample);
+}
+
+typedef struct
+{
+  const char *label;
+  size_t length;
+  uint8_t flags;
+  uint16_t data_length;
+  gbd_drop_t drop;
+} bad_packet_t;
+
+static const bad_packet_t bad_packets[] = {
+  { "whole", 32, 4, 0, GBD_DROP_NONE },
+  { "data", 42, 32, 10, GBD_DROP_NONE },
+  { "empty", 0, 4, 0, GBD_DROP_TRUNCATED },
+  { "short header", 31, 4, 0, GBD_DROP_TRUNCATED },
+  { "less data than it says", 41, 32, 10, GBD_DROP_BAD_LENGTH },
+  { "more data than it says", 43, 32, 10, GBD_DROP_BAD_LENGTH },
+  { "too long", 1233, 32, 1201, GBD_DROP_BAD_LENGTH },
+  { "unknown flag", 32, 64, 0, GBD_DROP_BAD_FLAGS },
+  { "answer of a server", 32, 4 | 32, 0, GBD_DROP_BAD_FLAGS },
+  { "opens and ends", 32, 4 | 16, 0, GBD_DROP_BAD_FLAGS },
+  { "reset", 32, 2, 0, GBD_DROP_NONE },
+};
+
+static void
+bad_packets_are_dropped_with_their_cause (void **state)
+{
+  (void)state;
+  uint8_t bytes[2048];
+  for (size_t i = 0; i < sizeof bad_packets / sizeof bad_packets[0]; i++)
+    {
+      const bad_packet_t *row = &bad_packets[i];
+      gbd_packet_t packet;
+      print_message ("%s\n", row->label);
+      memset (bytes, 0, sizeof bytes);
+      memcpy (bytes, sample, sizeof sample);
+      bytes[4] = (uint8_t)(row->data_length >> 8);
+      bytes[5] = (uint8_t)row->data_length;
+      bytes[18] = row->flags;
+      assert_int_equal (codec->parse (bytes, row->length, &packet), row->drop);
+    }
+}
+
+static void
+datagrams_name_their_backend_server (void **state)
+{
+  (void)state;
+  static const uint8_t expected[8]
+      = { 0x00, 0x00, 0x00, 0x9f, 0xa5, 0xc0, 0x46, 0x7d };
+  uint8_t prefix[GBD_PREFIX_LENGTH_MAX];
+  assert_int_equal (codec->prefix_length, sizeof expected);
+  codec->write_prefix (0x9fa5c0467d, prefix);
+  assert_memory_equal (prefix, expected, sizeof expected);
+}
+
+#define GOOD                                                                  \
+  "'backend':'web','address':'10.128.0.9:8080','zone':'a','version':'v1',"    \
+  "'max_concurrency':2,'state':'ready','warmup_left_ms':0,'sequence':4"
+
+typedef struct
+{
+  const char *label;
+  const char *name;
+  const char *text;
+  bool is_good;
+} entry_row_t;
+
+static const entry_row_t entry_rows[] = {
+  { "good", "i-7f3a91c2", "{" GOOD "}", true },
+  { "born", "i-9fa5c0467d", "{" GOOD ",'born':1700000000000}", true },
+  { "new field", "i-7f3a91c2", "{" GOOD ",'colour':'red'}", true },
+  { "null", "i-7f3a91c2", "null", false },
+  { "text", "i-7f3a91c2", "'hello'", false },
+  { "empty", "i-7f3a91c2", "{}", false },
+  { "no digits in the name", "i-", "{" GOOD "}", false },
+  { "other name", "i-server", "{" GOOD "}", false },
+  { "state of another type", "i-7f3a91c2",
+    "{'backend':'web','address':'10.128.0.9:8080','zone':'a',"
+    "'max_concurrency':2,'state':1}",
+    false },
+  { "unknown state", "i-7f3a91c2",
+    "{'backend':'web','address':'10.128.0.9:8080','zone':'a',"
+    "'max_concurrency':2,'state':'resting'}",
+    false },
+  { "address without port", "i-7f3a91c2",
+    "{'backend':'web','address':'10.128.0.9','zone':'a','max_concurrency':2,"
+    "'state':'ready'}",
+    false },
+  { "slots as text", "i-7f3a91c2",
+    "{'backend':'web','address':'10.128.0.9:8080','zone':'a',"
+    "'max_concurrency':'2','state':'ready'}",
+    false },
+};
+
+static json_t *
+load (const char *text)
+{
+  char *copy = strdup (text);
+  for (char *at = copy; *at; at++)
+    *at = *at == '\'' ? '"' : *at;
+  json_t *value = json_loads (copy, JSON_DECODE_ANY, NULL);
+  free (copy);
+  assert_non_null (value);
+  return value;
+}
+
+static void
+entries_of_other_writers_name_no_server (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof entry_rows / sizeof entry_rows[0]; i++)
+    {
+      const entry_row_t *row = &entry_rows[i];
+      gbd_pool_entry_t entry;
+      const char *wrong = NULL;
+      json_t *value = load (row->text);
+      print_message ("%s\n", row->label);
+      gbd_status_t status
+          = dialect->read_server (row->name, value, NOW, &entry, &wrong);
+      assert_int_equal (status, row->is_good ? GBD_OK : GBD_ERROR_FORMAT);
+      assert_non_null (wrong);
+      json_decref (value);
+    }
+}
+
+static void
+an_entry_decodes_into_typed_fields (void **state)
+{
+  (void)state;
+  gbd_pool_entry_t entry;
+  const char *wrong = NULL;
+  json_t *value
+      = load ("{'backend':'web','address':'10.128.0.9:8080','zone':'a',"
+              "'max_concurrency':3,'state':'draining','warmup_left_ms':250,"
+              "'born':1700000000001}");
+  assert_int_equal (
+      dialect->read_server ("i-7f3a91c2", value, NOW, &entry, &wrong), GBD_OK);
+  json_decref (value);
+  assert_int_equal (entry.backend.id, 0x7f3a91c2);
+  assert_int_equal (entry.backend.zone, gbd_zone_from_name ("a"));
+  assert_int_equal (entry.backend.state, GBD_BACKEND_DRAINING);
+  assert_int_equal (entry.service, gbd_id_from_name ("web"));
+  assert_int_equal (entry.slots, 3);
+  assert_int_equal (entry.warm_at, NOW + 250 * GBD_MILLISECOND);
+  assert_int_equal (entry.born_ms, 1700000000001);
+  assert_string_equal (entry.name, "i-7f3a91c2");
+}
+
+#define ROUTE_A                                                               \
+  "{'name':'r-1','host':'198.18.0.1','path_prefix':'/8080/',"                 \
+  "'route_type':'upload','backend':'web'}"
+#define ROUTE_B                                                               \
+  "{'name':'r-2','host':'198.18.0.1','path_prefix':'/443/',"                  \
+  "'weighted_backends':[{'backend':'web','weight':90},"                       \
+  "{'backend':'mail','weight':10}]}"
+
+static const entry_row_t routes_rows[] = {
+  { "good", NULL, "{'version':7,'routes':[" ROUTE_A "," ROUTE_B "]}", true },
+  { "none", NULL, "{'version':7,'routes':[]}", true },
+  { "no version", NULL, "{'routes':[]}", false },
+  { "no routes", NULL, "{'version':7}", false },
+  { "twice", NULL, "{'version':7,'routes':[" ROUTE_A "," ROUTE_A "]}", false },
+  { "no service", NULL,
+    "{'version':7,'routes':[{'host':'198.18.0.1','path_prefix':'/1/'}]}",
+    false },
+  { "no port", NULL,
+    "{'version':7,'routes':[{'host':'198.18.0.1','path_prefix':'//',"
+    "'backend':'web'}]}",
+    false },
+  { "no address", NULL,
+    "{'version':7,'routes':[{'host':'example','path_prefix':'/1/',"
+    "'backend':'web'}]}",
+    false },
+};
+
+static void
+routes_decode_or_say_what_is_wrong (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof routes_rows / sizeof routes_rows[0]; i++)
+    {
+      const char *wrong = NULL;
+      json_t *value = load (routes_rows[i].text);
+      print_message ("%s\n", routes_rows[i].label);
+      gbd_routes_t *routes = dialect->read_routes (value, &wrong);
+      assert_int_equal (routes != NULL, routes_rows[i].is_good);
+      assert_non_null (wrong);
+      gbd_routes_delete (routes);
+      json_decref (value);
+    }
+  const char *wrong = NULL;
+  json_t *value = load (routes_rows[0].text);
+  gbd_routes_t *routes = dialect->read_routes (value, &wrong);
+  gbd_address_t address;
+  gbd_address_parse ("198.18.0.1:443", &address);
+  const gbd_route_t *route = gbd_routes_find (routes, &address);
+  assert_int_equal (gbd_routes_get_version (routes), 7);
+  assert_int_equal (route->target_count, 2);
+  assert_int_equal (route->targets[1].service, gbd_id_from_name ("mail"));
+  assert_int_equal (route->targets[1].weight, 10);
+  gbd_routes_delete (routes);
+  json_decref (value);
+}
+
+typedef struct
+{
+  const char *label;
+  const char *answer;
+  const char *expected; /* NULL: no answer of the API */
+} answer_row_t;
+
+static const answer_row_t answer_rows[] = {
+  { "page",
+    "{'items':[{'meta':{'name':'a','mod_revision':3},'spec':{'x':1}}],"
+    "'has_more':true,'at_revision':9}",
+    "{'version':9,'more':true,'items':[{'name':'a','version':3,"
+    "'value':{'x':1}}]}" },
+  { "events",
+    "{'events':[{'deleted':true,'object':{'meta':{'name':'a',"
+    "'mod_revision':3},'spec':{'x':1}}}],'at_revision':10}",
+    "{'version':10,'changes':[{'name':'a','version':3,'value':null}]}" },
+  { "object",
+    "{'meta':{'name':'a','mod_revision':4},'spec':'text','status':null}",
+    "{'name':'a','version':4,'value':'text'}" },
+  { "item of another type", "{'items':[7],'at_revision':9}",
+    "{'version':9,'more':false,'items':[{'name':'','version':-1,"
+    "'value':null}]}" },
+  { "error", "{'error':'busy'}", NULL },
+};
+
+static void
+answers_take_the_form_of_the_own_api (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof answer_rows / sizeof answer_rows[0]; i++)
+    {
+      const answer_row_t *row = &answer_rows[i];
+      print_message ("%s\n", row->label);
+      json_t *own = dialect->translate (load (row->answer));
+      json_t *expected = row->expected ? load (row->expected) : NULL;
+      assert_true (own == expected || json_equal (own, expected));
+      json_decref (own);
+      json_decref (expected);
+    }
+  assert_null (dialect->translate (NULL));
+}
+
+static void
+requests_name_kind_object_and_condition (void **state)
+{
+  (void)state;
+  gbd_platform_request_t request = { 0 };
+  json_t *value = json_pack ("{s:s}", "key", "1f");
+  dialect->list ("servers", NULL, &request);
+  assert_string_equal (request.path, "/objects/servers");
+  free (request.path);
+  dialect->list ("servers", "i-1 2", &request);
+  assert_string_equal (request.path, "/objects/servers?after=i-1%202");
+  free (request.path);
+  dialect->watch ("servers", 530, 20000, &request);
+  assert_string_equal (request.path,
+                       "/objects/servers?watch=530&wait_ms=20000");
+  free (request.path);
+  dialect->put ("mine", "a", 0, value, &request);
+  assert_string_equal (request.method, "POST");
+  assert_string_equal (request.path, "/objects/mine");
+  assert_string_equal (request.body, "{\"meta\":{\"name\":\"a\","
+                                     "\"finalizers\":[]},\"spec\":{\"key\":"
+                                     "\"1f\"}}");
+  free (request.path);
+  free (request.body);
+  dialect->put ("mine", "a", 12, value, &request);
+  assert_string_equal (request.method, "PUT");
+  assert_string_equal (request.path, "/objects/mine/a");
+  assert_non_null (strstr (request.body, "\"mod_revision\":12"));
+  free (request.path);
+  free (request.body);
+  json_decref (value);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (packets_decode_as_the_page_shows),
+    cmocka_unit_test (the_cookie_alone_is_written),
+    cmocka_unit_test (bad_packets_are_dropped_with_their_cause),
+    cmocka_unit_test (datagrams_name_their_backend_server),
+    cmocka_unit_test (entries_of_other_writers_name_no_server),
+    cmocka_unit_test (an_entry_decodes_into_typed_fields),
+    cmocka_unit_test (routes_decode_or_say_what_is_wrong),
+    cmocka_unit_test (answers_take_the_form_of_the_own_api),
+    cmocka_unit_test (requests_name_kind_object_and_condition),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_gooseberrydrum/test_cookie_path.c
@@ -0,0 +1,219 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <poll.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "gooseberrydrum/cookie_path.h"
+#include "platform/adapter.h"
+#include "share/udp.h"
+
+#define NOW (1000 * GBD_SECOND)
+#define WAIT_MS 5000
+#define HEADER 32
+#define ID 0x9fa5c0467dull
+
+static gbd_director_t *director;
+static gbd_cookie_path_t *path;
+static int fabric;  /* sends to the path */
+static int backend; /* a backend server's socket */
+static int caller;  /* where resets go */
+static uint32_t observed;
+static gbd_direction_t newest;
+
+static gbd_time_t
+read_clock (void *data)
+{
+  (void)data;
+  return NOW;
+}
+
+static void
+observe (void *data, const gbd_packet_t *packet,
+         const gbd_direction_t *direction, const gbd_flow_signs_t *signs,
+         gbd_time_t now)
+{
+  (void)data;
+  (void)packet;
+  (void)signs;
+  assert_true (now == NOW);
+  observed++;
+  newest = *direction;
+}
+
+static int
+set_up (void **state)
+{
+  (void)state;
+  const char *error = NULL;
+  gbd_address_t listen;
+  gbd_address_t address;
+  gbd_address_parse ("127.0.0.1:1", &listen);
+  /* Callers get resets at the port of the path, on their own addresses. */
+  listen.port = 0;
+  backend = gbd_udp_listen (&listen, 0);
+  gbd_udp_get_address (backend, &address);
+  caller = gbd_udp_listen (&listen, 0);
+  fabric = gbd_udp_open (4, 0);
+  gbd_address_t caller_address;
+  gbd_udp_get_address (caller, &caller_address);
+
+  gbd_director_settings_t settings
+      = { .zone = gbd_zone_from_name ("a"), .flow_capacity = 64 };
+  director = gbd_director_new (&settings);
+  gbd_cookie_path_settings_t path_settings = { .listen = caller_address,
+                                               .codec = &gbd_packet_codec_echo,
+                                               .clock = read_clock,
+                                               .observe = observe };
+  gbd_address_parse ("127.0.0.2:1", &path_settings.listen);
+  path_settings.listen.port = caller_address.port;
+  path = gbd_cookie_path_new (&path_settings, director, &error);
+
+  gbd_routes_t *routes = gbd_routes_new (1);
+  gbd_route_t route
+      = { .target_count = 1, .targets = { { gbd_id_from_name ("web"), 1 } } };
+  gbd_address_parse ("198.18.0.1:443", &route.address);
+  gbd_routes_add (routes, &route);
+  gbd_director_set_routes (director, routes);
+  gbd_director_set_key (director, 77);
+  gbd_pool_entry_t entry = { .service = gbd_id_from_name ("web"),
+                             .slots = 2,
+                             .backend = { .id = ID,
+                                          .address = address,
+                                          .zone = gbd_zone_from_name ("a"),
+                                          .state = GBD_BACKEND_READY } };
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  gbd_pool_put (pool, &entry, NOW);
+  gbd_pool_end_listing (pool, NOW);
+  observed = 0;
+  return path && backend >= 0 && caller >= 0 ? 0 : -1;
+}
+
+static int
+tear_down (void **state)
+{
+  (void)state;
+  gbd_cookie_path_delete (path);
+  gbd_director_delete (director);
+  close (fabric);
+  close (backend);
+  close (caller);
+  return 0;
+}
+
+/* A packet of caller 127.0.0.1:40001. */
+static void
+make_packet (uint8_t *bytes, uint8_t flags, uint16_t port, uint32_t cookie)
+{
+  memset (bytes, 0, HEADER);
+  bytes[0] = 0xa1;
+  bytes[13] = 9;
+  bytes[18] = flags;
+  bytes[20] = (uint8_t)(port >> 8);
+  bytes[21] = (uint8_t)port;
+  memcpy (bytes + 22, "\x7f\0\0\1", 4);
+  memcpy (bytes + 26, "\xc6\x12\0\1", 4);
+  bytes[30] = 0x9c;
+  bytes[31] = 0x41;
+  gbd_packet_codec_echo.set_cookie (bytes, cookie);
+}
+
+static void
+send_packet (const uint8_t *bytes, size_t length)
+{
+  struct sockaddr_storage name = { .ss_family = AF_INET };
+  socklen_t name_length = sizeof name;
+  struct pollfd poll_fd
+      = { .fd = gbd_cookie_path_get_fd (path), .events = POLLIN };
+  getsockname (poll_fd.fd, (struct sockaddr *)&name, &name_length);
+  assert_int_equal (sendto (fabric, bytes, length, 0,
+                            (const struct sockaddr *)&name, name_length),
+                    (ssize_t)length);
+  assert_int_equal (poll (&poll_fd, 1, WAIT_MS), 1);
+  assert_int_equal (gbd_cookie_path_receive (path), 1);
+}
+
+static size_t
+receive (int fd, uint8_t *bytes, size_t room)
+{
+  struct pollfd poll_fd = { .fd = fd, .events = POLLIN };
+  if (poll (&poll_fd, 1, WAIT_MS) != 1)
+    return 0;
+  ssize_t length = recv (fd, bytes, room, 0);
+  return length < 0 ? 0 : (size_t)length;
+}
+
+static void
+a_packet_goes_on_unchanged_but_for_its_cookie (void **state)
+{
+  (void)state;
+  uint8_t sent[HEADER];
+  uint8_t got[256];
+  uint8_t prefix[8];
+  make_packet (sent, 4, 443, 0);
+  send_packet (sent, sizeof sent);
+  assert_int_equal (receive (backend, got, sizeof got), 8 + HEADER);
+  gbd_packet_codec_echo.write_prefix (ID, prefix);
+  assert_memory_equal (got, prefix, sizeof prefix);
+  gbd_packet_codec_echo.set_cookie (sent, newest.cookie);
+  assert_memory_equal (got + 8, sent, HEADER);
+
+  /* The next packet finds the server by the cookie. */
+  make_packet (sent, 32, 443, newest.cookie);
+  send_packet (sent, sizeof sent);
+  assert_int_equal (receive (backend, got, sizeof got), 8 + HEADER);
+  assert_memory_equal (got + 8, sent, HEADER);
+  assert_int_equal (newest.rule, GBD_DIRECTION_COOKIE);
+}
+
+static void
+an_unknown_address_is_answered_with_a_reset (void **state)
+{
+  (void)state;
+  uint8_t sent[HEADER];
+  uint8_t got[256];
+  make_packet (sent, 4, 444, 0);
+  send_packet (sent, sizeof sent);
+  assert_int_equal (receive (caller, got, sizeof got), HEADER);
+  assert_int_equal (got[18], 2);
+  gbd_cookie_path_stats_t stats;
+  gbd_cookie_path_get_stats (path, &stats);
+  assert_int_equal (stats.resets, 1);
+  assert_int_equal (stats.to_backend_packets, 0);
+}
+
+static void
+what_does_not_decode_is_counted_and_goes_nowhere (void **state)
+{
+  (void)state;
+  uint8_t sent[HEADER];
+  make_packet (sent, 4, 443, 0);
+  send_packet (sent, HEADER - 1);
+  make_packet (sent, 32, 443, 12345);
+  send_packet (sent, HEADER);
+  gbd_cookie_path_stats_t stats;
+  gbd_cookie_path_get_stats (path, &stats);
+  assert_int_equal (stats.drops[GBD_DROP_TRUNCATED], 1);
+  assert_int_equal (stats.drops[GBD_DROP_UNCERTAIN], 1);
+  assert_int_equal (stats.to_backend_packets + stats.resets, 0);
+  assert_int_equal (observed, 1);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (
+        a_packet_goes_on_unchanged_but_for_its_cookie, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        an_unknown_address_is_answered_with_a_reset, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        what_does_not_decode_is_counted_and_goes_nowhere, set_up, tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/src/test_gooseberrydrum/test_journal.c
@@ -0,0 +1,142 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <string.h>
+#include <syslog.h>
+#include <unistd.h>
+
+#include "gooseberrydrum/journal.h"
+
+#define NOW (1000 * GBD_SECOND)
+#define READ_BYTES 65536
+
+static int ends[2];
+static gbd_journal_t *journal;
+
+static int
+set_up (void **state)
+{
+  (void)state;
+  if (pipe (ends) < 0)
+    return -1;
+  journal = gbd_journal_new (ends[1], "entry-1", LOG_INFO, NOW);
+  return journal ? 0 : -1;
+}
+
+static int
+tear_down (void **state)
+{
+  (void)state;
+  gbd_journal_delete (journal);
+  close (ends[0]);
+  close (ends[1]);
+  return 0;
+}
+
+static bool
+write_line (gbd_event_t event, gbd_time_t now, json_t *fields)
+{
+  bool is_admitted = gbd_journal_admits (journal, event, now);
+  if (is_admitted)
+    gbd_journal_write (journal, event, fields);
+  else
+    json_decref (fields);
+  return is_admitted;
+}
+
+static void
+a_line_is_one_object_with_its_fields (void **state)
+{
+  (void)state;
+  char text[READ_BYTES] = "";
+  assert_true (
+      write_line (GBD_EVENT_ROUTES, NOW, json_pack ("{s:i}", "version", 7)));
+  gbd_journal_flush (journal);
+  ssize_t length = read (ends[0], text, sizeof text - 1);
+  assert_true (length > 0 && text[length - 1] == '\n');
+  json_t *line = json_loads (text, 0, NULL);
+  assert_int_equal (json_integer_value (json_object_get (line, "event")), 203);
+  assert_string_equal (json_string_value (json_object_get (line, "name")),
+                       "ROUTES");
+  assert_string_equal (json_string_value (json_object_get (line, "instance")),
+                       "entry-1");
+  assert_int_equal (json_integer_value (json_object_get (line, "version")), 7);
+  json_decref (line);
+}
+
+static void
+an_event_has_a_rate_and_says_what_was_left_out (void **state)
+{
+  (void)state;
+  char text[READ_BYTES] = "";
+  uint32_t written = 0;
+  for (int i = 0; i < 1000; i++)
+    written += write_line (GBD_EVENT_FLOW_PLACED, NOW, NULL);
+  assert_true (written > 0 && written < 100);
+  assert_int_equal (gbd_journal_get_suppressed (journal), 1000 - written);
+  /* Another event has its own. */
+  assert_true (write_line (GBD_EVENT_FLOW_DROPPED, NOW, NULL));
+  gbd_journal_flush (journal);
+  assert_true (read (ends[0], text, sizeof text - 1) > 0);
+  assert_true (write_line (GBD_EVENT_FLOW_PLACED, NOW + GBD_SECOND, NULL));
+  gbd_journal_flush (journal);
+  ssize_t length = read (ends[0], text, sizeof text - 1);
+  assert_true (length > 0);
+  text[length] = '\0';
+  json_t *line = json_loads (text, 0, NULL);
+  assert_int_equal (json_integer_value (json_object_get (line, "suppressed")),
+                    1000 - written);
+  json_decref (line);
+}
+
+static void
+a_reader_that_stops_blocks_nothing (void **state)
+{
+  (void)state;
+  char text[READ_BYTES];
+  gbd_time_t now = NOW;
+  for (int i = 0; i < 20000; i++)
+    {
+      now += GBD_SECOND;
+      write_line (GBD_EVENT_ROUTES, now, json_pack ("{s:i}", "version", i));
+      gbd_journal_flush (journal);
+    }
+  assert_true (gbd_journal_get_suppressed (journal) > 0);
+  /* What was taken is whole lines. */
+  ssize_t length = read (ends[0], text, sizeof text);
+  assert_true (length > 0);
+  const char *end = memchr (text, '\n', (size_t)length);
+  assert_non_null (end);
+  json_t *line = json_loadb (text, (size_t)(end - text), 0, NULL);
+  assert_non_null (line);
+  json_decref (line);
+}
+
+static void
+priorities_below_the_set_one_are_left_out (void **state)
+{
+  (void)state;
+  gbd_journal_set_priority (journal, LOG_WARNING);
+  assert_false (gbd_journal_admits (journal, GBD_EVENT_FLOW_PLACED, NOW));
+  assert_true (gbd_journal_admits (journal, GBD_EVENT_SERVER_SILENT, NOW));
+  assert_int_equal (gbd_journal_get_suppressed (journal), 0);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (a_line_is_one_object_with_its_fields,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        an_event_has_a_rate_and_says_what_was_left_out, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (a_reader_that_stops_blocks_nothing,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (priorities_below_the_set_one_are_left_out,
+                                     set_up, tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
