Relay the list of backend servers; merge changes that come close together

Change: the instances that the settings name as seeds watch the platform, at most a second a call, and serve the list and its changes with the platform's versions; the others read there, and from the platform while no relay answers. A relay that is out of touch turns its readers away at once.

Ruled out: a longer pause between watches, which eats into the bounds of draining; stale reads, which may be older than those bounds.

--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -82,6 +82,11 @@
 /** The platform cannot be reached, and can be again. */
 void gbd_pool_set_away (gbd_pool_t *pool, bool is_away, gbd_time_t now);
 
+/** Whoever relays the list says until when missing entries may come back. */
+void gbd_pool_set_settling (gbd_pool_t *pool, gbd_time_t until);
+/** For how much longer they may; 0: no longer. */
+gbd_time_t gbd_pool_get_settling_time (const gbd_pool_t *pool, gbd_time_t now);
+
 /** Carry out removals that are due; forget what has been gone for long. */
 void gbd_pool_tick (gbd_pool_t *pool, gbd_time_t now);
 
--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -23,7 +23,8 @@
 #define STOP_MINIMUM (1500 * GBD_MILLISECOND)
 #define STOP_QUIET (500 * GBD_MILLISECOND)
 #define DESCRIPTOR_COUNT 2
-#define MS_PER_S 1000
+/* After which libwebsockets gives up an answer: beyond the longest watch. */
+#define ANSWER_TIMEOUT_S 40
 #define NS_PER_S 1000000000
 
 static bool start (gbd_cookie_serve_t *serve);
@@ -95,6 +96,7 @@
     .port = CONTEXT_PORT_NO_LISTEN,
     .protocols = gbd_loop_protocols,
     .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS,
+    .timeout_secs = ANSWER_TIMEOUT_S,
     .user = serve,
   };
   if (getrandom (&serve->random, sizeof serve->random, 0)
@@ -185,7 +187,7 @@
 finish (gbd_cookie_serve_t *serve)
 {
   lws_sul_cancel (&serve->timer);
-  gbd_platform_watch_delete (serve->servers_watch);
+  gbd_cookie_servers_stop (serve);
   gbd_platform_watch_delete (serve->routes_watch);
   gbd_platform_delete (serve->platform);
   gbd_admin_delete (serve->admin);
@@ -321,8 +323,8 @@
   gbd_cookie_serve_t *serve
       = lws_container_of (timer, gbd_cookie_serve_t, timer);
   gbd_time_t now = gbd_loop_now (NULL);
-  gbd_platform_tick (serve->platform, now);
   gbd_cookie_store_tick (serve, now);
+  gbd_cookie_servers_tick (serve, now);
   gbd_director_tick (serve->director, now);
   check_ready (serve, now);
   check_settings (serve, now);
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -8,7 +8,9 @@
 #include "admin.h"
 #include "cookie_path.h"
 #include "journal.h"
+#include "gooseberrydrum/sources.h"
 #include "platform_client.h"
+#include "relay.h"
 #include "settings.h"
 
 /** Latency histogram, in powers of two of milliseconds. */
@@ -23,6 +25,12 @@
   gbd_director_t *director;
   gbd_cookie_path_t *path;
   gbd_platform_t *platform;
+  gbd_platform_dialect_t relay_dialect; /**< own API, entries as the platform
+                                             has them */
+  gbd_relay_t *relay;                   /**< NULL: this instance is none */
+  gbd_sources_t sources;                /**< of the backend servers */
+  gbd_platform_t *clients[GBD_SOURCES_MAX]; /**< one a source */
+  gbd_time_t ticked_at;
   const gbd_platform_dialect_t *dialect;
   gbd_platform_watch_t *servers_watch;
   gbd_platform_watch_t *routes_watch;
@@ -33,7 +41,7 @@
   bool is_key_asked; /**< a call for the key is under way */
   bool has_key;
   bool was_ready;
-  bool is_listing;     /**< between two reports of the servers' watch */
+  bool is_listing;     /**< a listing of backend servers is under way */
   bool is_routes_lost; /**< the watch on routes fails */
   gbd_time_t started_at;
   gbd_time_t lost_at;      /**< while the platform is away */
@@ -60,6 +68,21 @@
 /** Ask again for what is missing. */
 void gbd_cookie_store_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
 
+/* cookie_servers.c */
+
+/** Start to watch the backend servers, at the platform or at relays. */
+bool gbd_cookie_servers_start (gbd_cookie_serve_t *serve, const char **error);
+void gbd_cookie_servers_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+/** Time has passed that this process did not see: what it awaits may never
+ *  come. */
+void gbd_cookie_servers_refresh (gbd_cookie_serve_t *serve);
+void gbd_cookie_servers_stop (gbd_cookie_serve_t *serve);
+
+/** Log an object of the platform that does not decode. */
+void gbd_cookie_log_bad_object (gbd_cookie_serve_t *serve, const char *kind,
+                                const char *name, uint64_t version,
+                                const char *wrong, gbd_time_t now);
+
 /* cookie_report.c */
 
 extern const gbd_admin_callbacks_t gbd_cookie_admin_callbacks;
--- /dev/null
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -0,0 +1,319 @@
+#include "cookie_serve.h"
+
+#include <string.h>
+
+#include "loop.h"
+
+/* An instance that relays must know within about a second that it is out of
+   touch: its readers rely on it. */
+#define RELAY_WATCH_MS 1000
+/* A reader gives a relay up after this and RELAY_TIMEOUT_MS. */
+#define READER_WAIT_MS 1000
+#define RELAY_TIMEOUT_MS 500
+/* Longer than a late tick on a slow machine. */
+#define PAUSED_TIME (700 * GBD_MILLISECOND)
+
+static uint32_t find_relays (const gbd_cookie_serve_t *serve,
+                             gbd_address_t *relays, bool *is_relay);
+static void sort_relays (const gbd_cookie_serve_t *serve,
+                         gbd_address_t *relays, uint32_t count);
+static bool is_in_touch (const gbd_cookie_serve_t *serve);
+static void servers_reset (void *data);
+static void server_changed (void *data, const char *name, uint64_t version,
+                            json_t *value);
+static void servers_confirmed (void *data, gbd_time_t asked_at);
+static void servers_failed (void *data, gbd_time_t now);
+static void servers_settling (void *data, uint32_t settling_ms);
+static void remove_server (gbd_cookie_serve_t *serve, const char *name,
+                           uint64_t version, const char *cause,
+                           gbd_time_t now);
+static void log_source (gbd_cookie_serve_t *serve, gbd_event_t event,
+                        gbd_time_t now);
+
+static const gbd_platform_watch_callbacks_t servers_callbacks = {
+  .reset = servers_reset,
+  .changed = server_changed,
+  .confirmed = servers_confirmed,
+  .failed = servers_failed,
+  .settling = servers_settling,
+};
+
+bool
+gbd_cookie_servers_start (gbd_cookie_serve_t *serve, const char **error)
+{
+  gbd_time_t now = serve->started_at;
+  gbd_address_t relays[GBD_SEEDS_MAX];
+  bool is_relay;
+  uint32_t relay_count = find_relays (serve, relays, &is_relay);
+  uint32_t platform_at = is_relay ? 0 : relay_count;
+  serve->relay_dialect = gbd_platform_dialect_own;
+  serve->relay_dialect.read_server = serve->dialect->read_server;
+  gbd_platform_settings_t settings = {
+    .dialect = &serve->relay_dialect,
+    .call_timeout_ms = RELAY_TIMEOUT_MS,
+    .watch_wait_ms = READER_WAIT_MS,
+    .random_seed = serve->random,
+  };
+  /* All instances may have stopped together: the platform answers first. */
+  gbd_sources_init (&serve->sources, relay_count + 1, platform_at);
+  serve->clients[platform_at] = serve->platform;
+  for (uint32_t i = 0; i < relay_count; i++)
+    {
+      settings.platform = relays[i];
+      gbd_platform_t *client = gbd_platform_new (serve->context, &settings);
+      *error = "the client of a relay does not start; raise the memory limit";
+      if (!client)
+        return false;
+      serve->clients[is_relay ? i + 1 : i] = client;
+    }
+  if (is_relay)
+    {
+      serve->relay
+          = gbd_relay_new (serve->context, &serve->settings->relay_listen,
+                           serve->dialect->servers_kind, error);
+      if (!serve->relay)
+        return false;
+    }
+  serve->servers_watch
+      = gbd_platform_watch_new (serve->platform, serve->dialect->servers_kind,
+                                "", now, &servers_callbacks, serve);
+  if (is_relay)
+    gbd_platform_watch_set_wait (serve->servers_watch, RELAY_WATCH_MS);
+  return true;
+}
+
+void
+gbd_cookie_servers_tick (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  if (serve->ticked_at && now - serve->ticked_at > PAUSED_TIME)
+    {
+      gbd_cookie_servers_refresh (serve);
+      gbd_platform_watch_refresh (serve->routes_watch);
+    }
+  serve->ticked_at = now;
+  for (uint32_t i = 0; i < serve->sources.count; i++)
+    {
+      if (serve->clients[i] != serve->platform)
+        gbd_platform_tick (serve->clients[i], now);
+    }
+  if (serve->relay)
+    gbd_relay_tick (serve->relay, now);
+}
+
+void
+gbd_cookie_servers_refresh (gbd_cookie_serve_t *serve)
+{
+  if (serve->relay)
+    gbd_relay_lose (serve->relay);
+  gbd_platform_watch_refresh (serve->servers_watch);
+}
+
+void
+gbd_cookie_servers_stop (gbd_cookie_serve_t *serve)
+{
+  gbd_platform_watch_delete (serve->servers_watch);
+  gbd_relay_delete (serve->relay);
+  for (uint32_t i = 0; i < serve->sources.count; i++)
+    {
+      if (serve->clients[i] != serve->platform)
+        gbd_platform_delete (serve->clients[i]);
+    }
+}
+
+void
+gbd_cookie_log_bad_object (gbd_cookie_serve_t *serve, const char *kind,
+                           const char *name, uint64_t version,
+                           const char *wrong, gbd_time_t now)
+{
+  if (gbd_journal_admits (serve->journal, GBD_EVENT_BAD_OBJECT, now))
+    gbd_journal_write (serve->journal, GBD_EVENT_BAD_OBJECT,
+                       json_pack ("{s:s, s:s, s:I, s:s}", "kind", kind,
+                                  "object", name, "version",
+                                  (json_int_t)version, "cause", wrong));
+}
+
+/* The relays other than this instance.  @return their number. */
+static uint32_t
+find_relays (const gbd_cookie_serve_t *serve, gbd_address_t *relays,
+             bool *is_relay)
+{
+  const gbd_settings_t *settings = serve->settings;
+  uint32_t count = 0;
+  *is_relay = false;
+  for (uint32_t i = 0; i < settings->relays.count; i++)
+    {
+      const gbd_address_t *address = &settings->relays.addresses[i];
+      if (gbd_address_is_equal (address, &settings->relay_listen))
+        *is_relay = true;
+      else
+        relays[count++] = *address;
+    }
+  sort_relays (serve, relays, count);
+  return count;
+}
+
+/* Each instance prefers another one, so that readers spread over them. */
+static void
+sort_relays (const gbd_cookie_serve_t *serve, gbd_address_t *relays,
+             uint32_t count)
+{
+  uint64_t self = gbd_id_from_name (serve->settings->name);
+  for (uint32_t i = 0; i < count; i++)
+    {
+      uint32_t best = i;
+      for (uint32_t j = i + 1; j < count; j++)
+        {
+          char text[2][GBD_ADDRESS_TEXT_MAX];
+          gbd_address_format (&relays[best], text[0]);
+          gbd_address_format (&relays[j], text[1]);
+          if (gbd_rendezvous (gbd_id_from_name (text[1]), self)
+              > gbd_rendezvous (gbd_id_from_name (text[0]), self))
+            best = j;
+        }
+      gbd_address_t chosen = relays[best];
+      relays[best] = relays[i];
+      relays[i] = chosen;
+    }
+}
+
+/* Whether what this instance reads comes from the platform itself. */
+static bool
+is_in_touch (const gbd_cookie_serve_t *serve)
+{
+  return serve->clients[serve->sources.current] == serve->platform;
+}
+
+static void
+servers_reset (void *data)
+{
+  gbd_cookie_serve_t *serve = data;
+  serve->is_listing = true;
+  if (serve->relay)
+    gbd_relay_reset (serve->relay);
+  gbd_pool_begin_listing (gbd_director_get_pool (serve->director));
+}
+
+static void
+server_changed (void *data, const char *name, uint64_t version, json_t *value)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
+  gbd_pool_entry_t entry;
+  const char *wrong = NULL;
+  if (serve->relay)
+    gbd_relay_change (serve->relay, name, version, value);
+  if (!value)
+    {
+      remove_server (serve, name, version, "deleted", now);
+      return;
+    }
+  if (serve->dialect->read_server (name, value, now, &entry, &wrong) != GBD_OK)
+    {
+      gbd_cookie_log_bad_object (serve, serve->dialect->servers_kind, name,
+                                 version, wrong, now);
+      remove_server (serve, name, version, wrong, now);
+      return;
+    }
+  gbd_status_t status = gbd_pool_put (pool, &entry, now);
+  if (status != GBD_OK)
+    {
+      gbd_cookie_log_bad_object (serve, serve->dialect->servers_kind, name,
+                                 version, gbd_status_strings[status], now);
+      return;
+    }
+  if (gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_LISTED, now))
+    gbd_journal_write (serve->journal, GBD_EVENT_SERVER_LISTED,
+                       json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
+                                  "version", (json_int_t)version, "state",
+                                  entry.backend.state == GBD_BACKEND_READY
+                                      ? "ready"
+                                      : "draining",
+                                  "cold", entry.warm_at != 0));
+}
+
+static void
+remove_server (gbd_cookie_serve_t *serve, const char *name, uint64_t version,
+               const char *cause, gbd_time_t now)
+{
+  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
+  uint32_t room = gbd_pool_get_room (pool);
+  for (uint32_t i = 0; i < room; i++)
+    {
+      const gbd_pool_server_t *server
+          = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
+      if (!server->is_used || strcmp (server->entry.name, name) != 0)
+        continue;
+      gbd_pool_remove (pool, server->entry.backend.id, now);
+      if (gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_REMOVED, now))
+        gbd_journal_write (serve->journal, GBD_EVENT_SERVER_REMOVED,
+                           json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
+                                      "version", (json_int_t)version, "cause",
+                                      cause, "deferred", server->is_listed));
+    }
+}
+
+static void
+servers_confirmed (void *data, gbd_time_t asked_at)
+{
+  (void)asked_at;
+  gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
+  bool was_away = gbd_pool_is_away (pool);
+  gbd_sources_answered (&serve->sources);
+  gbd_pool_set_away (pool, false, now);
+  if (serve->is_listing)
+    gbd_pool_end_listing (pool, now);
+  serve->is_listing = false;
+  if (was_away)
+    log_source (serve, GBD_EVENT_PLATFORM_FOUND, now);
+  if (serve->relay && is_in_touch (serve))
+    gbd_relay_confirm (
+        serve->relay, gbd_platform_watch_get_version (serve->servers_watch),
+        (uint32_t)(gbd_pool_get_settling_time (pool, now) / GBD_MILLISECOND),
+        now);
+  if (gbd_sources_review (&serve->sources, now))
+    gbd_platform_watch_move (serve->servers_watch,
+                             serve->clients[serve->sources.current], true);
+}
+
+static void
+servers_failed (void *data, gbd_time_t now)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
+  log_source (serve, GBD_EVENT_PLATFORM_LOST, now);
+  if (serve->relay)
+    gbd_relay_lose (serve->relay);
+  bool has_next = gbd_sources_failed (&serve->sources, now);
+  gbd_platform_watch_move (serve->servers_watch,
+                           serve->clients[serve->sources.current], has_next);
+  if (has_next || gbd_pool_is_away (pool))
+    return;
+  gbd_pool_set_away (pool, true, now);
+  serve->lost_at = now;
+}
+
+static void
+servers_settling (void *data, uint32_t settling_ms)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_pool_set_settling (gbd_director_get_pool (serve->director),
+                         gbd_loop_now (NULL) + settling_ms * GBD_MILLISECOND);
+}
+
+static void
+log_source (gbd_cookie_serve_t *serve, gbd_event_t event, gbd_time_t now)
+{
+  if (!gbd_journal_admits (serve->journal, event, now))
+    return;
+  json_t *fields
+      = json_pack ("{s:s, s:s}", "watch", serve->dialect->servers_kind,
+                   "source", is_in_touch (serve) ? "platform" : "relay");
+  if (event == GBD_EVENT_PLATFORM_FOUND)
+    json_object_set_new (
+        fields, "away_ms",
+        json_integer ((json_int_t)((now - serve->lost_at) / GBD_MILLISECOND)));
+  gbd_journal_write (serve->journal, event, fields);
+}
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -7,9 +7,11 @@
 #include "loop.h"
 #include "platform/adapter.h"
 
-/* Below the shortest time after which libwebsockets gives up an answer; a
-   watch costs one call each time. */
-#define WATCH_WAIT_MS 10000
+/* A watch costs the platform one call each time. */
+#define WATCH_WAIT_MS 25000
+/* Changes that come close together are read in one answer; a tenth of the
+   shortest bound until a change must be in force. */
+#define WATCH_PAUSE_MS 300
 #define CALL_TIMEOUT_MS 2000
 #define KEY_KIND "gooseberrydrum"
 #define KEY_NAME "cookie-key"
@@ -20,28 +22,10 @@
 static void ask_key (gbd_cookie_serve_t *serve, gbd_time_t now);
 static void take_key (void *data, gbd_status_t status, uint64_t version,
                       json_t *value);
-static void servers_reset (void *data);
-static void server_changed (void *data, const char *name, uint64_t version,
-                            json_t *value);
-static void servers_confirmed (void *data, gbd_time_t asked_at);
-static void servers_failed (void *data, gbd_time_t now);
-static void remove_server (gbd_cookie_serve_t *serve, const char *name,
-                           uint64_t version, const char *cause,
-                           gbd_time_t now);
 static void routes_changed (void *data, const char *name, uint64_t version,
                             json_t *value);
 static void routes_confirmed (void *data, gbd_time_t asked_at);
 static void routes_failed (void *data, gbd_time_t now);
-static void log_bad_object (gbd_cookie_serve_t *serve, const char *kind,
-                            const char *name, uint64_t version,
-                            const char *wrong, gbd_time_t now);
-
-static const gbd_platform_watch_callbacks_t servers_callbacks = {
-  .reset = servers_reset,
-  .changed = server_changed,
-  .confirmed = servers_confirmed,
-  .failed = servers_failed,
-};
 
 static const gbd_platform_watch_callbacks_t routes_callbacks = {
   .changed = routes_changed,
@@ -60,6 +44,7 @@
     .dialect = serve->dialect,
     .call_timeout_ms = CALL_TIMEOUT_MS,
     .watch_wait_ms = WATCH_WAIT_MS,
+    .watch_pause_ms = WATCH_PAUSE_MS,
     .random_seed = serve->random,
   };
   gbd_time_t now = serve->started_at;
@@ -70,16 +55,14 @@
   serve->routes_watch
       = gbd_platform_watch_new (serve->platform, serve->dialect->routes_kind,
                                 "", now, &routes_callbacks, serve);
-  serve->servers_watch
-      = gbd_platform_watch_new (serve->platform, serve->dialect->servers_kind,
-                                "", now, &servers_callbacks, serve);
   ask_key (serve, now);
-  return true;
+  return gbd_cookie_servers_start (serve, error);
 }
 
 void
 gbd_cookie_store_tick (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
+  gbd_platform_tick (serve->platform, now);
   if (!serve->has_key && !serve->is_key_asked)
     ask_key (serve, now);
 }
@@ -114,7 +97,8 @@
   if ((status != GBD_OK && status != GBD_ERROR_CONFLICT) || !text)
     {
       if (status == GBD_OK)
-        log_bad_object (serve, KEY_KIND, KEY_NAME, version, "no key", now);
+        gbd_cookie_log_bad_object (serve, KEY_KIND, KEY_NAME, version,
+                                   "no key", now);
       return;
     }
   gbd_director_set_key (serve->director, strtoull (text, NULL, HEX));
@@ -124,107 +108,6 @@
                        json_pack ("{s:I}", "version", (json_int_t)version));
 }
 
-static void
-servers_reset (void *data)
-{
-  gbd_cookie_serve_t *serve = data;
-  serve->is_listing = true;
-  gbd_pool_begin_listing (gbd_director_get_pool (serve->director));
-}
-
-static void
-server_changed (void *data, const char *name, uint64_t version, json_t *value)
-{
-  gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
-  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
-  gbd_pool_entry_t entry;
-  const char *wrong = NULL;
-  if (!value)
-    {
-      remove_server (serve, name, version, "deleted", now);
-      return;
-    }
-  if (serve->dialect->read_server (name, value, now, &entry, &wrong) != GBD_OK)
-    {
-      log_bad_object (serve, serve->dialect->servers_kind, name, version,
-                      wrong, now);
-      remove_server (serve, name, version, wrong, now);
-      return;
-    }
-  gbd_status_t status = gbd_pool_put (pool, &entry, now);
-  if (status != GBD_OK)
-    {
-      log_bad_object (serve, serve->dialect->servers_kind, name, version,
-                      gbd_status_strings[status], now);
-      return;
-    }
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_LISTED, now))
-    gbd_journal_write (serve->journal, GBD_EVENT_SERVER_LISTED,
-                       json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
-                                  "version", (json_int_t)version, "state",
-                                  entry.backend.state == GBD_BACKEND_READY
-                                      ? "ready"
-                                      : "draining",
-                                  "cold", entry.warm_at != 0));
-}
-
-static void
-remove_server (gbd_cookie_serve_t *serve, const char *name, uint64_t version,
-               const char *cause, gbd_time_t now)
-{
-  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
-  uint32_t room = gbd_pool_get_room (pool);
-  for (uint32_t i = 0; i < room; i++)
-    {
-      const gbd_pool_server_t *server
-          = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
-      if (!server->is_used || strcmp (server->entry.name, name) != 0)
-        continue;
-      gbd_pool_remove (pool, server->entry.backend.id, now);
-      if (gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_REMOVED, now))
-        gbd_journal_write (serve->journal, GBD_EVENT_SERVER_REMOVED,
-                           json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
-                                      "version", (json_int_t)version, "cause",
-                                      cause, "deferred", server->is_listed));
-    }
-}
-
-static void
-servers_confirmed (void *data, gbd_time_t asked_at)
-{
-  (void)asked_at;
-  gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
-  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
-  bool was_away = gbd_pool_is_away (pool);
-  gbd_pool_set_away (pool, false, now);
-  if (serve->is_listing)
-    gbd_pool_end_listing (pool, now);
-  serve->is_listing = false;
-  if (was_away
-      && gbd_journal_admits (serve->journal, GBD_EVENT_PLATFORM_FOUND, now))
-    gbd_journal_write (
-        serve->journal, GBD_EVENT_PLATFORM_FOUND,
-        json_pack ("{s:I}", "away_ms",
-                   (json_int_t)((now - serve->lost_at) / GBD_MILLISECOND)));
-}
-
-static void
-servers_failed (void *data, gbd_time_t now)
-{
-  gbd_cookie_serve_t *serve = data;
-  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
-  if (gbd_pool_is_away (pool))
-    return;
-  gbd_pool_set_away (pool, true, now);
-  serve->lost_at = now;
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_PLATFORM_LOST, now))
-    gbd_journal_write (
-        serve->journal, GBD_EVENT_PLATFORM_LOST,
-        json_pack ("{s:s}", "watch", serve->dialect->servers_kind));
-}
-
 static void
 routes_changed (void *data, const char *name, uint64_t version, json_t *value)
 {
@@ -274,14 +157,3 @@
         serve->journal, GBD_EVENT_PLATFORM_LOST,
         json_pack ("{s:s}", "watch", serve->dialect->routes_kind));
 }
-
-static void
-log_bad_object (gbd_cookie_serve_t *serve, const char *kind, const char *name,
-                uint64_t version, const char *wrong, gbd_time_t now)
-{
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_BAD_OBJECT, now))
-    gbd_journal_write (serve->journal, GBD_EVENT_BAD_OBJECT,
-                       json_pack ("{s:s, s:s, s:I, s:s}", "kind", kind,
-                                  "object", name, "version",
-                                  (json_int_t)version, "cause", wrong));
-}
--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -3,8 +3,8 @@
 #include <string.h>
 
 #define CALL_TIMEOUT_MS 2000
-/* Below the time after which libwebsockets gives up an answer. */
-#define WATCH_WAIT_MS_MAX 10000
+/* The platform's longest wait is 30 s. */
+#define WATCH_WAIT_MS_MAX 25000
 #define ATTEMPTS_MAX 4
 #define VALUE_BYTES_MAX 1048576
 #define BREAKER_FAILURES 5
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -18,7 +18,9 @@
   const gbd_platform_dialect_t *dialect; /**< NULL for the own API */
   uint32_t call_timeout_ms;              /**< 2000 unless set */
   uint32_t watch_wait_ms;                /**< longest wait of one watch call */
-  uint64_t random_seed;                  /**< of the jitter */
+  uint32_t watch_pause_ms; /**< after an answer with changes, so that more of
+                                them come in one; 0: none */
+  uint64_t random_seed;    /**< of the jitter */
 } gbd_platform_settings_t;
 
 typedef struct gbd_platform gbd_platform_t;
@@ -71,6 +73,9 @@
   /** The platform did not answer, or not usefully; may be NULL.  Each
    *  attempt until the next `confirmed` is reported. */
   void (*failed) (void *data, gbd_time_t now);
+  /** Before changes are reported: the source says for how much longer entries
+   *  that are missing may come back; may be NULL. */
+  void (*settling) (void *data, uint32_t settling_ms);
 } gbd_platform_watch_callbacks_t;
 
 typedef struct gbd_platform_watch gbd_platform_watch_t;
@@ -84,6 +89,22 @@
                         void *data);
 void gbd_platform_watch_delete (gbd_platform_watch_t *watch);
 
+/** Go on with the same watch at another client, whose versions are of the
+ *  same origin; also from a report of the watch.
+ *  @param asks_now ask it at once, not after the pause of a failure */
+void gbd_platform_watch_move (gbd_platform_watch_t *watch,
+                              gbd_platform_t *platform, bool asks_now);
+
+/** Longest wait of one call, instead of the client's. */
+void gbd_platform_watch_set_wait (gbd_platform_watch_t *watch,
+                                  uint32_t wait_ms);
+
+/** Ask again at once: the answer that is awaited may never come. */
+void gbd_platform_watch_refresh (gbd_platform_watch_t *watch);
+
+/** Version up to which everything was reported. */
+uint64_t gbd_platform_watch_get_version (const gbd_platform_watch_t *watch);
+
 /** Start retries and time-outs that are due; call about ten times a second. */
 void gbd_platform_tick (gbd_platform_t *platform, gbd_time_t now);
 
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -17,6 +17,8 @@
   gbd_time_t timeout_at;
   gbd_time_t retry_at;
   bool is_retry;
+  uint32_t wait_ms; /* 0: the client's */
+  bool has_moved;   /* to another client, which is asked at once */
   gbd_backoff_t backoff;
   bool is_reporting; /* inside a callback; deletion waits */
   bool is_deleted;
@@ -69,6 +71,47 @@
     gbd_platform_watch_free (watch);
 }
 
+void
+gbd_platform_watch_move (gbd_platform_watch_t *watch, gbd_platform_t *platform,
+                         bool asks_now)
+{
+  if (watch->platform == platform)
+    return;
+  if (watch->http_call)
+    gbd_http_cancel (watch->http_call);
+  watch->http_call = NULL;
+  g_ptr_array_remove (watch->platform->watches, watch);
+  platform->now = MAX (platform->now, watch->platform->now);
+  watch->platform = platform;
+  g_ptr_array_add (platform->watches, watch);
+  watch->has_moved = asks_now;
+  /* The pages of two sources are not cut alike. */
+  if (!watch->is_listed)
+    list_again (watch);
+}
+
+void
+gbd_platform_watch_set_wait (gbd_platform_watch_t *watch, uint32_t wait_ms)
+{
+  watch->wait_ms = wait_ms;
+}
+
+void
+gbd_platform_watch_refresh (gbd_platform_watch_t *watch)
+{
+  if (watch->http_call)
+    gbd_http_cancel (watch->http_call);
+  watch->http_call = NULL;
+  watch->is_retry = true;
+  watch->retry_at = watch->platform->now;
+}
+
+uint64_t
+gbd_platform_watch_get_version (const gbd_platform_watch_t *watch)
+{
+  return watch->version;
+}
+
 void
 gbd_platform_watch_free (gbd_platform_watch_t *watch)
 {
@@ -111,7 +154,9 @@
   /* After a failure the answer comes at once: the circuit breaker lets no
      other call pass until it has. */
   bool is_waiting = watch->is_listed && !watch->is_retry;
-  uint32_t wait_ms = is_waiting ? platform->settings.watch_wait_ms : 0;
+  uint32_t longest_ms
+      = watch->wait_ms ? watch->wait_ms : platform->settings.watch_wait_ms;
+  uint32_t wait_ms = is_waiting ? longest_ms : 0;
   const gbd_platform_dialect_t *dialect = platform->settings.dialect;
   gbd_platform_request_t request = { 0 };
   if (watch->is_listed)
@@ -119,6 +164,7 @@
   else
     dialect->list (watch->kind, watch->after, &request);
   uint32_t timeout_ms = wait_ms + platform->settings.call_timeout_ms;
+  watch->has_moved = false;
   watch->asked_at = platform->now;
   watch->timeout_at = platform->now + timeout_ms * GBD_MILLISECOND;
   gbd_retry_budget_earn (&platform->budget);
@@ -133,10 +179,9 @@
 receive (void *data, const gbd_http_answer_t *answer)
 {
   gbd_platform_watch_t *watch = data;
-  gbd_platform_t *platform = watch->platform;
   gbd_platform_result_t result;
   watch->http_call = NULL;
-  gbd_platform_judge (platform, answer, false, &result);
+  gbd_platform_judge (watch->platform, answer, false, &result);
 
   watch->is_reporting = true;
   take_in (watch, &result);
@@ -149,7 +194,11 @@
     }
   /* At most one call a tick, however fast the answers come, but for the pages
      of a listing. */
-  if (!watch->is_retry && (watch->after || watch->asked_at < platform->now))
+  if (watch->has_moved
+      || (!watch->is_retry
+          && (watch->after
+              || (watch->asked_at < watch->platform->now
+                  && watch->platform->now >= watch->retry_at))))
     ask (watch);
 }
 
@@ -173,7 +222,15 @@
     }
   watch->is_retry = false;
   watch->retry_at = 0;
+  if (json_array_size (items) > 0)
+    watch->retry_at
+        = watch->platform->now
+          + watch->platform->settings.watch_pause_ms * GBD_MILLISECOND;
   gbd_backoff_reset (&watch->backoff);
+  if (watch->callbacks.settling)
+    watch->callbacks.settling (
+        watch->data, (uint32_t)json_integer_value (
+                         json_object_get (result->body, "settling_ms")));
   if (!watch->is_listed)
     report_page (watch, result, items);
   else
@@ -248,6 +305,8 @@
   watch->retry_at = watch->platform->now + gbd_backoff_next (&watch->backoff);
   if (!watch->is_deleted && watch->callbacks.failed)
     watch->callbacks.failed (watch->data, watch->platform->now);
+  if (watch->has_moved && !watch->is_reporting)
+    ask (watch);
 }
 
 static void
--- /dev/null
+++ b/src/gooseberrydrum/relay.c
@@ -0,0 +1,407 @@
+#include "relay.h"
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "admin_response.h"
+#include "loop.h"
+
+#define PATH_PREFIX "/v1/"
+#define ARGUMENT_SIZE 32
+#define WAIT_MS_MAX 10000
+#define DECIMAL 10
+#define KEEPALIVE_S 5 /* of a connection between requests */
+
+/** One object, or a deletion that is remembered. */
+typedef struct
+{
+  char *value;         /* compact JSON; NULL: deleted */
+  uint64_t version;    /* of the object */
+  uint64_t told_since; /* readers below this version get it; 0: unconfirmed */
+  gbd_time_t deleted_at;
+  bool is_fresh; /* reported since the listing began */
+} object_t;
+
+/** A reader's connection. */
+typedef struct
+{
+  gbd_admin_response_t response;
+  struct lws *wsi;
+  uint64_t since;
+  gbd_time_t due;
+  bool is_waiting;
+} reader_t;
+
+/** What the vhost refers to; outlives the relay. */
+typedef struct
+{
+  gbd_relay_t *relay; /* NULL once deleted */
+  char host[GBD_ADDRESS_TEXT_MAX];
+} owner_t;
+
+struct gbd_relay
+{
+  owner_t *owner;
+  struct lws_vhost *vhost;
+  const char *kind;
+  GHashTable *objects; /* name -> object_t */
+  GPtrArray *waiting;  /* of reader_t */
+  uint64_t version;
+  uint64_t floor; /* deletions up to this version are forgotten */
+  uint32_t settling_ms;
+  bool is_current; /* in touch with the platform */
+  bool is_listing;
+  uint64_t answers;
+};
+
+static int handle (struct lws *wsi, enum lws_callback_reasons reason,
+                   void *user, void *in, size_t length);
+static int handle_request (gbd_relay_t *relay, struct lws *wsi,
+                           reader_t *reader, const char *path);
+static bool read_argument (struct lws *wsi, const char *name,
+                           uint64_t *number);
+static int answer (gbd_relay_t *relay, reader_t *reader,
+                   const uint64_t *since);
+static void stop_waiting (gbd_relay_t *relay, reader_t *reader);
+static void answer_waiting (gbd_relay_t *relay, bool is_forced,
+                            gbd_time_t now);
+static void append_object (GString *text, const char *name,
+                           const object_t *object);
+static void forget_deletions (gbd_relay_t *relay, gbd_time_t now);
+static void free_object (gpointer data);
+static void free_owner (struct lws_vhost *vhost, void *owner);
+
+static const struct lws_protocols protocols[] = {
+  { "gooseberrydrum-relay", handle, sizeof (reader_t), 0, 0, NULL, 0 },
+  { NULL, NULL, 0, 0, 0, NULL, 0 },
+};
+
+gbd_relay_t *
+gbd_relay_new (struct lws_context *context, const gbd_address_t *listen,
+               const char *kind, const char **error)
+{
+  gbd_relay_t *relay = g_new0 (gbd_relay_t, 1);
+  owner_t *owner = calloc (1, sizeof *owner);
+  relay->kind = kind;
+  relay->objects
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_object);
+  relay->waiting = g_ptr_array_new ();
+  relay->owner = owner;
+  if (!owner)
+    {
+      *error = "no memory for the relay; raise the memory limit";
+      gbd_relay_delete (relay);
+      return NULL;
+    }
+  owner->relay = relay;
+  inet_ntop (listen->family == 6 ? AF_INET6 : AF_INET, listen->ip, owner->host,
+             sizeof owner->host);
+  struct lws_context_creation_info info = {
+    .vhost_name = "relay",
+    .iface = owner->host,
+    .port = listen->port,
+    .protocols = protocols,
+    .user = owner,
+    .finalize = free_owner,
+    .finalize_arg = owner,
+    .keepalive_timeout = KEEPALIVE_S,
+    .alpn = "http/1.1",
+    .options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND,
+  };
+  if (listen->family == 4)
+    info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
+  relay->vhost = lws_create_vhost (context, &info);
+  if (relay->vhost)
+    return relay;
+  /* The library has freed the owner with the vhost that it gave up. */
+  relay->owner = NULL;
+  *error = "cannot listen for other instances; choose a free address of this "
+           "instance with --relay-listen";
+  gbd_relay_delete (relay);
+  return NULL;
+}
+
+void
+gbd_relay_delete (gbd_relay_t *relay)
+{
+  if (!relay)
+    return;
+  if (relay->owner)
+    relay->owner->relay = NULL;
+  if (relay->vhost)
+    lws_vhost_destroy (relay->vhost);
+  g_hash_table_destroy (relay->objects);
+  g_ptr_array_free (relay->waiting, TRUE);
+  g_free (relay);
+}
+
+void
+gbd_relay_reset (gbd_relay_t *relay)
+{
+  GHashTableIter each;
+  gpointer object;
+  relay->is_listing = true;
+  g_hash_table_iter_init (&each, relay->objects);
+  while (g_hash_table_iter_next (&each, NULL, &object))
+    ((object_t *)object)->is_fresh = false;
+}
+
+void
+gbd_relay_change (gbd_relay_t *relay, const char *name, uint64_t version,
+                  const json_t *value)
+{
+  object_t *object = g_new0 (object_t, 1);
+  object->value
+      = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
+  object->version = version;
+  object->is_fresh = true;
+  g_hash_table_replace (relay->objects, g_strdup (name), object);
+}
+
+void
+gbd_relay_confirm (gbd_relay_t *relay, uint64_t version, uint32_t settling_ms,
+                   gbd_time_t now)
+{
+  GHashTableIter each;
+  gpointer data;
+  bool is_first = relay->version == 0;
+  g_hash_table_iter_init (&each, relay->objects);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      object_t *object = data;
+      if (relay->is_listing && !object->is_fresh && object->value)
+        {
+          free (object->value);
+          object->value = NULL;
+          object->told_since = 0;
+        }
+      if (object->told_since)
+        continue;
+      object->told_since = version;
+      object->deleted_at = now;
+    }
+  relay->is_listing = false;
+  relay->version = version;
+  if (is_first)
+    relay->floor = version;
+  relay->settling_ms = settling_ms;
+  relay->is_current = true;
+  forget_deletions (relay, now);
+  answer_waiting (relay, false, now);
+}
+
+void
+gbd_relay_lose (gbd_relay_t *relay)
+{
+  relay->is_current = false;
+  answer_waiting (relay, true, 0);
+}
+
+void
+gbd_relay_tick (gbd_relay_t *relay, gbd_time_t now)
+{
+  for (guint i = relay->waiting->len; i-- > 0;)
+    {
+      reader_t *reader = g_ptr_array_index (relay->waiting, i);
+      if (now < reader->due)
+        continue;
+      stop_waiting (relay, reader);
+      answer (relay, reader, &reader->since);
+    }
+}
+
+char *
+gbd_relay_make_answer (const gbd_relay_t *relay, const uint64_t *since,
+                       unsigned *status)
+{
+  *status = HTTP_STATUS_SERVICE_UNAVAILABLE;
+  if (!relay->is_current || (since && *since > relay->version))
+    return strdup ("{}");
+  *status = HTTP_STATUS_GONE;
+  if (since && *since < relay->floor)
+    return strdup ("{}");
+  *status = HTTP_STATUS_OK;
+  GString *text = g_string_new (NULL);
+  g_string_printf (
+      text, "{\"version\":%" G_GUINT64_FORMAT ",\"settling_ms\":%u,\"%s\":[",
+      relay->version, relay->settling_ms, since ? "changes" : "items");
+  size_t empty = text->len;
+  GHashTableIter each;
+  gpointer name;
+  gpointer data;
+  g_hash_table_iter_init (&each, relay->objects);
+  while (g_hash_table_iter_next (&each, &name, &data))
+    {
+      const object_t *object = data;
+      bool is_wanted = since ? object->told_since > *since
+                             : object->value != NULL && object->told_since;
+      if (is_wanted)
+        append_object (text, name, object);
+    }
+  if (text->len > empty)
+    g_string_truncate (text, text->len - 1);
+  g_string_append (text, "]}");
+  return g_string_free (text, FALSE);
+}
+
+uint64_t
+gbd_relay_get_answers (const gbd_relay_t *relay)
+{
+  return relay->answers;
+}
+
+static int
+handle (struct lws *wsi, enum lws_callback_reasons reason, void *user,
+        void *in, size_t length)
+{
+  (void)length;
+  reader_t *reader = user;
+  struct lws_vhost *vhost = lws_get_vhost (wsi);
+  const owner_t *owner = vhost ? lws_vhost_user (vhost) : NULL;
+  gbd_relay_t *relay = owner ? owner->relay : NULL;
+  switch (reason)
+    {
+    case LWS_CALLBACK_HTTP:
+      return relay ? handle_request (relay, wsi, reader, in) : -1;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+      return reader->is_waiting
+                 ? 0
+                 : gbd_admin_response_write (&reader->response, wsi);
+    case LWS_CALLBACK_CLOSED_HTTP:
+    case LWS_CALLBACK_HTTP_DROP_PROTOCOL:
+      if (relay && reader)
+        stop_waiting (relay, reader);
+      if (reader)
+        gbd_admin_response_clear (&reader->response);
+      return 0;
+    default:
+      return 0;
+    }
+}
+
+static int
+handle_request (gbd_relay_t *relay, struct lws *wsi, reader_t *reader,
+                const char *path)
+{
+  gbd_admin_response_clear (&reader->response);
+  stop_waiting (relay, reader);
+  reader->wsi = wsi;
+  size_t prefix = strlen (PATH_PREFIX);
+  if (strncmp (path, PATH_PREFIX, prefix) != 0
+      || strcmp (path + prefix, relay->kind) != 0)
+    {
+      gbd_admin_response_fail (&reader->response, HTTP_STATUS_NOT_FOUND,
+                               "no such kind", "ask the platform");
+      return gbd_admin_response_start (&reader->response, wsi);
+    }
+  uint64_t wait_ms = 0;
+  if (!read_argument (wsi, "since=", &reader->since))
+    return answer (relay, reader, NULL);
+  read_argument (wsi, "wait_ms=", &wait_ms);
+  bool has_news
+      = !relay->is_current || reader->since != relay->version || wait_ms == 0;
+  if (has_news)
+    return answer (relay, reader, &reader->since);
+  wait_ms = MIN (wait_ms, WAIT_MS_MAX);
+  reader->due = gbd_loop_now (NULL) + (gbd_time_t)wait_ms * GBD_MILLISECOND;
+  reader->is_waiting = true;
+  g_ptr_array_add (relay->waiting, reader);
+  /* The library would close a transaction that sends nothing. */
+  lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
+  return 0;
+}
+
+static bool
+read_argument (struct lws *wsi, const char *name, uint64_t *number)
+{
+  char text[ARGUMENT_SIZE] = "";
+  const char *found = lws_get_urlarg_by_name (wsi, name, text, sizeof text);
+  char *end = NULL;
+  if (!found || !found[0])
+    return false;
+  *number = strtoull (found, &end, DECIMAL);
+  return *end == '\0';
+}
+
+static int
+answer (gbd_relay_t *relay, reader_t *reader, const uint64_t *since)
+{
+  unsigned status;
+  char *text = gbd_relay_make_answer (relay, since, &status);
+  gbd_admin_response_set_text (&reader->response, text);
+  reader->response.status = status;
+  reader->response.content_type = "application/json";
+  relay->answers++;
+  return gbd_admin_response_start (&reader->response, reader->wsi);
+}
+
+static void
+stop_waiting (gbd_relay_t *relay, reader_t *reader)
+{
+  if (reader->is_waiting)
+    g_ptr_array_remove (relay->waiting, reader);
+  reader->is_waiting = false;
+}
+
+static void
+answer_waiting (gbd_relay_t *relay, bool is_forced, gbd_time_t now)
+{
+  (void)now;
+  for (guint i = relay->waiting->len; i-- > 0;)
+    {
+      reader_t *reader = g_ptr_array_index (relay->waiting, i);
+      if (!is_forced && reader->since == relay->version)
+        continue;
+      stop_waiting (relay, reader);
+      if (answer (relay, reader, &reader->since) != 0)
+        lws_set_timeout (reader->wsi, PENDING_TIMEOUT_USER_OK,
+                         LWS_TO_KILL_ASYNC);
+    }
+}
+
+static void
+append_object (GString *text, const char *name, const object_t *object)
+{
+  json_t *quoted = json_string (name);
+  char *name_text = json_dumps (quoted, JSON_ENCODE_ANY);
+  g_string_append_printf (
+      text, "{\"name\":%s,\"version\":%" G_GUINT64_FORMAT ",\"value\":%s},",
+      name_text ? name_text : "\"\"", object->version,
+      object->value ? object->value : "null");
+  free (name_text);
+  json_decref (quoted);
+}
+
+static void
+forget_deletions (gbd_relay_t *relay, gbd_time_t now)
+{
+  GHashTableIter each;
+  gpointer data;
+  g_hash_table_iter_init (&each, relay->objects);
+  while (g_hash_table_iter_next (&each, NULL, &data))
+    {
+      const object_t *object = data;
+      if (object->value || now - object->deleted_at < GBD_RELAY_KEEP_TIME)
+        continue;
+      relay->floor = MAX (relay->floor, object->told_since);
+      g_hash_table_iter_remove (&each);
+    }
+}
+
+static void
+free_object (gpointer data)
+{
+  object_t *object = data;
+  free (object->value);
+  g_free (object);
+}
+
+static void
+free_owner (struct lws_vhost *vhost, void *owner)
+{
+  (void)vhost;
+  free (owner);
+}
--- a/src/gooseberrydrum/serve_platform.c
+++ b/src/gooseberrydrum/serve_platform.c
@@ -45,11 +45,11 @@
 
 static const gbd_platform_watch_callbacks_t watch_callbacks[GBD_WATCH_COUNT]
     = {
-        { ignore_reset, accepted_changed, ignore_confirmed, NULL },
+        { ignore_reset, accepted_changed, ignore_confirmed, NULL, NULL },
         { gbd_serve_endpoints_reset, gbd_serve_endpoint_changed,
-          gbd_serve_endpoints_confirmed, NULL },
-        { instances_reset, instance_changed, instances_confirmed, NULL },
-        { ignore_reset, table_changed, tables_confirmed, NULL },
+          gbd_serve_endpoints_confirmed, NULL, NULL },
+        { instances_reset, instance_changed, instances_confirmed, NULL, NULL },
+        { ignore_reset, table_changed, tables_confirmed, NULL, NULL },
       };
 
 static const char *const watch_kinds[GBD_WATCH_COUNT]
--- a/src/gooseberrydrum/settings.h
+++ b/src/gooseberrydrum/settings.h
@@ -29,6 +29,14 @@
 typedef char gbd_name_text_t[GBD_NAME_MAX + 1];
 typedef char gbd_path_text_t[GBD_PATH_LENGTH_MAX + 1];
 
+#define GBD_SEEDS_MAX 3 /**< addresses of one list */
+
+typedef struct
+{
+  uint32_t count;
+  gbd_address_t addresses[GBD_SEEDS_MAX];
+} gbd_address_list_t;
+
 /** Settings that have been checked, alone and against each other. */
 typedef struct
 {
@@ -42,6 +50,8 @@
   gbd_address_t admin_listen;                 /**< family 0 when it is off */
   gbd_address_t ready_listen;                 /**< family 0 when it is off */
   gbd_address_t metrics_listen;               /**< family 0 when it is off */
+  gbd_address_t relay_listen;                 /**< family 0 when it is off */
+  gbd_address_list_t relays;                  /**< may be empty */
   const char *platform_form;                  /**< "own" or "objects" */
   const char *packet_form;                    /**< "ip" or "echo" */
   char admin_token[GBD_TOKEN_LENGTH_MAX + 1]; /**< empty if there is none */
--- a/src/gooseberrydrum/settings_kinds.c
+++ b/src/gooseberrydrum/settings_kinds.c
@@ -13,6 +13,8 @@
                                   const char *text, void *field);
 static const char *parse_optional_address (const gbd_setting_t *setting,
                                            const char *text, void *field);
+static const char *parse_addresses (const gbd_setting_t *setting,
+                                    const char *text, void *field);
 static const char *parse_number (const gbd_setting_t *setting,
                                  const char *text, void *field);
 static const char *parse_power_of_two (const gbd_setting_t *setting,
@@ -35,6 +37,8 @@
                               size_t size);
 static void describe_optional_address (const gbd_setting_t *setting,
                                        char *text, size_t size);
+static void describe_addresses (const gbd_setting_t *setting, char *text,
+                                size_t size);
 static void describe_number (const gbd_setting_t *setting, char *text,
                              size_t size);
 static void describe_power_of_two (const gbd_setting_t *setting, char *text,
@@ -57,6 +61,8 @@
     = { parse_address, describe_address, false };
 const gbd_setting_kind_t gbd_kind_optional_address
     = { parse_optional_address, describe_optional_address, false };
+const gbd_setting_kind_t gbd_kind_addresses
+    = { parse_addresses, describe_addresses, false };
 const gbd_setting_kind_t gbd_kind_number
     = { parse_number, describe_number, false };
 const gbd_setting_kind_t gbd_kind_power_of_two
@@ -110,6 +116,31 @@
   return NULL;
 }
 
+static const char *
+parse_addresses (const gbd_setting_t *setting, const char *text, void *field)
+{
+  gbd_address_list_t *list = field;
+  char address[GBD_ADDRESS_TEXT_MAX];
+  list->count = 0;
+  while (*text)
+    {
+      size_t length = strcspn (text, ",");
+      if (list->count == GBD_SEEDS_MAX)
+        return "has more than three addresses";
+      if (length >= sizeof address)
+        return "is not a list of IP numbers with ports";
+      memcpy (address, text, length);
+      address[length] = '\0';
+      if (parse_address (setting, address, &list->addresses[list->count]))
+        return "is not a list of IP numbers with ports";
+      list->count++;
+      text += length;
+      if (*text == ',')
+        text++;
+    }
+  return NULL;
+}
+
 static const char *
 parse_number (const gbd_setting_t *setting, const char *text, void *field)
 {
@@ -240,6 +271,14 @@
   snprintf (text, size, "an address such as 127.0.0.1:7480, or off");
 }
 
+static void
+describe_addresses (const gbd_setting_t *setting, char *text, size_t size)
+{
+  (void)setting;
+  snprintf (text, size,
+            "up to three IP numbers with ports, with commas between");
+}
+
 static void
 describe_number (const gbd_setting_t *setting, char *text, size_t size)
 {
--- a/src/gooseberrydrum/settings_kinds.h
+++ b/src/gooseberrydrum/settings_kinds.h
@@ -9,6 +9,7 @@
 extern const gbd_setting_kind_t gbd_kind_name;
 extern const gbd_setting_kind_t gbd_kind_address;
 extern const gbd_setting_kind_t gbd_kind_optional_address; /**< or "off" */
+extern const gbd_setting_kind_t gbd_kind_addresses;        /**< up to three */
 extern const gbd_setting_kind_t gbd_kind_number;
 extern const gbd_setting_kind_t gbd_kind_power_of_two;
 extern const gbd_setting_kind_t gbd_kind_flag;
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -45,6 +45,14 @@
     "off", "", 0, 0, NULL, false,
     "Where GET /metrics serves the counters without a token (HTTP); only for "
     "the policy cookie." },
+  { "relay-listen", &gbd_kind_optional_address, FIELD (relay_listen), "off",
+    "", 0, 0, NULL, false,
+    "Where this instance relays the list of backend servers to others (HTTP); "
+    "only for the policy cookie." },
+  { "relays", &gbd_kind_addresses, FIELD (relays), "", "", 0, 0, NULL, false,
+    "Instances that watch the platform's list of backend servers and relay "
+    "it; the others ask the platform itself only while none of them answers. "
+    "An instance whose relay-listen is among them is such a one." },
   { "platform-form", &gbd_kind_choice, FIELD (platform_form), "own", "", 0, 0,
     platform_forms, false,
     "Which object API the platform speaks; objects only for the policy "
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -142,6 +142,19 @@
     }
 }
 
+void
+gbd_pool_set_settling (gbd_pool_t *pool, gbd_time_t until)
+{
+  if (until > pool->settled_at)
+    pool->settled_at = until;
+}
+
+gbd_time_t
+gbd_pool_get_settling_time (const gbd_pool_t *pool, gbd_time_t now)
+{
+  return pool->settled_at > now ? pool->settled_at - now : 0;
+}
+
 void
 gbd_pool_tick (gbd_pool_t *pool, gbd_time_t now)
 {
--- /dev/null
+++ b/src/libgooseberrydrum/sources.c
@@ -0,0 +1,58 @@
+#include "gooseberrydrum/sources.h"
+
+#include <string.h>
+
+void
+gbd_sources_init (gbd_sources_t *sources, uint32_t count, uint32_t first)
+{
+  memset (sources, 0, sizeof *sources);
+  sources->count = count;
+  sources->current = first;
+  for (uint32_t i = 0; i < count; i++)
+    sources->sources[i].pause = GBD_SOURCES_FIRST_PAUSE;
+}
+
+void
+gbd_sources_answered (gbd_sources_t *sources)
+{
+  gbd_source_t *source = &sources->sources[sources->current];
+  source->retry_at = 0;
+  source->pause = GBD_SOURCES_FIRST_PAUSE;
+}
+
+bool
+gbd_sources_failed (gbd_sources_t *sources, gbd_time_t now)
+{
+  gbd_source_t *failed = &sources->sources[sources->current];
+  failed->retry_at = now + failed->pause;
+  failed->pause *= 2;
+  if (failed->pause > GBD_SOURCES_LONGEST_PAUSE)
+    failed->pause = GBD_SOURCES_LONGEST_PAUSE;
+
+  uint32_t soonest = 0;
+  for (uint32_t i = 0; i < sources->count; i++)
+    {
+      if (sources->sources[i].retry_at <= now)
+        {
+          sources->current = i;
+          return true;
+        }
+      if (sources->sources[i].retry_at < sources->sources[soonest].retry_at)
+        soonest = i;
+    }
+  sources->current = soonest;
+  return false;
+}
+
+bool
+gbd_sources_review (gbd_sources_t *sources, gbd_time_t now)
+{
+  for (uint32_t i = 0; i < sources->current; i++)
+    {
+      if (sources->sources[i].retry_at > now)
+        continue;
+      sources->current = i;
+      return true;
+    }
+  return false;
+}
