--- a/src/test_gooseberrydrum/test_admin.c
+++ b/src/test_gooseberrydrum/test_admin.c
@@ -28,6 +28,7 @@
 static gbd_admin_settings_t settings;
 static char explained[2 * GBD_ADDRESS_TEXT_MAX];
 static bool is_dump_large;
+static bool is_ready;
 
 static char *
 get_counters (void *data)
@@ -66,8 +67,15 @@
                                    : NULL;
 }
 
+static bool
+get_ready (void *data)
+{
+  (void)data;
+  return is_ready;
+}
+
 static const gbd_admin_callbacks_t callbacks
-    = { get_counters, get_status, get_dump, get_explanation };
+    = { get_counters, get_status, get_dump, get_explanation, get_ready };
 
 static void
 choose_address (void)
@@ -112,6 +120,15 @@
   return 0;
 }
 
+static int
+set_up_public (void **state)
+{
+  (void)state;
+  settings.is_public = true;
+  start (NULL);
+  return 0;
+}
+
 static int
 set_up_with_token (void **state)
 {
@@ -124,6 +141,7 @@
 tear_down (void **state)
 {
   (void)state;
+  settings.is_public = false;
   gbd_admin_delete (admin);
   lws_context_destroy (context);
   return 0;
@@ -436,6 +454,28 @@
   settings.key = NULL;
 }
 
+static void
+a_public_server_has_readiness_and_counters_alone (void **state)
+{
+  (void)state;
+  static const request_case_t when_ready[] = {
+    { "GET", "/ready", "", "HTTP/1.1 200", "true" },
+    { "GET", "/metrics", "", "HTTP/1.1 200", "some" },
+    { "GET", "/dump", "", "HTTP/1.1 404", "remedy" },
+    { "GET", "/status", "", "HTTP/1.1 404", "remedy" },
+    { "GET", "/explain?flow=10.0.0.1:1-10.1.0.1:443", "", "HTTP/1.1 404",
+      "remedy" },
+    { "PUT", "/ready", "Content-Length: 0\r\n", "HTTP/1.1 405", "remedy" },
+  };
+  static const request_case_t when_not[]
+      = { { "GET", "/ready", "", "HTTP/1.1 503", "remedy" },
+          { "GET", "/metrics", "", "HTTP/1.1 200", "some" } };
+  is_ready = true;
+  check_cases (when_ready, sizeof when_ready / sizeof when_ready[0]);
+  is_ready = false;
+  check_cases (when_not, sizeof when_not / sizeof when_not[0]);
+}
+
 int
 main (void)
 {
@@ -443,6 +483,9 @@
   cmocka_unit_test_setup_teardown (test, set_up, tear_down)
   const struct CMUnitTest tests[] = {
     ADMIN_TEST (paths_answer),
+    cmocka_unit_test_setup_teardown (
+        a_public_server_has_readiness_and_counters_alone, set_up_public,
+        tear_down),
     cmocka_unit_test_setup_teardown (a_token_is_required_whole,
                                      set_up_with_token, tear_down),
     ADMIN_TEST (only_loopback_goes_without_a_token),
--- /dev/null
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -0,0 +1,271 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <arpa/inet.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "gooseberrydrum/platform_client.h"
+#include "gooseberrydrum/relay.h"
+
+#define KIND "servers"
+#define STEP (100 * GBD_MILLISECOND)
+#define ROUNDS_MAX 400
+
+static struct lws_context *context;
+static gbd_relay_t *relay;
+static gbd_platform_t *reader;
+static gbd_platform_watch_t *watch;
+static gbd_time_t now;
+static json_t *view;
+static uint32_t confirmations;
+static uint32_t failures;
+static uint32_t settling;
+
+static gbd_address_t
+choose_address (void)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  socklen_t length = sizeof name;
+  gbd_address_t address;
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&name, sizeof name), 0);
+  getsockname (fd, (struct sockaddr *)&name, &length);
+  close (fd);
+  gbd_address_parse ("127.0.0.1:1", &address);
+  address.port = ntohs (name.sin_port);
+  return address;
+}
+
+static int
+set_up (void **state)
+{
+  (void)state;
+  struct lws_context_creation_info info
+      = { .port = CONTEXT_PORT_NO_LISTEN,
+          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS };
+  const char *error = NULL;
+  lws_set_log_level (0, NULL);
+  gbd_address_t address = choose_address ();
+  context = lws_create_context (&info);
+  relay = gbd_relay_new (context, &address, KIND, &error);
+  gbd_platform_settings_t settings = { .platform = address,
+                                       .call_timeout_ms = 500,
+                                       .watch_wait_ms = 1000,
+                                       .random_seed = 3 };
+  reader = gbd_platform_new (context, &settings);
+  now = 1000 * GBD_SECOND;
+  view = json_object ();
+  confirmations = 0;
+  failures = 0;
+  settling = 0;
+  return relay && reader ? 0 : -1;
+}
+
+static int
+tear_down (void **state)
+{
+  (void)state;
+  gbd_platform_delete (reader);
+  gbd_relay_delete (relay);
+  lws_context_destroy (context);
+  json_decref (view);
+  return 0;
+}
+
+static void
+note_reset (void *data)
+{
+  (void)data;
+  json_object_clear (view);
+}
+
+static void
+note_change (void *data, const char *name, uint64_t version, json_t *value)
+{
+  (void)data;
+  (void)version;
+  if (value)
+    json_object_set (view, name, value);
+  else
+    json_object_del (view, name);
+}
+
+static void
+note_confirmed (void *data, gbd_time_t asked_at)
+{
+  (void)data;
+  (void)asked_at;
+  confirmations++;
+}
+
+static void
+note_failed (void *data, gbd_time_t at)
+{
+  (void)data;
+  (void)at;
+  failures++;
+}
+
+static void
+note_settling (void *data, uint32_t settling_ms)
+{
+  (void)data;
+  settling = settling_ms;
+}
+
+static const gbd_platform_watch_callbacks_t callbacks
+    = { note_reset, note_change, note_confirmed, note_failed, note_settling };
+
+static void
+run_until (const uint32_t *counter, uint32_t count)
+{
+  for (int i = 0; i < ROUNDS_MAX && *counter < count; i++)
+    {
+      lws_cancel_service (context);
+      lws_service (context, 0);
+      usleep (1000);
+      now += STEP / 20;
+      gbd_platform_tick (reader, now);
+    }
+  assert_true (*counter >= count);
+}
+
+static void
+change (const char *name, uint64_t version, const char *value)
+{
+  json_t *object = value ? json_string (value) : NULL;
+  gbd_relay_change (relay, name, version, object);
+  json_decref (object);
+}
+
+static void
+a_reader_sees_the_list_and_each_change (void **state)
+{
+  (void)state;
+  change ("a", 5, "one");
+  change ("b", 6, "two");
+  gbd_relay_confirm (relay, 10, 0, now);
+  watch = gbd_platform_watch_new (reader, KIND, "", now, &callbacks, NULL);
+  run_until (&confirmations, 1);
+  assert_int_equal (json_object_size (view), 2);
+  assert_int_equal (gbd_platform_watch_get_version (watch), 10);
+
+  /* Waits at the relay until something changes. */
+  for (int i = 0; i < 40; i++)
+    run_until (&confirmations, 0);
+  uint32_t before = confirmations;
+  change ("a", 5, NULL);
+  change ("c", 11, "three");
+  gbd_relay_confirm (relay, 12, 700, now);
+  run_until (&confirmations, before + 1);
+  assert_null (json_object_get (view, "a"));
+  assert_non_null (json_object_get (view, "c"));
+  assert_int_equal (settling, 700);
+  assert_int_equal (gbd_platform_watch_get_version (watch), 12);
+}
+
+static void
+a_waiting_reader_is_turned_away_when_the_relay_is_out_of_touch (void **state)
+{
+  (void)state;
+  change ("a", 5, "one");
+  gbd_relay_confirm (relay, 10, 0, now);
+  watch = gbd_platform_watch_new (reader, KIND, "", now, &callbacks, NULL);
+  run_until (&confirmations, 1);
+  for (int i = 0; i < 40; i++)
+    run_until (&confirmations, 0);
+  assert_int_equal (failures, 0);
+  gbd_relay_lose (relay);
+  run_until (&failures, 1);
+  /* What was read stays. */
+  assert_int_equal (json_object_size (view), 1);
+}
+
+typedef struct
+{
+  const char *label;
+  bool has_since;
+  uint64_t since;
+  unsigned status;
+  const char *part; /* of the answer */
+} answer_row_t;
+
+static const answer_row_t answer_rows[] = {
+  { "listing", false, 0, 200, "\"items\":[{\"name\":\"b\"" },
+  { "nothing new", true, 20, 200, "\"changes\":[]" },
+  { "one deletion", true, 10, 200,
+    "{\"name\":\"a\",\"version\":5,\"value\":null}" },
+  { "a reader ahead of the relay", true, 21, 503, "{}" },
+  { "before what is remembered", true, 9, 410, "{}" },
+};
+
+static void
+answers_depend_on_the_version_of_the_reader (void **state)
+{
+  (void)state;
+  unsigned status;
+  free (gbd_relay_make_answer (relay, NULL, &status));
+  assert_int_equal (status, 503);
+  change ("a", 5, "one");
+  change ("b", 6, "two");
+  gbd_relay_confirm (relay, 10, 0, now);
+  change ("a", 5, NULL);
+  gbd_relay_confirm (relay, 20, 0, now);
+  for (size_t i = 0; i < sizeof answer_rows / sizeof answer_rows[0]; i++)
+    {
+      const answer_row_t *row = &answer_rows[i];
+      print_message ("%s\n", row->label);
+      char *text = gbd_relay_make_answer (
+          relay, row->has_since ? &row->since : NULL, &status);
+      assert_int_equal (status, row->status);
+      assert_non_null (strstr (text, row->part));
+      free (text);
+    }
+}
+
+static void
+a_new_listing_deletes_what_it_lacks (void **state)
+{
+  (void)state;
+  unsigned status;
+  uint64_t since = 10;
+  change ("a", 5, "one");
+  change ("b", 6, "two");
+  gbd_relay_confirm (relay, 10, 0, now);
+  gbd_relay_reset (relay);
+  change ("b", 6, "two");
+  gbd_relay_confirm (relay, 30, 0, now);
+  char *text = gbd_relay_make_answer (relay, &since, &status);
+  assert_non_null (strstr (text, "\"name\":\"a\",\"version\":5,"
+                                 "\"value\":null"));
+  free (text);
+  /* Forgotten after a while; whoever is older has to list again. */
+  gbd_relay_confirm (relay, 31, 0, now + GBD_RELAY_KEEP_TIME);
+  text = gbd_relay_make_answer (relay, &since, &status);
+  assert_int_equal (status, 410);
+  free (text);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup_teardown (a_reader_sees_the_list_and_each_change,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        a_waiting_reader_is_turned_away_when_the_relay_is_out_of_touch, set_up,
+        tear_down),
+    cmocka_unit_test_setup_teardown (
+        answers_depend_on_the_version_of_the_reader, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (a_new_listing_deletes_what_it_lacks,
+                                     set_up, tear_down),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/test_gooseberrydrum/test_settings.c
+++ b/src/test_gooseberrydrum/test_settings.c
@@ -289,6 +289,99 @@
   unlink (path);
 }
 
+#define FILE_LINES                                                            \
+  "# comment\n[serve]\nname=from-file\nzone=z-1\nheartbeat-ms=250\n"          \
+  "relays=10.0.0.1:1,10.0.0.2:2\nnew-setting=7\n[other]\nname=no\n"
+
+static void
+write_settings_file (const char *path, const char *text)
+{
+  FILE *file = fopen (path, "w");
+  assert_non_null (file);
+  fputs (text, file);
+  fclose (file);
+}
+
+static void
+a_file_goes_after_flags_and_variables (void **state)
+{
+  (void)state;
+  char path[] = "/tmp/gooseberrydrum-test-XXXXXX";
+  close (mkstemp (path));
+  write_settings_file (path, FILE_LINES);
+  setenv (GBD_SETTINGS_FILE_VARIABLE, path, 1);
+  setenv ("GOOSEBERRYDRUM_ZONE", "z-2", 1);
+  gbd_settings_t settings;
+  assert_int_equal (read_with ("--name", NULL, NULL, &settings), GBD_OK);
+  assert_string_equal (settings.name, "from-file");
+  assert_string_equal (settings.zone, "recife-a"); /* a flag of the base */
+  assert_int_equal (settings.heartbeat_ms, 250);
+  assert_int_equal (settings.relays.count, 2);
+  assert_int_equal (settings.relays.addresses[1].port, 2);
+  assert_int_equal (read_with ("--zone", NULL, NULL, &settings), GBD_OK);
+  assert_string_equal (settings.zone, "z-2");
+  unsetenv ("GOOSEBERRYDRUM_ZONE");
+
+  write_settings_file (path, "[serve]\nheartbeat-ms=soon\n");
+  assert_int_equal (read_with (NULL, NULL, NULL, &settings), GBD_ERROR_RANGE);
+  assert_string_equal (
+      reports, "heartbeat-ms in the settings file: is not a whole number; "
+               "give a whole number from 20 to 10000 ms\n");
+  unlink (path);
+  assert_int_equal (read_with (NULL, NULL, NULL, &settings), GBD_ERROR_RANGE);
+  assert_memory_equal (reports, GBD_SETTINGS_FILE_VARIABLE,
+                       strlen (GBD_SETTINGS_FILE_VARIABLE));
+  unsetenv (GBD_SETTINGS_FILE_VARIABLE);
+}
+
+static void
+the_cookie_policy_needs_no_peers (void **state)
+{
+  (void)state;
+  static const char *const flags[] = { "serve",
+                                       "--name=a",
+                                       "--zone=z",
+                                       "--platform=127.0.0.1:1",
+                                       "--fabric-listen=127.0.0.1:2",
+                                       "--policy=cookie",
+                                       "--packet-form=echo",
+                                       "--platform-form=objects" };
+  static const struct
+  {
+    size_t flags;
+    const char *more;
+    const char *message; /* NULL: good */
+  } rows[] = {
+    { 8, NULL, NULL },
+    { 7, NULL, NULL },
+    { 6, NULL, "policy: is cookie, but the packets carry none" },
+    { 5, NULL, "peer-listen: is missing" },
+    { 8, "--relays=10.0.0.1:1,10.0.0.2:1,10.0.0.3:1,10.0.0.4:1",
+      "--relays: has more than three addresses" },
+    { 8, "--relays=here", "--relays: is not a list of IP numbers" },
+    { 8, "--policy=keepers", "policy: does not fit" },
+  };
+  unsetenv ("GOOSEBERRYDRUM_GROUP_KEY");
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      char *arguments[ARGUMENTS_MAX] = { NULL };
+      int count = (int)rows[i].flags;
+      memcpy (arguments, flags, rows[i].flags * sizeof flags[0]);
+      if (rows[i].more)
+        arguments[count++] = (char *)rows[i].more;
+      char **argv = arguments;
+      gbd_settings_t settings;
+      reports[0] = '\0';
+      gbd_status_t status
+          = gbd_settings_read (&count, &argv, &settings, report, NULL);
+      assert_int_equal (status, rows[i].message ? GBD_ERROR_RANGE : GBD_OK);
+      if (rows[i].message)
+        assert_memory_equal (reports, rows[i].message,
+                             strlen (rows[i].message));
+    }
+  set_key (NULL);
+}
+
 static void
 the_manual_page_is_up_to_date (void **state)
 {
@@ -322,6 +415,8 @@
     cmocka_unit_test (every_bad_setting_is_reported_at_once),
     cmocka_unit_test (secrets_are_checked),
     cmocka_unit_test (secrets_are_read_from_files),
+    cmocka_unit_test (a_file_goes_after_flags_and_variables),
+    cmocka_unit_test (the_cookie_policy_needs_no_peers),
     cmocka_unit_test (the_manual_page_is_up_to_date),
   };
   return cmocka_run_group_tests (tests, set_key, NULL);
--- /dev/null
+++ b/src/test_libgooseberrydrum/test_sources.c
@@ -0,0 +1,97 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include "gooseberrydrum/sources.h"
+
+#define START (1000 * GBD_SECOND)
+
+/* Two relays, then the platform, which is asked first. */
+static gbd_sources_t
+make_sources (void)
+{
+  gbd_sources_t sources;
+  gbd_sources_init (&sources, 3, 2);
+  return sources;
+}
+
+static void
+a_reader_moves_from_the_platform_to_a_relay (void **state)
+{
+  (void)state;
+  gbd_sources_t sources = make_sources ();
+  assert_int_equal (sources.current, 2);
+  gbd_sources_answered (&sources);
+  assert_true (gbd_sources_review (&sources, START));
+  assert_int_equal (sources.current, 0);
+  gbd_sources_answered (&sources);
+  assert_false (gbd_sources_review (&sources, START));
+}
+
+/* Load: one relay after the other fails, then the platform. */
+static void
+each_source_is_tried_before_all_have_failed (void **state)
+{
+  (void)state;
+  gbd_sources_t sources = make_sources ();
+  gbd_sources_review (&sources, START);
+  assert_true (gbd_sources_failed (&sources, START));
+  assert_int_equal (sources.current, 1);
+  assert_true (gbd_sources_failed (&sources, START));
+  assert_int_equal (sources.current, 2);
+  assert_false (gbd_sources_failed (&sources, START));
+}
+
+static void
+a_relay_that_failed_is_asked_again_after_its_pause (void **state)
+{
+  (void)state;
+  gbd_sources_t sources = make_sources ();
+  gbd_time_t now = START;
+  gbd_sources_review (&sources, now);
+  gbd_sources_failed (&sources, now);
+  gbd_sources_failed (&sources, now);
+  gbd_sources_answered (&sources);
+  assert_int_equal (sources.current, 2);
+  assert_false (
+      gbd_sources_review (&sources, now + GBD_SOURCES_FIRST_PAUSE - 1));
+  assert_true (gbd_sources_review (&sources, now + GBD_SOURCES_FIRST_PAUSE));
+  assert_int_equal (sources.current, 0);
+}
+
+static void
+pauses_double_up_to_the_longest (void **state)
+{
+  (void)state;
+  gbd_sources_t sources;
+  gbd_sources_init (&sources, 1, 0);
+  gbd_time_t now = START;
+  gbd_time_t former = 0;
+  for (int i = 0; i < 10; i++)
+    {
+      assert_false (gbd_sources_failed (&sources, now));
+      gbd_time_t pause = sources.sources[0].retry_at - now;
+      assert_true (pause >= former && pause <= GBD_SOURCES_LONGEST_PAUSE);
+      former = pause;
+      now += pause;
+    }
+  assert_int_equal (former, GBD_SOURCES_LONGEST_PAUSE);
+  gbd_sources_answered (&sources);
+  gbd_sources_failed (&sources, now);
+  assert_int_equal (sources.sources[0].retry_at - now,
+                    GBD_SOURCES_FIRST_PAUSE);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_reader_moves_from_the_platform_to_a_relay),
+    cmocka_unit_test (each_source_is_tried_before_all_have_failed),
+    cmocka_unit_test (a_relay_that_failed_is_asked_again_after_its_pause),
+    cmocka_unit_test (pauses_double_up_to_the_longest),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
