--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -20,10 +20,14 @@
 
 GBD_BEGIN_DECLS
 
-/** How long after its entry went a flow of a backend server that had been
- *  draining is reset: the entry goes as the server exits. */
+/** How long after its entry went a flow of a backend server is reset that had
+ *  been draining, since the entry goes as the server exits, or that has left
+ *  GBD_DIRECTOR_SILENT signs unanswered since its last answer. */
 #define GBD_DIRECTOR_RESET_DRAINED (300 * GBD_MILLISECOND)
-/** The same for one that had not: it may only have been silent towards the
+/** One packet may be lost; two signs without an answer between them, besides
+ *  the entry, are not chance. */
+#define GBD_DIRECTOR_SILENT 2
+/** The same for any other: it may only have been silent towards the
  *  platform, and writes its entry again within GBD_POOL_SETTLE_TIME. */
 #define GBD_DIRECTOR_RESET_LOST (GBD_POOL_SETTLE_TIME + GBD_SECOND)
 
--- a/include/gooseberrydrum/flow_watch.h
+++ b/include/gooseberrydrum/flow_watch.h
@@ -58,8 +58,9 @@
 /** What a packet showed. */
 typedef struct
 {
+  bool is_unanswered;      /**< it repeats what was not answered */
   bool is_silent_now;      /**< its backend server became suspected by it */
-  gbd_time_t silent_time;  /**< of is_silent_now: since the first sending */
+  gbd_time_t silent_time;  /**< of is_unanswered: since the first sending */
   bool is_heard_now;       /**< its backend server was suspected until now */
   bool is_opened;          /**< first packet after the opening one */
   gbd_time_t opening_time; /**< of is_opened: since the opening packet */
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -60,6 +60,15 @@
     count_opening (serve, signs->opening_time);
   if (signs->is_silent_now)
     log_silence (serve, packet, direction, signs, now);
+  if (signs->is_unanswered && packet->kind != GBD_PACKET_OPENING
+      && gbd_journal_admits (serve->journal, GBD_EVENT_FLOW_WAITS, now))
+    {
+      json_t *fields = make_fields (serve, packet, direction, now);
+      json_object_set_new (
+          fields, "unanswered_ms",
+          json_integer ((json_int_t)(signs->silent_time / GBD_MILLISECOND)));
+      gbd_journal_write (serve->journal, GBD_EVENT_FLOW_WAITS, fields);
+    }
   if (signs->is_heard_now
       && gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_HEARD, now))
     gbd_journal_write (
@@ -113,11 +122,12 @@
 {
   char flow[FLOW_TEXT_MAX];
   format_flow (packet, flow);
-  json_t *fields
-      = json_pack ("{s:s, s:s, s:I, s:I}", "flow", flow, "rule",
-                   gbd_direction_strings[direction->rule], "version",
-                   (json_int_t)direction->version, "version_age_ms",
-                   (json_int_t)((now - serve->routes_at) / GBD_MILLISECOND));
+  json_t *fields = json_pack (
+      "{s:s, s:s, s:I, s:I}", "flow", flow, "rule",
+      gbd_direction_strings[direction->rule], "version",
+      (json_int_t)direction->version, "version_age_ms",
+      (json_int_t)((now - serve->routes_at) / GBD_MILLISECOND), "list_age_ms",
+      (json_int_t)((now - serve->servers_at) / GBD_MILLISECOND));
   if (direction->server != GBD_POOL_NONE)
     {
       const gbd_pool_server_t *server = gbd_pool_peek (
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -46,6 +46,7 @@
   gbd_time_t started_at;
   gbd_time_t lost_at;      /**< while the platform is away */
   gbd_time_t routes_at;    /**< the routes in force were read */
+  gbd_time_t servers_at;   /**< the list of backend servers was confirmed */
   gbd_time_t settings_due; /**< of the next look at the settings file */
   int64_t settings_stamp;  /**< time of change of the settings file, in ns */
   bool is_stopping;
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -262,6 +262,7 @@
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   bool was_away = gbd_pool_is_away (pool);
   gbd_sources_answered (&serve->sources);
+  serve->servers_at = now;
   gbd_pool_set_away (pool, false, now);
   if (serve->is_listing)
     gbd_pool_end_listing (pool, now);
--- a/src/gooseberrydrum/journal.c
+++ b/src/gooseberrydrum/journal.c
@@ -8,11 +8,11 @@
 
 #include "gooseberrydrum/retry.h"
 
-#define BUFFER_BYTES 16384 /* about 80 lines, between two flushes */
-/* Lines a second of one event: enough to follow a failure, below 1 % of the
-   processor of a quarter core. */
-#define RATE_PER_SECOND 10
-#define BURST 40
+#define BUFFER_BYTES 16384 /* about 50 lines, between two flushes */
+/* Lines a second of one event: each new flow of an ordinary day has its line
+   (up to 60 a second at an instance of the site sheets), at about 10 us. */
+#define RATE_PER_SECOND 100
+#define BURST 200
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -243,8 +243,10 @@
 {
   if (server->is_listed || gbd_pool_is_away (director->pool))
     return false;
-  gbd_time_t wait = server->entry.backend.state == GBD_BACKEND_DRAINING
-                        ? GBD_DIRECTOR_RESET_DRAINED
-                        : GBD_DIRECTOR_RESET_LOST;
+  bool is_surely_gone
+      = server->entry.backend.state == GBD_BACKEND_DRAINING
+        || server->load.suspicion.unanswered >= GBD_DIRECTOR_SILENT;
+  gbd_time_t wait
+      = is_surely_gone ? GBD_DIRECTOR_RESET_DRAINED : GBD_DIRECTOR_RESET_LOST;
   return now - server->gone_at >= wait;
 }
--- a/src/libgooseberrydrum/flow_watch.c
+++ b/src/libgooseberrydrum/flow_watch.c
@@ -25,8 +25,8 @@
 static void note_later (gbd_flow_watch_t *watch, gbd_watched_flow_t *flow,
                         const gbd_packet_t *packet, gbd_time_t now,
                         gbd_flow_signs_t *signs);
-static bool distrust (gbd_flow_watch_t *watch, const gbd_watched_flow_t *flow,
-                      gbd_time_t now);
+static void distrust (gbd_flow_watch_t *watch, const gbd_watched_flow_t *flow,
+                      gbd_time_t now, gbd_flow_signs_t *signs);
 
 gbd_flow_watch_t *
 gbd_flow_watch_new (gbd_pool_t *pool, uint32_t capacity)
@@ -175,8 +175,8 @@
   bool is_repeated = flow->phase == GBD_FLOW_OPENING
                      && flow->sequence == packet->sequence
                      && packet->acknowledgment > flow->acknowledgment;
-  signs->is_silent_now = is_repeated && distrust (watch, flow, now);
-  signs->silent_time = now - flow->sent_at;
+  if (is_repeated)
+    distrust (watch, flow, now, signs);
   gbd_pool_server_t *load = gbd_pool_get (watch->pool, server);
   if (is_repeated)
     gbd_pool_get (watch->pool, flow->server)->load.unanswered++;
@@ -229,21 +229,22 @@
   set_waiting (watch, flow, true);
   if (is_repeated)
     {
-      signs->is_silent_now = !has_advanced && distrust (watch, flow, now);
-      signs->silent_time = now - flow->sent_at;
+      if (!has_advanced)
+        distrust (watch, flow, now, signs);
       return;
     }
   flow->sequence = packet->sequence;
   flow->sent_at = now;
 }
 
-static bool
+static void
 distrust (gbd_flow_watch_t *watch, const gbd_watched_flow_t *flow,
-          gbd_time_t now)
+          gbd_time_t now, gbd_flow_signs_t *signs)
 {
   gbd_pool_server_t *server = gbd_pool_get (watch->pool, flow->server);
-  if (now - flow->sent_at < GBD_FLOW_WATCH_REPEAT)
-    return false;
-  return gbd_suspicion_unanswered (&server->load.suspicion, flow->sent_at,
-                                   now);
+  signs->silent_time = now - flow->sent_at;
+  signs->is_unanswered = signs->silent_time >= GBD_FLOW_WATCH_REPEAT;
+  signs->is_silent_now = signs->is_unanswered
+                         && gbd_suspicion_unanswered (&server->load.suspicion,
+                                                      flow->sent_at, now);
 }
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -106,6 +106,35 @@
   gbd_director_delete (director);
 }
 
+/* Load: a backend server crashes; its entry lapses three heartbeats later,
+   and callers go on sending on flows that nobody answers. */
+static void
+flows_of_a_silent_server_are_reset_as_its_entry_goes (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  gbd_direction_t opening = open_flow (director, 1, START);
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
+  packet.cookie = opening.cookie;
+  packet.sequence = 7001;
+  packet.acknowledgment = 90001;
+  packet.payload_length = 100;
+  gbd_time_t now = START + GBD_SECOND;
+  pass (director, &packet, now);
+  pass (director, &packet, now + 200 * GBD_MILLISECOND);
+  pass (director, &packet, now + 600 * GBD_MILLISECOND);
+  gbd_time_t gone = now + GBD_SECOND;
+  /* Silent, but listed: it may live. */
+  assert_int_equal (pass (director, &packet, gone).kind, GBD_ACTION_BACKEND);
+  gbd_pool_remove (pool, id_of (director, &opening), gone);
+  gbd_time_t reset_at = gone + GBD_DIRECTOR_RESET_DRAINED;
+  assert_int_equal (pass (director, &packet, reset_at - 1).kind,
+                    GBD_ACTION_BACKEND);
+  assert_int_equal (pass (director, &packet, reset_at).kind, GBD_ACTION_RESET);
+  gbd_director_delete (director);
+}
+
 static void
 only_known_routes_are_refused (void **state)
 {
@@ -244,6 +273,7 @@
     cmocka_unit_test (any_instance_follows_a_cookie),
     cmocka_unit_test (open_flows_survive_draining_and_a_lapsed_entry),
     cmocka_unit_test (flows_of_a_server_that_left_are_reset),
+    cmocka_unit_test (flows_of_a_silent_server_are_reset_as_its_entry_goes),
     cmocka_unit_test (only_known_routes_are_refused),
     cmocka_unit_test (a_service_without_servers_is_refused_at_once),
     cmocka_unit_test (older_routes_never_come_into_force),
