Run real processes under random faults; tell readers of newer routes

Now relays tell the version of the routes, and change of it wakes readers; a reader that is behind for 0.5 s asks anew. Who reads at the platform itself waits at most 4 s. The unit test a_waiting_reader_hears_at_once_of_newer_routes fails without the relay's part.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,10 @@
 # Commands of the README; the build itself is CMake's.
 BUILD ?= build
 POLICY ?= keepers
+SEED ?= 1
+SECONDS ?= 20
 
-.PHONY: all deps build check demo failures bench capacity format lint clean sanitize man
+.PHONY: all deps build check demo soak failures bench capacity format lint clean sanitize man
 
 all: build
 
@@ -29,6 +31,9 @@
 demo: build
 	@scripts/demo $(BUILD) $(POLICY)
 
+soak: build
+	@scripts/soak $(BUILD) $(SEED) $(SECONDS)
+
 failures: build
 	@scripts/failures $(BUILD)
 
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -44,11 +44,14 @@
   bool is_listing;     /**< a listing of backend servers is under way */
   bool is_routes_lost; /**< the watch on routes fails */
   gbd_time_t started_at;
-  gbd_time_t lost_at;      /**< while the platform is away */
-  gbd_time_t routes_at;    /**< the routes in force were read */
-  gbd_time_t servers_at;   /**< the list of backend servers was confirmed */
-  gbd_time_t settings_due; /**< of the next look at the settings file */
-  int64_t settings_stamp;  /**< time of change of the settings file, in ns */
+  gbd_time_t lost_at;       /**< while the platform is away */
+  gbd_time_t routes_at;     /**< the routes in force were read */
+  uint64_t routes_object;   /**< version of their object */
+  gbd_time_t routes_behind; /**< since then a relay has newer ones; 0: none
+                                 has */
+  gbd_time_t servers_at;    /**< the list of backend servers was confirmed */
+  gbd_time_t settings_due;  /**< of the next look at the settings file */
+  int64_t settings_stamp;   /**< time of change of the settings file, in ns */
   bool is_stopping;
   bool is_done;
   gbd_time_t stop_asked_at;
@@ -69,6 +72,11 @@
 /** Ask again for what is missing. */
 void gbd_cookie_store_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
 
+/** A relay has routes of this object version: if they are newer, and do not
+ *  come soon, ask for them. */
+void gbd_cookie_routes_advised (gbd_cookie_serve_t *serve, uint64_t version,
+                                gbd_time_t now);
+
 /* cookie_servers.c */
 
 /** Start to watch the backend servers, at the platform or at relays. */
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -7,6 +7,10 @@
 /* An instance that relays must know within about a second that it is out of
    touch: its readers rely on it. */
 #define RELAY_WATCH_MS 1000
+/* The same for the routes, which no reader takes from it. */
+#define RELAY_ROUTES_MS 3000
+/* Of an instance that reads at a relay. */
+#define ROUTES_WAIT_MS 25000
 /* A reader gives a relay up after this and RELAY_TIMEOUT_MS. */
 #define READER_WAIT_MS 1000
 #define RELAY_TIMEOUT_MS 500
@@ -23,7 +27,8 @@
                             json_t *value);
 static void servers_confirmed (void *data, gbd_time_t asked_at);
 static void servers_failed (void *data, gbd_time_t now);
-static void servers_settling (void *data, uint32_t settling_ms);
+static void servers_advised (void *data, uint32_t settling_ms, uint64_t hint);
+static void set_routes_wait (gbd_cookie_serve_t *serve);
 static void remove_server (gbd_cookie_serve_t *serve, const char *name,
                            uint64_t version, const char *cause,
                            gbd_time_t now);
@@ -35,7 +40,7 @@
   .changed = server_changed,
   .confirmed = servers_confirmed,
   .failed = servers_failed,
-  .settling = servers_settling,
+  .advised = servers_advised,
 };
 
 bool
@@ -79,6 +84,7 @@
                                 "", now, &servers_callbacks, serve);
   if (is_relay)
     gbd_platform_watch_set_wait (serve->servers_watch, RELAY_WATCH_MS);
+  set_routes_wait (serve);
   return true;
 }
 
@@ -277,6 +283,7 @@
   if (gbd_sources_review (&serve->sources, now))
     gbd_platform_watch_move (serve->servers_watch,
                              serve->clients[serve->sources.current], true);
+  set_routes_wait (serve);
 }
 
 static void
@@ -287,7 +294,11 @@
   log_source (serve, GBD_EVENT_PLATFORM_LOST, now);
   if (serve->relay)
     gbd_relay_lose (serve->relay);
+  bool was_at_relay = !is_in_touch (serve);
   bool has_next = gbd_sources_failed (&serve->sources, now);
+  set_routes_wait (serve);
+  if (was_at_relay && is_in_touch (serve))
+    gbd_platform_watch_refresh (serve->routes_watch);
   gbd_platform_watch_move (serve->servers_watch,
                            serve->clients[serve->sources.current], has_next);
   if (has_next || gbd_pool_is_away (pool))
@@ -297,11 +308,24 @@
 }
 
 static void
-servers_settling (void *data, uint32_t settling_ms)
+servers_advised (void *data, uint32_t settling_ms, uint64_t hint)
 {
   gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = gbd_loop_now (NULL);
   gbd_pool_set_settling (gbd_director_get_pool (serve->director),
-                         gbd_loop_now (NULL) + settling_ms * GBD_MILLISECOND);
+                         now + settling_ms * GBD_MILLISECOND);
+  gbd_cookie_routes_advised (serve, hint, now);
+}
+
+/* Whoever reads at a relay hears there that its own watch on the routes has
+   gone silent; the others must not wait for it for long. */
+static void
+set_routes_wait (gbd_cookie_serve_t *serve)
+{
+  uint32_t wait_ms = is_in_touch (serve) ? 0 : ROUTES_WAIT_MS;
+  if (serve->relay)
+    wait_ms = RELAY_ROUTES_MS;
+  gbd_platform_watch_set_wait (serve->routes_watch, wait_ms);
 }
 
 static void
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -7,12 +7,17 @@
 #include "loop.h"
 #include "platform/adapter.h"
 
-/* A watch costs the platform one call each time. */
-#define WATCH_WAIT_MS 25000
+/* A connection may go silent for good without a reset: a watch on it is given
+   up after this and CALL_TIMEOUT_MS, within the time that an instance needs to
+   count as in touch again and have a change in force (7 s on the smallest
+   sites). */
+#define WATCH_WAIT_MS 4000
 /* Changes that come close together are read in one answer; a tenth of the
    shortest bound until a change must be in force. */
 #define WATCH_PAUSE_MS 300
-#define CALL_TIMEOUT_MS 2000
+#define CALL_TIMEOUT_MS 1500
+/* A watch of its own that works is at most its pause behind a relay. */
+#define BEHIND_TIME (500 * GBD_MILLISECOND)
 #define KEY_KIND "gooseberrydrum"
 #define KEY_NAME "cookie-key"
 #define KEY_FIELD "key" /* 16 hexadecimal digits */
@@ -65,6 +70,21 @@
   gbd_platform_tick (serve->platform, now);
   if (!serve->has_key && !serve->is_key_asked)
     ask_key (serve, now);
+  if (serve->routes_behind && now - serve->routes_behind > BEHIND_TIME)
+    {
+      serve->routes_behind = 0;
+      gbd_platform_watch_refresh (serve->routes_watch);
+    }
+}
+
+void
+gbd_cookie_routes_advised (gbd_cookie_serve_t *serve, uint64_t version,
+                           gbd_time_t now)
+{
+  if (version <= serve->routes_object)
+    serve->routes_behind = 0;
+  else if (!serve->routes_behind)
+    serve->routes_behind = now;
 }
 
 static void
@@ -127,6 +147,10 @@
     }
   uint64_t route_version = gbd_routes_get_version (routes);
   uint32_t count = gbd_routes_get_count (routes);
+  serve->routes_object = version;
+  serve->routes_behind = 0;
+  if (serve->relay)
+    gbd_relay_set_hint (serve->relay, version);
   if (gbd_director_set_routes (serve->director, routes) != GBD_OK)
     return;
   serve->routes_at = now;
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -73,9 +73,10 @@
   /** The platform did not answer, or not usefully; may be NULL.  Each
    *  attempt until the next `confirmed` is reported. */
   void (*failed) (void *data, gbd_time_t now);
-  /** Before changes are reported: the source says for how much longer entries
-   *  that are missing may come back; may be NULL. */
-  void (*settling) (void *data, uint32_t settling_ms);
+  /** Before changes are reported: what a relay says besides; may be NULL.
+   *  @param settling_ms for how much longer missing entries may come back
+   *  @param hint        as gbd_relay_set_hint; 0 from others */
+  void (*advised) (void *data, uint32_t settling_ms, uint64_t hint);
 } gbd_platform_watch_callbacks_t;
 
 typedef struct gbd_platform_watch gbd_platform_watch_t;
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -227,10 +227,12 @@
         = watch->platform->now
           + watch->platform->settings.watch_pause_ms * GBD_MILLISECOND;
   gbd_backoff_reset (&watch->backoff);
-  if (watch->callbacks.settling)
-    watch->callbacks.settling (
-        watch->data, (uint32_t)json_integer_value (
-                         json_object_get (result->body, "settling_ms")));
+  if (watch->callbacks.advised)
+    watch->callbacks.advised (
+        watch->data,
+        (uint32_t)json_integer_value (
+            json_object_get (result->body, "settling_ms")),
+        (uint64_t)json_integer_value (json_object_get (result->body, "hint")));
   if (!watch->is_listed)
     report_page (watch, result, items);
   else
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -52,6 +52,7 @@
   uint64_t version;
   uint64_t floor; /* deletions up to this version are forgotten */
   uint32_t settling_ms;
+  uint64_t hint;
   bool is_current; /* in touch with the platform */
   bool is_listing;
   uint64_t answers;
@@ -66,8 +67,7 @@
 static int answer (gbd_relay_t *relay, reader_t *reader,
                    const uint64_t *since);
 static void stop_waiting (gbd_relay_t *relay, reader_t *reader);
-static void answer_waiting (gbd_relay_t *relay, bool is_forced,
-                            gbd_time_t now);
+static void answer_waiting (gbd_relay_t *relay, bool is_forced);
 static void append_object (GString *text, const char *name,
                            const object_t *object);
 static void forget_deletions (gbd_relay_t *relay, gbd_time_t now);
@@ -190,14 +190,23 @@
   relay->settling_ms = settling_ms;
   relay->is_current = true;
   forget_deletions (relay, now);
-  answer_waiting (relay, false, now);
+  answer_waiting (relay, false);
+}
+
+void
+gbd_relay_set_hint (gbd_relay_t *relay, uint64_t hint)
+{
+  if (hint == relay->hint)
+    return;
+  relay->hint = hint;
+  answer_waiting (relay, true);
 }
 
 void
 gbd_relay_lose (gbd_relay_t *relay)
 {
   relay->is_current = false;
-  answer_waiting (relay, true, 0);
+  answer_waiting (relay, true);
 }
 
 void
@@ -225,9 +234,12 @@
     return strdup ("{}");
   *status = HTTP_STATUS_OK;
   GString *text = g_string_new (NULL);
-  g_string_printf (
-      text, "{\"version\":%" G_GUINT64_FORMAT ",\"settling_ms\":%u,\"%s\":[",
-      relay->version, relay->settling_ms, since ? "changes" : "items");
+  g_string_printf (text,
+                   "{\"version\":%" G_GUINT64_FORMAT
+                   ",\"settling_ms\":%u,\"hint\":%" G_GUINT64_FORMAT
+                   ",\"%s\":[",
+                   relay->version, relay->settling_ms, relay->hint,
+                   since ? "changes" : "items");
   size_t empty = text->len;
   GHashTableIter each;
   gpointer name;
@@ -347,9 +359,8 @@
 }
 
 static void
-answer_waiting (gbd_relay_t *relay, bool is_forced, gbd_time_t now)
+answer_waiting (gbd_relay_t *relay, bool is_forced)
 {
-  (void)now;
   for (guint i = relay->waiting->len; i-- > 0;)
     {
       reader_t *reader = g_ptr_array_index (relay->waiting, i);
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -41,6 +41,10 @@
  *  @param settling_ms for how much longer missing entries may come back */
 void gbd_relay_confirm (gbd_relay_t *relay, uint64_t version,
                         uint32_t settling_ms, gbd_time_t now);
+/** Version of something else that readers watch at the platform themselves,
+ *  to be told at once, so that a reader whose own watch has gone silent learns
+ *  that it is behind. */
+void gbd_relay_set_hint (gbd_relay_t *relay, uint64_t hint);
 /** This instance is out of touch with the platform: waiting readers are
  *  turned away. */
 void gbd_relay_lose (gbd_relay_t *relay);
--- a/src/gooseberrydrum/settings_check.c
+++ b/src/gooseberrydrum/settings_check.c
@@ -162,8 +162,9 @@
 static bool
 tcp_addresses_differ (const gbd_settings_t *settings)
 {
-  return !gbd_address_is_equal (&settings->admin_listen,
-                                &settings->link_listen);
+  return !settings->link_listen.family
+         || !gbd_address_is_equal (&settings->admin_listen,
+                                   &settings->link_listen);
 }
 
 static bool
--- /dev/null
+++ b/src/standins/world_faults.c
@@ -0,0 +1,326 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include "standins/http.h"
+#include "standins/world.h"
+
+#define PAUSE_MIN_MS 150 /* between two faults */
+#define PAUSE_MAX_MS 1500
+#define LENGTH_MIN_MS 300 /* of a fault */
+#define LENGTH_MAX_MS 4000
+#define SERVERS_MIN 2 /* of a service, that no fault takes away */
+#define SERVERS_PLANNED 8
+#define DRAIN_LENGTH (5 * GBD_SECOND)
+#define LAPSE_TIME (3 * GBD_SECOND) /* three heartbeats of a second */
+#define LOSS_SHARE 0.04
+#define TIMEOUT_MS 300
+
+typedef struct
+{
+  const char *name;
+  uint32_t weight;
+  bool is_planned; /* what operators do on purpose */
+  void (*begin) (world_t *world, gbd_time_t now, gbd_time_t until);
+} fault_t;
+
+static void kill_one (world_t *world, gbd_time_t now, gbd_time_t until);
+static void kill_all (world_t *world, gbd_time_t now, gbd_time_t until);
+static void stop_one (world_t *world, gbd_time_t now, gbd_time_t until);
+static void pause_one (world_t *world, gbd_time_t now, gbd_time_t until);
+static void reload_one (world_t *world, gbd_time_t now, gbd_time_t until);
+static void cut_one (world_t *world, gbd_time_t now, gbd_time_t until);
+static void store_down (world_t *world, gbd_time_t now, gbd_time_t until);
+static void store_slow (world_t *world, gbd_time_t now, gbd_time_t until);
+static void cut_watches (world_t *world, gbd_time_t now, gbd_time_t until);
+static void lose_packets (world_t *world, gbd_time_t now, gbd_time_t until);
+static void crash_server (world_t *world, gbd_time_t now, gbd_time_t until);
+static void drain_server (world_t *world, gbd_time_t now, gbd_time_t until);
+static void add_server (world_t *world, gbd_time_t now, gbd_time_t until);
+static void change_routes (world_t *world, gbd_time_t now, gbd_time_t until);
+static size_t choose_fault (world_t *world);
+static uint32_t weigh (const world_t *world, const fault_t *fault);
+static uint32_t choose_instance (world_t *world);
+static void send_signal (world_t *world, uint32_t instance, int number,
+                         gbd_time_t now);
+static bool set_switch (world_t *world, const char *text, gbd_time_t now,
+                        gbd_time_t until);
+static world_server_t *choose_server (world_t *world);
+static uint32_t count_servers (const world_t *world, uint32_t service);
+static void end_faults (world_t *world, gbd_time_t now);
+
+/* Paused until; 0: not. */
+static gbd_time_t paused_until[WORLD_INSTANCES_MAX];
+static bool is_switched;
+
+static const fault_t faults[] = {
+  { "kill", 3, false, kill_one },
+  { "kill all", 1, false, kill_all },
+  { "stop", 4, true, stop_one },
+  { "pause", 3, false, pause_one },
+  { "reload", 2, true, reload_one },
+  { "cut from the platform", 4, false, cut_one },
+  { "platform down", 2, false, store_down },
+  { "platform slow", 1, false, store_slow },
+  { "watches cut", 1, false, cut_watches },
+  { "packets lost", 2, false, lose_packets },
+  { "server crash", 3, false, crash_server },
+  { "server drain", 4, true, drain_server },
+  { "server added", 4, true, add_server },
+  { "routes", 4, true, change_routes },
+};
+#define FAULT_COUNT (sizeof faults / sizeof faults[0])
+
+void
+world_faults_tick (world_t *world, gbd_time_t now)
+{
+  end_faults (world, now);
+  if (!world->has_faults || now < world->next_fault_at
+      || now >= world->faults_end_at)
+    return;
+  world->next_fault_at
+      = now
+        + g_rand_int_range (world->random, PAUSE_MIN_MS, PAUSE_MAX_MS)
+              * GBD_MILLISECOND;
+  gbd_time_t until
+      = now
+        + g_rand_int_range (world->random, LENGTH_MIN_MS, LENGTH_MAX_MS)
+              * GBD_MILLISECOND;
+  size_t chosen = choose_fault (world);
+  fprintf (stderr, "%.3f fault: %s\n",
+           (double)(now - world->started_at) / GBD_SECOND,
+           faults[chosen].name);
+  faults[chosen].begin (world, now, until);
+}
+
+static size_t
+choose_fault (world_t *world)
+{
+  uint32_t total = 0;
+  for (size_t i = 0; i < FAULT_COUNT; i++)
+    total += weigh (world, &faults[i]);
+  uint32_t at = (uint32_t)g_rand_int_range (world->random, 0, (gint32)total);
+  size_t chosen = 0;
+  while (at >= weigh (world, &faults[chosen]))
+    at -= weigh (world, &faults[chosen++]);
+  return chosen;
+}
+
+static uint32_t
+weigh (const world_t *world, const fault_t *fault)
+{
+  return world->is_planned && !fault->is_planned ? 0 : fault->weight;
+}
+
+static void
+kill_one (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  send_signal (world, choose_instance (world), SIGKILL, now);
+}
+
+static void
+kill_all (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  for (uint32_t i = 0; i < world->instance_count; i++)
+    send_signal (world, i, SIGKILL, now);
+}
+
+static void
+stop_one (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  send_signal (world, choose_instance (world), SIGTERM, now);
+}
+
+static void
+pause_one (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  uint32_t instance = choose_instance (world);
+  if (paused_until[instance])
+    return;
+  paused_until[instance] = until;
+  send_signal (world, instance, SIGSTOP, now);
+}
+
+static void
+reload_one (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  uint32_t instance = choose_instance (world);
+  gbd_time_t disturbed_at = world->instances[instance].disturbed_at;
+  send_signal (world, instance, SIGHUP, now);
+  world->instances[instance].disturbed_at = disturbed_at;
+}
+
+static void
+cut_one (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  static const world_proxy_mode_t modes[]
+      = { PROXY_RESET, PROXY_SILENT, PROXY_ONE_WAY };
+  uint32_t instance = choose_instance (world);
+  world->instances[instance].disturbed_at = MAX (now, until);
+  world_proxy_set (world, instance,
+                   modes[g_rand_int_range (world->random, 0, 3)], until);
+}
+
+static void
+store_down (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  set_switch (world, "{\"down\":true}", now, until);
+}
+
+static void
+store_slow (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  set_switch (world, "{\"slow_ms\":200}", now, until);
+}
+
+static void
+cut_watches (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  set_switch (world, "{\"cut_watches\":true}", now, until);
+}
+
+static void
+lose_packets (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)now;
+  world->loss = LOSS_SHARE;
+  world->loss_until = until;
+}
+
+static void
+crash_server (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  world_server_t *server = choose_server (world);
+  if (!server)
+    return;
+  server->state = SERVER_CRASHED;
+  server->due = now + LAPSE_TIME;
+}
+
+static void
+drain_server (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  world_server_t *server = choose_server (world);
+  if (!server || now < world->store_until)
+    return;
+  server->state = SERVER_DRAINING;
+  if (world_server_write (world, server))
+    {
+      server->drained_at = now;
+      server->due = now + DRAIN_LENGTH;
+      return;
+    }
+  server->state = SERVER_READY;
+}
+
+static void
+add_server (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  uint32_t service
+      = count_servers (world, 0) > count_servers (world, 1) ? 1 : 0;
+  if (now >= world->store_until
+      && count_servers (world, service) < SERVERS_PLANNED)
+    world_server_add (world, service, now);
+}
+
+static void
+change_routes (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  if (now < world->store_until)
+    return;
+  int32_t former = world->third_service;
+  world->third_service = g_rand_int_range (world->random, -1, 2);
+  if (!world_routes_write (world, now))
+    world->third_service = former;
+}
+
+static uint32_t
+choose_instance (world_t *world)
+{
+  return (uint32_t)g_rand_int_range (world->random, 0,
+                                     (gint32)world->instance_count);
+}
+
+/* Only processes whose numbers the script that started them has written. */
+static void
+send_signal (world_t *world, uint32_t instance, int number, gbd_time_t now)
+{
+  FILE *file = fopen (world->instances[instance].pid_file, "re");
+  char line[32] = "";
+  world->instances[instance].disturbed_at = now + GBD_SECOND;
+  if (!file)
+    return;
+  bool is_read = fgets (line, sizeof line, file);
+  fclose (file);
+  long pid = is_read ? strtol (line, NULL, 10) : 0;
+  if (pid > 1)
+    kill ((pid_t)pid, number);
+}
+
+static bool
+set_switch (world_t *world, const char *text, gbd_time_t now, gbd_time_t until)
+{
+  if (is_switched
+      || http_call (&world->platform, "PUT", "/switch", text, TIMEOUT_MS, NULL)
+             != 200)
+    return false;
+  is_switched = true;
+  world->store_until = MAX (now, until);
+  return true;
+}
+
+static world_server_t *
+choose_server (world_t *world)
+{
+  uint32_t start = (uint32_t)g_rand_int_range (world->random, 0,
+                                               (gint32)world->server_count);
+  for (uint32_t i = 0; i < world->server_count; i++)
+    {
+      world_server_t *server
+          = &world->servers[(start + i) % world->server_count];
+      if (server->state == SERVER_READY
+          && count_servers (world, server->service) > SERVERS_MIN)
+        return server;
+    }
+  return NULL;
+}
+
+static uint32_t
+count_servers (const world_t *world, uint32_t service)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < world->server_count; i++)
+    count += world->servers[i].state == SERVER_READY
+             && world->servers[i].service == service;
+  return count;
+}
+
+static void
+end_faults (world_t *world, gbd_time_t now)
+{
+  for (uint32_t i = 0; i < world->instance_count; i++)
+    {
+      if (!paused_until[i] || now < paused_until[i])
+        continue;
+      paused_until[i] = 0;
+      send_signal (world, i, SIGCONT, now);
+    }
+  if (is_switched && now >= world->store_until)
+    {
+      is_switched = http_call (&world->platform, "PUT", "/switch",
+                               "{\"down\":false,\"slow_ms\":0,"
+                               "\"cut_watches\":false}",
+                               TIMEOUT_MS, NULL)
+                    != 200;
+      if (!is_switched)
+        world->store_disturbed_at = now;
+    }
+}
--- /dev/null
+++ b/src/standins/world_servers.c
@@ -0,0 +1,337 @@
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "platform/echo_header.h"
+#include "share/udp.h"
+#include "standins/http.h"
+#include "standins/world.h"
+
+#define CALL_TIMEOUT_MS 300
+#define WORK_MIN (2 * GBD_MILLISECOND)
+#define WORK_SPREAD_US 20000
+#define FIRST_SERVER 0x1000000u
+#define SOCKET_BUFFER (1 << 20)
+
+/** One flow at a backend server. */
+typedef struct
+{
+  uint32_t sequence; /* of the server's next packet */
+  uint32_t expected; /* of the caller's next data */
+  uint32_t cookie;
+  bool is_open;
+  uint64_t request; /* answered last */
+} server_flow_t;
+
+static const char *const service_names[] = { "web", "mail" };
+
+static void receive (world_t *world, int fd, uint32_t index, gbd_time_t now);
+static void handle (world_t *world, uint32_t index,
+                    const echo_header_t *header, const uint8_t *data,
+                    uint32_t instance, gbd_time_t now);
+static void check_opening (world_t *world, const world_server_t *server,
+                           const echo_header_t *header, uint32_t instance,
+                           gbd_time_t now);
+static void run_request (world_t *world, uint64_t request, uint32_t server,
+                         gbd_time_t now);
+static void answer (world_t *world, const echo_header_t *header,
+                    server_flow_t *flow, uint8_t flags, const uint8_t *data,
+                    uint16_t length, gbd_time_t now);
+static uint64_t flow_key (const echo_header_t *header);
+static bool put_object (world_t *world, const char *kind, const char *name,
+                        json_t *value);
+static void remove_server (world_t *world, world_server_t *server);
+
+bool
+world_server_add (world_t *world, uint32_t service, gbd_time_t now)
+{
+  uint32_t index = 0;
+  while (index < WORLD_SERVERS_MAX
+         && world->servers[index].state != SERVER_FREE)
+    index++;
+  if (index == WORLD_SERVERS_MAX)
+    return false;
+  world_server_t *server = &world->servers[index];
+  gbd_address_t address = world_address (4, index, world->port);
+  memset (server, 0, sizeof *server);
+  server->fd = gbd_udp_listen (&address, SOCKET_BUFFER);
+  if (server->fd < 0)
+    return false;
+  server->service = service;
+  snprintf (server->name, sizeof server->name, "server-%" PRIu64,
+            FIRST_SERVER + world->next_server++);
+  /* The own form of the store names a server by the hash of its name. */
+  server->id = gbd_id_from_name (server->name);
+  server->flows
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  server->state = SERVER_READY;
+  server->disturbed_at = now;
+  world->server_count = MAX (world->server_count, index + 1);
+  return world_server_write (world, server);
+}
+
+bool
+world_server_write (world_t *world, world_server_t *server)
+{
+  char address[GBD_ADDRESS_TEXT_MAX];
+  uint32_t index = (uint32_t)(server - world->servers);
+  gbd_address_t at = world_address (4, index, world->port);
+  gbd_address_format (&at, address);
+  bool is_ready
+      = server->state == SERVER_READY || server->state == SERVER_CRASHED;
+  json_t *value = json_pack ("{s:s, s:s, s:s, s:s, s:i}", "service",
+                             service_names[server->service], "address",
+                             address, "zone", index % 2 ? "b" : "a", "state",
+                             is_ready ? "ready" : "draining", "slots", 2);
+  bool is_written = put_object (world, "endpoints", server->name, value);
+  json_decref (value);
+  return is_written;
+}
+
+bool
+world_routes_write (world_t *world, gbd_time_t now)
+{
+  json_t *list = json_array ();
+  for (int i = 0; i < WORLD_ROUTES; i++)
+    {
+      int service = i < 2 ? i : world->third_service;
+      if (service < 0)
+        continue;
+      char address[GBD_ADDRESS_TEXT_MAX];
+      snprintf (address, sizeof address, "198.18.0.1:%d", 1000 + i);
+      json_array_append_new (list,
+                             json_pack ("{s:s, s:[{s:s, s:i}]}", "address",
+                                        address, "services", "name",
+                                        service_names[service], "weight", 1));
+    }
+  json_t *value
+      = json_pack ("{s:I, s:o}", "version",
+                   (json_int_t)(world->routes_version + 1), "routes", list);
+  bool is_written = put_object (world, "routes", "main", value);
+  json_decref (value);
+  if (is_written)
+    {
+      world->routes_version++;
+      world->routes_at = now;
+    }
+  return is_written;
+}
+
+void
+world_servers_poll (world_t *world)
+{
+  for (uint32_t i = 0; i < world->server_count; i++)
+    {
+      world_server_state_t state = world->servers[i].state;
+      if (state == SERVER_READY || state == SERVER_DRAINING)
+        world_poll (world, world->servers[i].fd, i, receive);
+    }
+}
+
+void
+world_servers_tick (world_t *world, gbd_time_t now)
+{
+  for (uint32_t i = 0; i < world->server_count; i++)
+    {
+      world_server_t *server = &world->servers[i];
+      if (!server->due || now < server->due || now < world->store_until)
+        continue;
+      if (server->state == SERVER_DRAINING || server->state == SERVER_CRASHED)
+        remove_server (world, server);
+      else if (server->state == SERVER_GONE)
+        server->state = SERVER_FREE;
+    }
+}
+
+static void
+receive (world_t *world, int fd, uint32_t index, gbd_time_t now)
+{
+  uint8_t bytes[ECHO_PREFIX + ECHO_PACKET_MAX];
+  struct sockaddr_storage name;
+  socklen_t name_length = sizeof name;
+  ssize_t length = recvfrom (fd, bytes, sizeof bytes, MSG_DONTWAIT,
+                             (struct sockaddr *)&name, &name_length);
+  if (length < ECHO_PREFIX)
+    return;
+  if (now < world->loss_until && world_chance (world) < world->loss)
+    return;
+  gbd_address_t from;
+  gbd_udp_from_sockaddr (&name, &from);
+  uint64_t id = 0;
+  for (int i = 0; i < ECHO_PREFIX; i++)
+    id = id << 8 | bytes[i];
+  world_server_t *server = &world->servers[index];
+  if (id != server->id)
+    return;
+  echo_header_t header;
+  bool is_genuine;
+  const uint8_t *data = echo_read (
+      bytes + ECHO_PREFIX, (size_t)length - ECHO_PREFIX, &header, &is_genuine);
+  if (!data || !is_genuine)
+    {
+      world_breach (world, WORLD_CHANGED_PACKET, now, "at %s", server->name);
+      return;
+    }
+  uint32_t instance = from.ip[3] - 1u;
+  handle (world, index, &header, data, instance, now);
+}
+
+static void
+handle (world_t *world, uint32_t index, const echo_header_t *header,
+        const uint8_t *data, uint32_t instance, gbd_time_t now)
+{
+  world_server_t *server = &world->servers[index];
+  uint64_t key = flow_key (header);
+  server_flow_t *flow = g_hash_table_lookup (server->flows, &key);
+  if (header->flags & GBD_ECHO_FLAG_SYN)
+    {
+      check_opening (world, server, header, instance, now);
+      if (!flow || flow->expected != header->sequence + 1)
+        {
+          flow = g_new0 (server_flow_t, 1);
+          flow->sequence = index << 24 | (g_rand_int (world->random) >> 8);
+          flow->expected = header->sequence + 1;
+          g_hash_table_replace (server->flows, g_memdup2 (&key, sizeof key),
+                                flow);
+        }
+      flow->cookie = header->cookie;
+      answer (world, header, flow, GBD_ECHO_FLAG_SYN | GBD_ECHO_FLAG_ACK, NULL,
+              0, now);
+      return;
+    }
+  if (!flow)
+    {
+      server_flow_t none = { .cookie = header->cookie };
+      answer (world, header, &none, GBD_ECHO_FLAG_RST, NULL, 0, now);
+      return;
+    }
+  flow->cookie = header->cookie;
+  if (!flow->is_open && header->acknowledgment != flow->sequence + 1)
+    return;
+  if (!flow->is_open)
+    flow->sequence++;
+  flow->is_open = true;
+  if (header->length == sizeof (uint64_t))
+    {
+      uint64_t request;
+      memcpy (&request, data, sizeof request);
+      if (header->sequence == flow->expected)
+        {
+          flow->expected += header->length;
+          flow->request = request;
+          run_request (world, request, index, now);
+          flow->sequence += header->length;
+        }
+      else if (request != flow->request)
+        return;
+      uint8_t flags = GBD_ECHO_FLAG_ACK;
+      if (server->state == SERVER_DRAINING)
+        flags |= GBD_ECHO_FLAG_FIN;
+      answer (world, header, flow, flags, data, header->length, now);
+    }
+  if (header->flags & (GBD_ECHO_FLAG_FIN | GBD_ECHO_FLAG_RST))
+    g_hash_table_remove (server->flows, &key);
+}
+
+static void
+check_opening (world_t *world, const world_server_t *server,
+               const echo_header_t *header, uint32_t instance, gbd_time_t now)
+{
+  uint32_t route = header->to.port - 1000u;
+  bool is_in_touch = instance < world->instance_count
+                     && world_is_in_touch (world, instance, now);
+  if (route < 2 && route != server->service)
+    world_breach (world, WORLD_WRONG_SERVICE, now, "route %u at %s", route,
+                  server->name);
+  if (route == 2 && is_in_touch && now - world->routes_at > WORLD_CONFIG_TIME
+      && world->third_service != (int32_t)server->service)
+    world_breach (world, WORLD_OLDER_ROUTES, now,
+                  "version %" PRIu64 ", instance %u, %s",
+                  world->routes_version, instance + 1, server->name);
+  if (server->drained_at && is_in_touch
+      && now - server->drained_at > WORLD_DRAIN_TIME)
+    world_breach (world, WORLD_NEW_WORK_AT_DRAINING, now,
+                  "%s, instance %u, %.3f s after its entry", server->name,
+                  instance + 1,
+                  (double)(now - server->drained_at) / GBD_SECOND);
+}
+
+static void
+run_request (world_t *world, uint64_t request, uint32_t server, gbd_time_t now)
+{
+  uintptr_t runs
+      = (uintptr_t)g_hash_table_lookup (world->runs, (gpointer)request);
+  g_hash_table_insert (world->runs, (gpointer)request, (gpointer)(runs + 1));
+  if (runs > 0 && g_hash_table_contains (world->unsafe, (gpointer)request))
+    world_breach (world, WORLD_RAN_TWICE, now, "request %" PRIu64 " at %s",
+                  request, world->servers[server].name);
+}
+
+static void
+answer (world_t *world, const echo_header_t *header, server_flow_t *flow,
+        uint8_t flags, const uint8_t *data, uint16_t length, gbd_time_t now)
+{
+  uint8_t bytes[ECHO_PACKET_MAX];
+  echo_header_t back = { .from = header->to,
+                         .to = header->from,
+                         .flags = flags,
+                         .sequence = flow->sequence - length,
+                         .acknowledgment = flow->expected,
+                         .cookie = flow->cookie,
+                         .length = length };
+  size_t size = echo_write (&back, data, bytes);
+  gbd_address_t to = header->from;
+  to.port = world->port;
+  gbd_time_t work
+      = length ? WORK_MIN + g_rand_int_range (world->random, 0, WORK_SPREAD_US)
+               : 0;
+  world_send (world, &to, bytes, size, now + work);
+}
+
+static uint64_t
+flow_key (const echo_header_t *header)
+{
+  return (uint64_t)header->from.ip[3] << 32 | (uint64_t)header->from.port << 16
+         | header->to.port;
+}
+
+static bool
+put_object (world_t *world, const char *kind, const char *name, json_t *value)
+{
+  char path[256];
+  char *answer_text = NULL;
+  snprintf (path, sizeof path, "/v1/%s/%s", kind, name);
+  json_int_t version = 0;
+  if (http_call (&world->platform, "GET", path, NULL, CALL_TIMEOUT_MS,
+                 &answer_text)
+          == 200
+      && answer_text)
+    {
+      json_t *object = json_loads (answer_text, 0, NULL);
+      version = json_integer_value (json_object_get (object, "version"));
+      json_decref (object);
+    }
+  g_free (answer_text);
+  snprintf (path, sizeof path, "/v1/%s/%s?version=%" JSON_INTEGER_FORMAT, kind,
+            name, version);
+  char *body = value ? json_dumps (value, JSON_COMPACT) : NULL;
+  int status = http_call (&world->platform, value ? "PUT" : "DELETE", path,
+                          body, CALL_TIMEOUT_MS, NULL);
+  free (body);
+  return status == 200;
+}
+
+static void
+remove_server (world_t *world, world_server_t *server)
+{
+  if (!put_object (world, "endpoints", server->name, NULL))
+    return;
+  close (server->fd);
+  server->fd = -1;
+  server->state = SERVER_FREE;
+  server->due = 0;
+  g_hash_table_destroy (server->flows);
+  server->flows = NULL;
+}
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -26,6 +26,7 @@
 static uint32_t confirmations;
 static uint32_t failures;
 static uint32_t settling;
+static uint64_t hinted;
 
 static gbd_address_t
 choose_address (void)
@@ -65,6 +66,7 @@
   confirmations = 0;
   failures = 0;
   settling = 0;
+  hinted = 0;
   return relay && reader ? 0 : -1;
 }
 
@@ -114,14 +116,15 @@
 }
 
 static void
-note_settling (void *data, uint32_t settling_ms)
+note_advice (void *data, uint32_t settling_ms, uint64_t hint)
 {
   (void)data;
   settling = settling_ms;
+  hinted = hint;
 }
 
 static const gbd_platform_watch_callbacks_t callbacks
-    = { note_reset, note_change, note_confirmed, note_failed, note_settling };
+    = { note_reset, note_change, note_confirmed, note_failed, note_advice };
 
 static void
 run_until (const uint32_t *counter, uint32_t count)
@@ -188,6 +191,27 @@
   assert_int_equal (json_object_size (view), 1);
 }
 
+/* Found by soak seed 3: a watch on the routes whose connection had gone silent
+   was believed for 25 s, and flows went to the service of older routes. */
+static void
+a_waiting_reader_hears_at_once_of_newer_routes (void **state)
+{
+  (void)state;
+  change ("a", 5, "one");
+  gbd_relay_set_hint (relay, 7);
+  gbd_relay_confirm (relay, 10, 0, now);
+  watch = gbd_platform_watch_new (reader, KIND, "", now, &callbacks, NULL);
+  run_until (&confirmations, 1);
+  assert_int_equal (hinted, 7);
+  for (int i = 0; i < 40; i++)
+    run_until (&confirmations, 0);
+  uint32_t before = confirmations;
+  gbd_relay_set_hint (relay, 11);
+  run_until (&confirmations, before + 1);
+  assert_int_equal (hinted, 11);
+  assert_int_equal (json_object_size (view), 1);
+}
+
 typedef struct
 {
   const char *label;
@@ -262,6 +286,8 @@
     cmocka_unit_test_setup_teardown (
         a_waiting_reader_is_turned_away_when_the_relay_is_out_of_touch, set_up,
         tear_down),
+    cmocka_unit_test_setup_teardown (
+        a_waiting_reader_hears_at_once_of_newer_routes, set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         answers_depend_on_the_version_of_the_reader, set_up, tear_down),
     cmocka_unit_test_setup_teardown (a_new_listing_deletes_what_it_lacks,
