--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -6,7 +6,7 @@
 #include "counters.h"
 #include "loop.h"
 
-#define FLOW_TEXT_MAX (2 * GBD_ADDRESS_TEXT_MAX)
+#define FLOW_TEXT_MAX ((size_t)2 * GBD_ADDRESS_TEXT_MAX)
 
 static void count_opening (gbd_cookie_serve_t *serve, gbd_time_t time);
 static gbd_event_t event_of (const gbd_direction_t *direction);
--- a/src/gooseberrydrum/journal.c
+++ b/src/gooseberrydrum/journal.c
@@ -26,10 +26,12 @@
   uint64_t suppressed; /* since the last line */
 } stream_t;
 
-#define EVENT(name, number, priority, format) +1
-#define EVENT_COUNT (0 GBD_EVENTS (EVENT))
-static const int event_count = EVENT_COUNT;
+static const gbd_event_t known_events[] = {
+#define EVENT(name, number, priority, format) GBD_EVENT_##name,
+  GBD_EVENTS (EVENT)
 #undef EVENT
+};
+static const int event_count = sizeof known_events / sizeof known_events[0];
 
 struct gbd_journal
 {
--- a/src/standins/world_fabric.c
+++ b/src/standins/world_fabric.c
@@ -1,3 +1,4 @@
+#include <assert.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
@@ -55,14 +56,15 @@
 const world_instance_t *
 world_fabric_choose (const world_t *world, uint32_t hash)
 {
-  uint32_t ready[WORLD_INSTANCES_MAX];
+  uint32_t ready[WORLD_INSTANCES_MAX] = { 0 };
   uint32_t count = 0;
+  assert (world->instance_count > 0);
   for (uint32_t i = 0; i < world->instance_count; i++)
     {
       if (world->instances[i].is_in_rotation)
         ready[count++] = i;
     }
-  if (count * 2 < world->instance_count)
+  if (count == 0 || count * 2 < world->instance_count)
     return &world->instances[hash % world->instance_count];
   return &world->instances[ready[hash % count]];
 }
--- a/src/standins/world_servers.c
+++ b/src/standins/world_servers.c
@@ -108,7 +108,7 @@
     }
   json_t *value
       = json_pack ("{s:I, s:o}", "version",
-                   (json_int_t)(world->routes_version + 1), "routes", list);
+                   (json_int_t)world->routes_version + 1, "routes", list);
   bool is_written = put_object (world, "routes", "main", value);
   json_decref (value);
   if (is_written)
--- a/src/test_gooseberrydrum/test_cookie_path.c
+++ b/src/test_gooseberrydrum/test_cookie_path.c
@@ -62,6 +62,8 @@
   fabric = gbd_udp_open (4, 0);
   gbd_address_t caller_address;
   gbd_udp_get_address (caller, &caller_address);
+  if (backend < 0 || caller < 0)
+    return -1;
 
   gbd_director_settings_t settings
       = { .zone = gbd_zone_from_name ("a"), .flow_capacity = 64 };
@@ -91,7 +93,7 @@
   gbd_pool_put (pool, &entry, NOW);
   gbd_pool_end_listing (pool, NOW);
   observed = 0;
-  return path && backend >= 0 && caller >= 0 ? 0 : -1;
+  return path ? 0 : -1;
 }
 
 static int
@@ -176,7 +178,7 @@
 {
   (void)state;
   uint8_t sent[HEADER];
-  uint8_t got[256];
+  uint8_t got[256] = { 0 };
   make_packet (sent, 4, 444, 0);
   send_packet (sent, sizeof sent);
   assert_int_equal (receive (caller, got, sizeof got), HEADER);
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -223,7 +223,7 @@
   uint32_t lost = 0;
   for (uint16_t port = 1; port <= 2000; port++)
     {
-      gbd_time_t now = START + port * 10 * GBD_MILLISECOND;
+      gbd_time_t now = START + (gbd_time_t)port * 10 * GBD_MILLISECOND;
       if (port % 20 != 0)
         {
           open_flow (director, port, now);
