Let each watch try the platform on its own; ask at once when a relay knows more

The watch on routes shared its client's circuit breaker with the watch on backend servers; that one, on its way between relays and platform, took the breaker's only trial and waited on a silent connection, time and again.

Ruled out: the retry budget (4 free a second, 2 used); the routers.

Change: a client for each watch; a refresh, as a relay's hint brings about, closes the breaker and ends the pause; time-outs of 1 s. The test a_refresh_asks_at_once_whatever_pause_is_under_way failed before.

--- a/include/gooseberrydrum/sources.h
+++ b/include/gooseberrydrum/sources.h
@@ -20,7 +20,7 @@
 /** Pause after a failure: the platform's answers take milliseconds, and a
  *  restarted instance is back within a second. */
 #define GBD_SOURCES_FIRST_PAUSE GBD_SECOND
-#define GBD_SOURCES_LONGEST_PAUSE (4 * GBD_SECOND)
+#define GBD_SOURCES_LONGEST_PAUSE (2 * GBD_SECOND)
 
 typedef struct
 {
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -283,8 +283,10 @@
   gbd_time_t now = gbd_loop_now (NULL);
   const gbd_routes_t *routes = gbd_director_get_routes (serve->director);
   const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
-  gbd_platform_stats_t platform;
-  gbd_platform_get_stats (serve->platform, &platform);
+  gbd_platform_stats_t routes_calls;
+  gbd_platform_stats_t servers_calls;
+  gbd_platform_get_stats (serve->platform, &routes_calls);
+  gbd_platform_get_stats (serve->servers_platform, &servers_calls);
   add_counter (counters, "gooseberrydrum_routes_version",
                "Version of the routes in force.", GBD_COUNTER_GAUGE, NULL,
                NULL, routes ? gbd_routes_get_version (routes) : 0);
@@ -300,10 +302,10 @@
                NULL, NULL, gbd_pool_is_away (pool));
   add_counter (counters, "gooseberrydrum_platform_calls_total",
                "Calls to the platform.", GBD_COUNTER_SUM, NULL, NULL,
-               platform.calls);
+               routes_calls.calls + servers_calls.calls);
   add_counter (counters, "gooseberrydrum_platform_failures_total",
                "Calls to the platform that failed.", GBD_COUNTER_SUM, NULL,
-               NULL, platform.failures);
+               NULL, routes_calls.failures + servers_calls.failures);
   add_counter (counters, "gooseberrydrum_log_suppressed_total",
                "Log lines left out.", GBD_COUNTER_SUM, NULL, NULL,
                gbd_journal_get_suppressed (serve->journal));
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -24,7 +24,8 @@
   gbd_journal_t *journal;
   gbd_director_t *director;
   gbd_cookie_path_t *path;
-  gbd_platform_t *platform;
+  gbd_platform_t *platform;             /**< for routes and key */
+  gbd_platform_t *servers_platform;     /**< for the backend servers */
   gbd_platform_dialect_t relay_dialect; /**< own API, entries as the platform
                                              has them */
   gbd_relay_t *relay;                   /**< NULL: this instance is none */
@@ -67,6 +68,11 @@
 
 /* cookie_store.c */
 
+/** A client of the platform.  Each watch has its own, so that one which waits
+ *  for a silent connection does not hold up the other's tries.
+ *  @return NULL when memory is short. */
+gbd_platform_t *gbd_cookie_store_open (gbd_cookie_serve_t *serve);
+
 /** Start to read what the platform holds.  @return false with `error` set. */
 bool gbd_cookie_store_start (gbd_cookie_serve_t *serve, const char **error);
 /** Ask again for what is missing. */
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -61,7 +61,11 @@
   };
   /* All instances may have stopped together: the platform answers first. */
   gbd_sources_init (&serve->sources, relay_count + 1, platform_at);
-  serve->clients[platform_at] = serve->platform;
+  serve->servers_platform = gbd_cookie_store_open (serve);
+  serve->clients[platform_at] = serve->servers_platform;
+  *error = "the platform client does not start; raise the memory limit";
+  if (!serve->servers_platform)
+    return false;
   for (uint32_t i = 0; i < relay_count; i++)
     {
       settings.platform = relays[i];
@@ -98,10 +102,7 @@
     }
   serve->ticked_at = now;
   for (uint32_t i = 0; i < serve->sources.count; i++)
-    {
-      if (serve->clients[i] != serve->platform)
-        gbd_platform_tick (serve->clients[i], now);
-    }
+    gbd_platform_tick (serve->clients[i], now);
   if (serve->relay)
     gbd_relay_tick (serve->relay, now);
 }
@@ -120,10 +121,7 @@
   gbd_platform_watch_delete (serve->servers_watch);
   gbd_relay_delete (serve->relay);
   for (uint32_t i = 0; i < serve->sources.count; i++)
-    {
-      if (serve->clients[i] != serve->platform)
-        gbd_platform_delete (serve->clients[i]);
-    }
+    gbd_platform_delete (serve->clients[i]);
 }
 
 void
@@ -186,7 +184,7 @@
 static bool
 is_in_touch (const gbd_cookie_serve_t *serve)
 {
-  return serve->clients[serve->sources.current] == serve->platform;
+  return serve->clients[serve->sources.current] == serve->servers_platform;
 }
 
 static void
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -15,7 +15,7 @@
 /* Changes that come close together are read in one answer; a tenth of the
    shortest bound until a change must be in force. */
 #define WATCH_PAUSE_MS 300
-#define CALL_TIMEOUT_MS 1500
+#define CALL_TIMEOUT_MS 1000
 /* A watch of its own that works is at most its pause behind a relay. */
 #define BEHIND_TIME (500 * GBD_MILLISECOND)
 #define KEY_KIND "gooseberrydrum"
@@ -38,12 +38,9 @@
   .failed = routes_failed,
 };
 
-bool
-gbd_cookie_store_start (gbd_cookie_serve_t *serve, const char **error)
+gbd_platform_t *
+gbd_cookie_store_open (gbd_cookie_serve_t *serve)
 {
-  bool is_own = strcmp (serve->settings->platform_form, "own") == 0;
-  serve->dialect
-      = is_own ? &gbd_platform_dialect_own : &gbd_platform_dialect_objects;
   gbd_platform_settings_t settings = {
     .platform = serve->settings->platform,
     .dialect = serve->dialect,
@@ -52,8 +49,17 @@
     .watch_pause_ms = WATCH_PAUSE_MS,
     .random_seed = serve->random,
   };
+  return gbd_platform_new (serve->context, &settings);
+}
+
+bool
+gbd_cookie_store_start (gbd_cookie_serve_t *serve, const char **error)
+{
+  bool is_own = strcmp (serve->settings->platform_form, "own") == 0;
+  serve->dialect
+      = is_own ? &gbd_platform_dialect_own : &gbd_platform_dialect_objects;
   gbd_time_t now = serve->started_at;
-  serve->platform = gbd_platform_new (serve->context, &settings);
+  serve->platform = gbd_cookie_store_open (serve);
   *error = "the platform client does not start; raise the memory limit";
   if (!serve->platform)
     return false;
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -104,6 +104,8 @@
   watch->http_call = NULL;
   watch->is_retry = true;
   watch->retry_at = watch->platform->now;
+  gbd_backoff_reset (&watch->backoff);
+  gbd_breaker_report (&watch->platform->breaker, true, watch->platform->now);
 }
 
 uint64_t
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -407,6 +407,35 @@
   fixture_close (&fixture);
 }
 
+/* Found by a hunt: an instance that a cut had kept from the platform read new
+   routes up to 6 s after its end, when the circuit breaker and the pauses of
+   failures did not meet. */
+static void
+a_refresh_asks_at_once_whatever_pause_is_under_way (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  view_t view = { .view = json_object () };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  gbd_platform_watch_t *watch = gbd_platform_watch_new (
+      platform, KIND, "", fixture.now, &view_callbacks, &view);
+  run_until_confirmed (&fixture, &view);
+  for (int round = 0; round < 5; round++)
+    {
+      fixture_switch (&fixture, "{\"down\":true}");
+      for (int step = 0; step < 600 + 17 * round; step++)
+        fixture_step (&fixture);
+      fixture_switch (&fixture, SWITCH_OFF);
+      gbd_time_t back = fixture.now;
+      gbd_platform_watch_refresh (watch);
+      run_until_confirmed (&fixture, &view);
+      assert_true (fixture.now - back <= 5 * FIXTURE_STEP);
+    }
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
 static void
 watch_lists_again_when_the_platform_forgot (void **state)
 {
@@ -495,6 +524,7 @@
     cmocka_unit_test (older_version_than_seen_is_ignored),
     cmocka_unit_test (breaker_stops_calls_while_down),
     cmocka_unit_test (watch_reports_each_change_once),
+    cmocka_unit_test (a_refresh_asks_at_once_whatever_pause_is_under_way),
     cmocka_unit_test (watch_lists_again_when_the_platform_forgot),
     cmocka_unit_test (watch_ends_with_the_state_of_the_platform),
   };
