--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -12,12 +12,14 @@
    count as in touch again and have a change in force (7 s on the smallest
    sites). */
 #define WATCH_WAIT_MS 4000
-/* Changes that come close together are read in one answer; a tenth of the
-   shortest bound until a change must be in force. */
-#define WATCH_PAUSE_MS 300
+/* Changes that come close together are read in one answer: a tenth of the
+   shortest bound on draining, a third of that on configurations, which come in
+   series. */
+#define SERVERS_PAUSE_MS 300
+#define ROUTES_PAUSE_MS 1000
 #define CALL_TIMEOUT_MS 1000
 /* A watch of its own that works is at most its pause behind a relay. */
-#define BEHIND_TIME (500 * GBD_MILLISECOND)
+#define BEHIND_TIME ((ROUTES_PAUSE_MS + 200) * GBD_MILLISECOND)
 #define KEY_KIND "gooseberrydrum"
 #define KEY_NAME "cookie-key"
 #define KEY_FIELD "key" /* 16 hexadecimal digits */
@@ -46,7 +48,7 @@
     .dialect = serve->dialect,
     .call_timeout_ms = CALL_TIMEOUT_MS,
     .watch_wait_ms = WATCH_WAIT_MS,
-    .watch_pause_ms = WATCH_PAUSE_MS,
+    .watch_pause_ms = SERVERS_PAUSE_MS,
     .random_seed = serve->random,
   };
   return gbd_platform_new (serve->context, &settings);
@@ -66,6 +68,7 @@
   serve->routes_watch
       = gbd_platform_watch_new (serve->platform, serve->dialect->routes_kind,
                                 "", now, &routes_callbacks, serve);
+  gbd_platform_watch_set_pause (serve->routes_watch, ROUTES_PAUSE_MS);
   ask_key (serve, now);
   return gbd_cookie_servers_start (serve, error);
 }
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -100,6 +100,10 @@
 void gbd_platform_watch_set_wait (gbd_platform_watch_t *watch,
                                   uint32_t wait_ms);
 
+/** Pause after an answer with changes, instead of the client's. */
+void gbd_platform_watch_set_pause (gbd_platform_watch_t *watch,
+                                   uint32_t pause_ms);
+
 /** Ask again at once, whatever pause is under way: the answer that is awaited
  *  may never come, or the platform is known to answer others. */
 void gbd_platform_watch_refresh (gbd_platform_watch_t *watch);
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -17,8 +17,9 @@
   gbd_time_t timeout_at;
   gbd_time_t retry_at;
   bool is_retry;
-  uint32_t wait_ms; /* 0: the client's */
-  bool has_moved;   /* to another client, which is asked at once */
+  uint32_t wait_ms;  /* 0: the client's */
+  uint32_t pause_ms; /* 0: the client's */
+  bool has_moved;    /* to another client, which is asked at once */
   gbd_backoff_t backoff;
   bool is_reporting; /* inside a callback; deletion waits */
   bool is_deleted;
@@ -96,6 +97,12 @@
   watch->wait_ms = wait_ms;
 }
 
+void
+gbd_platform_watch_set_pause (gbd_platform_watch_t *watch, uint32_t pause_ms)
+{
+  watch->pause_ms = pause_ms;
+}
+
 void
 gbd_platform_watch_refresh (gbd_platform_watch_t *watch)
 {
@@ -224,10 +231,11 @@
     }
   watch->is_retry = false;
   watch->retry_at = 0;
+  uint32_t pause_ms = watch->pause_ms
+                          ? watch->pause_ms
+                          : watch->platform->settings.watch_pause_ms;
   if (json_array_size (items) > 0)
-    watch->retry_at
-        = watch->platform->now
-          + watch->platform->settings.watch_pause_ms * GBD_MILLISECOND;
+    watch->retry_at = watch->platform->now + pause_ms * GBD_MILLISECOND;
   gbd_backoff_reset (&watch->backoff);
   if (watch->callbacks.advised)
     watch->callbacks.advised (
