--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -71,7 +71,8 @@
 /** A client of the platform.  Each watch has its own, so that one which waits
  *  for a silent connection does not hold up the other's tries.
  *  @return NULL when memory is short. */
-gbd_platform_t *gbd_cookie_store_open (gbd_cookie_serve_t *serve);
+gbd_platform_t *gbd_cookie_store_open (gbd_cookie_serve_t *serve,
+                                       uint32_t longest_pause_ms);
 
 /** Start to read what the platform holds.  @return false with `error` set. */
 bool gbd_cookie_store_start (gbd_cookie_serve_t *serve, const char **error);
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -14,6 +14,8 @@
 /* A reader gives a relay up after this and RELAY_TIMEOUT_MS. */
 #define READER_WAIT_MS 1000
 #define RELAY_TIMEOUT_MS 500
+/* Longest pause between two tries at the platform. */
+#define SERVERS_RETRY_MS 1000
 /* Longer than a late tick on a slow machine. */
 #define PAUSED_TIME (700 * GBD_MILLISECOND)
 
@@ -61,7 +63,7 @@
   };
   /* All instances may have stopped together: the platform answers first. */
   gbd_sources_init (&serve->sources, relay_count + 1, platform_at);
-  serve->servers_platform = gbd_cookie_store_open (serve);
+  serve->servers_platform = gbd_cookie_store_open (serve, SERVERS_RETRY_MS);
   serve->clients[platform_at] = serve->servers_platform;
   *error = "the platform client does not start; raise the memory limit";
   if (!serve->servers_platform)
@@ -272,7 +274,10 @@
     gbd_pool_end_listing (pool, now);
   serve->is_listing = false;
   if (was_away)
-    log_source (serve, GBD_EVENT_PLATFORM_FOUND, now);
+    {
+      log_source (serve, GBD_EVENT_PLATFORM_FOUND, now);
+      gbd_platform_watch_refresh (serve->routes_watch);
+    }
   if (serve->relay && is_in_touch (serve))
     gbd_relay_confirm (
         serve->relay, gbd_platform_watch_get_version (serve->servers_watch),
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -17,6 +17,9 @@
    series. */
 #define SERVERS_PAUSE_MS 300
 #define ROUTES_PAUSE_MS 1000
+/* Longest pause between two tries to read routes.  The watch on backend
+   servers tries more often, and its first success ends this pause. */
+#define ROUTES_RETRY_MS 4000
 #define CALL_TIMEOUT_MS 1000
 /* A watch of its own that works is at most its pause behind a relay. */
 #define BEHIND_TIME ((ROUTES_PAUSE_MS + 200) * GBD_MILLISECOND)
@@ -41,7 +44,7 @@
 };
 
 gbd_platform_t *
-gbd_cookie_store_open (gbd_cookie_serve_t *serve)
+gbd_cookie_store_open (gbd_cookie_serve_t *serve, uint32_t longest_pause_ms)
 {
   gbd_platform_settings_t settings = {
     .platform = serve->settings->platform,
@@ -49,6 +52,7 @@
     .call_timeout_ms = CALL_TIMEOUT_MS,
     .watch_wait_ms = WATCH_WAIT_MS,
     .watch_pause_ms = SERVERS_PAUSE_MS,
+    .longest_pause_ms = longest_pause_ms,
     .random_seed = serve->random,
   };
   return gbd_platform_new (serve->context, &settings);
@@ -61,7 +65,7 @@
   serve->dialect
       = is_own ? &gbd_platform_dialect_own : &gbd_platform_dialect_objects;
   gbd_time_t now = serve->started_at;
-  serve->platform = gbd_cookie_store_open (serve);
+  serve->platform = gbd_cookie_store_open (serve, ROUTES_RETRY_MS);
   *error = "the platform client does not start; raise the memory limit";
   if (!serve->platform)
     return false;
--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #define CALL_TIMEOUT_MS 2000
+#define LONGEST_PAUSE_MS 1000
 /* The platform's longest wait is 30 s. */
 #define WATCH_WAIT_MS_MAX 25000
 #define ATTEMPTS_MAX 4
@@ -87,6 +88,8 @@
     platform->settings.call_timeout_ms = CALL_TIMEOUT_MS;
   if (!platform->settings.dialect)
     platform->settings.dialect = &gbd_platform_dialect_own;
+  if (!platform->settings.longest_pause_ms)
+    platform->settings.longest_pause_ms = LONGEST_PAUSE_MS;
   platform->settings.watch_wait_ms
       = MIN (settings->watch_wait_ms, WATCH_WAIT_MS_MAX);
   platform->http = http;
@@ -96,7 +99,7 @@
   platform->seen
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gbd_breaker_init (&platform->breaker, BREAKER_FAILURES, BREAKER_FIRST_PAUSE,
-                    GBD_PLATFORM_BACKOFF_LONGEST,
+                    platform->settings.longest_pause_ms * GBD_MILLISECOND,
                     platform->settings.call_timeout_ms * GBD_MILLISECOND,
                     platform->seeds++);
   gbd_retry_budget_init (&platform->budget, BUDGET_TOKENS,
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -18,9 +18,10 @@
   const gbd_platform_dialect_t *dialect; /**< NULL for the own API */
   uint32_t call_timeout_ms;              /**< 2000 unless set */
   uint32_t watch_wait_ms;                /**< longest wait of one watch call */
-  uint32_t watch_pause_ms; /**< after an answer with changes, so that more of
-                                them come in one; 0: none */
-  uint64_t random_seed;    /**< of the jitter */
+  uint32_t watch_pause_ms;   /**< after an answer with changes, so that more of
+                                  them come in one; 0: none */
+  uint32_t longest_pause_ms; /**< between two tries; 1000 unless set */
+  uint64_t random_seed;      /**< of the jitter */
 } gbd_platform_settings_t;
 
 typedef struct gbd_platform gbd_platform_t;
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -55,7 +55,8 @@
   watch->seen
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   gbd_backoff_init (&watch->backoff, GBD_PLATFORM_BACKOFF_FIRST,
-                    GBD_PLATFORM_BACKOFF_LONGEST, platform->seeds++);
+                    platform->settings.longest_pause_ms * GBD_MILLISECOND,
+                    platform->seeds++);
   g_ptr_array_add (platform->watches, watch);
   ask (watch);
   return watch;
