--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -45,8 +45,6 @@
 static const char *name_restart_setting (const gbd_settings_t *old,
                                          const gbd_settings_t *new);
 static void tick (lws_sorted_usec_list_t *timer);
-static void log_event (gbd_cookie_serve_t *serve, gbd_event_t event,
-                       gbd_time_t now, json_t *fields);
 
 int
 gbd_serve_cookie (gbd_settings_t *settings, char **flags)
@@ -66,8 +64,9 @@
   };
   if (!gbd_loop_adopt (serve.context, descriptors, DESCRIPTOR_COUNT))
     {
-      log_event (&serve, GBD_EVENT_FATAL, serve.started_at,
-                 json_pack ("{s:s}", "cause", "descriptors cannot be polled"));
+      gbd_journal_note (
+          serve.journal, GBD_EVENT_FATAL, serve.started_at,
+          json_pack ("{s:s}", "cause", "descriptors cannot be polled"));
       goto done;
     }
   while (!serve.is_done)
@@ -75,8 +74,8 @@
       if (lws_service (serve.context, 0) < 0)
         goto done;
     }
-  log_event (&serve, GBD_EVENT_STOPPED, gbd_loop_now (NULL),
-             json_pack ("{s:s}", "cause", "planned"));
+  gbd_journal_note (serve.journal, GBD_EVENT_STOPPED, gbd_loop_now (NULL),
+                    json_pack ("{s:s}", "cause", "planned"));
   exit_status = GBD_EXIT_OK;
 
 done:
@@ -107,15 +106,15 @@
       || !start_servers (serve, &error)
       || !gbd_cookie_store_start (serve, &error))
     {
-      log_event (serve, GBD_EVENT_FATAL, now,
-                 json_pack ("{s:s}", "cause", error));
+      gbd_journal_note (serve->journal, GBD_EVENT_FATAL, now,
+                        json_pack ("{s:s}", "cause", error));
       return false;
     }
   serve->settings_stamp = read_settings_stamp ();
   serve->settings_due = now + SETTINGS_INTERVAL;
-  log_event (serve, GBD_EVENT_STARTED, now,
-             json_pack ("{s:s, s:s}", "zone", serve->settings->zone, "policy",
-                        serve->settings->policy));
+  gbd_journal_note (serve->journal, GBD_EVENT_STARTED, now,
+                    json_pack ("{s:s, s:s}", "zone", serve->settings->zone,
+                               "policy", serve->settings->policy));
   lws_sul_schedule (serve->context, 0, &serve->timer, tick, 1);
   return true;
 }
@@ -233,9 +232,9 @@
   serve->is_stopping = true;
   serve->stop_asked_at = now;
   serve->stop_at = now + serve->settings->stop_forward_ms * GBD_MILLISECOND;
-  log_event (serve, GBD_EVENT_STOPPING, now,
-             json_pack ("{s:i}", "forward_ms",
-                        (int)serve->settings->stop_forward_ms));
+  gbd_journal_note (serve->journal, GBD_EVENT_STOPPING, now,
+                    json_pack ("{s:i}", "forward_ms",
+                               (int)serve->settings->stop_forward_ms));
 }
 
 /* Forward until the fabric has stopped sending here. */
@@ -256,8 +255,8 @@
 {
   bool is_ready = gbd_director_is_ready (serve->director);
   if (is_ready && !serve->was_ready)
-    log_event (
-        serve, GBD_EVENT_READY, now,
+    gbd_journal_note (
+        serve->journal, GBD_EVENT_READY, now,
         json_pack ("{s:I}", "start_ms",
                    (json_int_t)((now - serve->started_at) / GBD_MILLISECOND)));
   serve->was_ready = is_ready;
@@ -300,8 +299,8 @@
   serve->settings->log_priority = settings.log_priority;
   serve->settings->stop_forward_ms = settings.stop_forward_ms;
   gbd_journal_set_priority (serve->journal, settings.log_priority);
-  log_event (serve, GBD_EVENT_SETTINGS_READ, now,
-             json_pack ("{s:s?}", "restart", restart));
+  gbd_journal_note (serve->journal, GBD_EVENT_SETTINGS_READ, now,
+                    json_pack ("{s:s?}", "restart", restart));
 }
 
 /* Settings that a running instance cannot change; the first that differs. */
@@ -335,13 +334,3 @@
   else
     lws_sul_schedule (serve->context, 0, &serve->timer, tick, TICK_US);
 }
-
-static void
-log_event (gbd_cookie_serve_t *serve, gbd_event_t event, gbd_time_t now,
-           json_t *fields)
-{
-  if (serve->journal && gbd_journal_admits (serve->journal, event, now))
-    gbd_journal_write (serve->journal, event, fields);
-  else
-    json_decref (fields);
-}
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -131,11 +131,10 @@
                            const char *name, uint64_t version,
                            const char *wrong, gbd_time_t now)
 {
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_BAD_OBJECT, now))
-    gbd_journal_write (serve->journal, GBD_EVENT_BAD_OBJECT,
-                       json_pack ("{s:s, s:s, s:I, s:s}", "kind", kind,
-                                  "object", name, "version",
-                                  (json_int_t)version, "cause", wrong));
+  gbd_journal_note (serve->journal, GBD_EVENT_BAD_OBJECT, now,
+                    json_pack ("{s:s, s:s, s:I, s:s}", "kind", kind, "object",
+                               name, "version", (json_int_t)version, "cause",
+                               wrong));
 }
 
 /* The relays other than this instance.  @return their number. */
@@ -228,14 +227,13 @@
                                  version, gbd_status_strings[status], now);
       return;
     }
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_LISTED, now))
-    gbd_journal_write (serve->journal, GBD_EVENT_SERVER_LISTED,
-                       json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
-                                  "version", (json_int_t)version, "state",
-                                  entry.backend.state == GBD_BACKEND_READY
-                                      ? "ready"
-                                      : "draining",
-                                  "cold", entry.warm_at != 0));
+  gbd_journal_note (serve->journal, GBD_EVENT_SERVER_LISTED, now,
+                    json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
+                               "version", (json_int_t)version, "state",
+                               entry.backend.state == GBD_BACKEND_READY
+                                   ? "ready"
+                                   : "draining",
+                               "cold", entry.warm_at != 0));
 }
 
 static void
@@ -251,11 +249,10 @@
       if (!server->is_used || strcmp (server->entry.name, name) != 0)
         continue;
       gbd_pool_remove (pool, server->entry.backend.id, now);
-      if (gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_REMOVED, now))
-        gbd_journal_write (serve->journal, GBD_EVENT_SERVER_REMOVED,
-                           json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
-                                      "version", (json_int_t)version, "cause",
-                                      cause, "deferred", server->is_listed));
+      gbd_journal_note (serve->journal, GBD_EVENT_SERVER_REMOVED, now,
+                        json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
+                                   "version", (json_int_t)version, "cause",
+                                   cause, "deferred", server->is_listed));
     }
 }
 
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -136,9 +136,8 @@
     }
   gbd_director_set_key (serve->director, strtoull (text, NULL, HEX));
   serve->has_key = true;
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_KEY_KNOWN, now))
-    gbd_journal_write (serve->journal, GBD_EVENT_KEY_KNOWN,
-                       json_pack ("{s:I}", "version", (json_int_t)version));
+  gbd_journal_note (serve->journal, GBD_EVENT_KEY_KNOWN, now,
+                    json_pack ("{s:I}", "version", (json_int_t)version));
 }
 
 static void
@@ -152,10 +151,9 @@
   gbd_routes_t *routes = serve->dialect->read_routes (value, &wrong);
   if (!routes)
     {
-      if (gbd_journal_admits (serve->journal, GBD_EVENT_BAD_ROUTES, now))
-        gbd_journal_write (serve->journal, GBD_EVENT_BAD_ROUTES,
-                           json_pack ("{s:I, s:s}", "object_version",
-                                      (json_int_t)version, "cause", wrong));
+      gbd_journal_note (serve->journal, GBD_EVENT_BAD_ROUTES, now,
+                        json_pack ("{s:I, s:s}", "object_version",
+                                   (json_int_t)version, "cause", wrong));
       return;
     }
   uint64_t route_version = gbd_routes_get_version (routes);
@@ -167,11 +165,10 @@
   if (gbd_director_set_routes (serve->director, routes) != GBD_OK)
     return;
   serve->routes_at = now;
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_ROUTES, now))
-    gbd_journal_write (serve->journal, GBD_EVENT_ROUTES,
-                       json_pack ("{s:I, s:I, s:i}", "version",
-                                  (json_int_t)route_version, "object_version",
-                                  (json_int_t)version, "routes", (int)count));
+  gbd_journal_note (serve->journal, GBD_EVENT_ROUTES, now,
+                    json_pack ("{s:I, s:I, s:i}", "version",
+                               (json_int_t)route_version, "object_version",
+                               (json_int_t)version, "routes", (int)count));
 }
 
 static void
@@ -189,8 +186,6 @@
   if (serve->is_routes_lost)
     return;
   serve->is_routes_lost = true;
-  if (gbd_journal_admits (serve->journal, GBD_EVENT_PLATFORM_LOST, now))
-    gbd_journal_write (
-        serve->journal, GBD_EVENT_PLATFORM_LOST,
-        json_pack ("{s:s}", "watch", serve->dialect->routes_kind));
+  gbd_journal_note (serve->journal, GBD_EVENT_PLATFORM_LOST, now,
+                    json_pack ("{s:s}", "watch", serve->dialect->routes_kind));
 }
--- a/src/gooseberrydrum/journal.c
+++ b/src/gooseberrydrum/journal.c
@@ -129,6 +129,16 @@
   journal->buffer[journal->length++] = '\n';
 }
 
+void
+gbd_journal_note (gbd_journal_t *journal, gbd_event_t event, gbd_time_t now,
+                  json_t *fields)
+{
+  if (gbd_journal_admits (journal, event, now))
+    gbd_journal_write (journal, event, fields);
+  else
+    json_decref (fields);
+}
+
 void
 gbd_journal_flush (gbd_journal_t *journal)
 {
--- a/src/gooseberrydrum/journal.h
+++ b/src/gooseberrydrum/journal.h
@@ -35,6 +35,11 @@
 void gbd_journal_write (gbd_journal_t *journal, gbd_event_t event,
                         json_t *fields);
 
+/** Ask and write in one: for events that are rare, as the fields are made
+ *  whether or not the line is admitted. */
+void gbd_journal_note (gbd_journal_t *journal, gbd_event_t event,
+                       gbd_time_t now, json_t *fields);
+
 /** Write what waits; call about ten times a second. */
 void gbd_journal_flush (gbd_journal_t *journal);
 
--- a/src/libgooseberrydrum/packet.c
+++ b/src/libgooseberrydrum/packet.c
@@ -3,6 +3,8 @@
 #include <assert.h>
 #include <string.h>
 
+#include "gooseberrydrum/bytes.h"
+
 #define XXH_INLINE_ALL
 #include <xxhash.h>
 
@@ -72,10 +74,6 @@
 static void set_address (gbd_address_t *address, uint8_t family,
                          const uint8_t *ip, const uint8_t *port);
 static size_t address_length (uint8_t family);
-static uint16_t get16 (const uint8_t *at);
-static uint32_t get32 (const uint8_t *at);
-static void put16 (uint8_t *at, uint16_t value);
-static void put32 (uint8_t *at, uint32_t value);
 static uint32_t add16 (const uint8_t *bytes, size_t length, uint32_t sum);
 
 gbd_drop_t
@@ -111,7 +109,7 @@
   if (from->family == 6)
     {
       bytes[0] = 0x60;
-      put16 (bytes + 4, TCP_HEADER);
+      gbd_put16 (bytes + 4, TCP_HEADER);
       bytes[6] = PROTOCOL_TCP;
       bytes[7] = RESET_HOP_LIMIT;
       memcpy (bytes + 8, from->ip, address);
@@ -120,27 +118,27 @@
   else
     {
       bytes[0] = 0x45;
-      put16 (bytes + 2, IPV4_HEADER + TCP_HEADER);
+      gbd_put16 (bytes + 2, IPV4_HEADER + TCP_HEADER);
       bytes[8] = RESET_HOP_LIMIT;
       bytes[9] = PROTOCOL_TCP;
       memcpy (bytes + 12, from->ip, address);
       memcpy (bytes + 16, to->ip, address);
-      put16 (bytes + 10, gbd_checksum (bytes, IPV4_HEADER, 0));
+      gbd_put16 (bytes + 10, gbd_checksum (bytes, IPV4_HEADER, 0));
     }
 
   uint8_t *tcp = bytes + header;
-  put16 (tcp, from->port);
-  put16 (tcp + 2, to->port);
+  gbd_put16 (tcp, from->port);
+  gbd_put16 (tcp + 2, to->port);
   if (is_opening)
-    put32 (tcp + 8, packet->sequence + 1);
+    gbd_put32 (tcp + 8, packet->sequence + 1);
   else
-    put32 (tcp + 4, packet->acknowledgment);
+    gbd_put32 (tcp + 4, packet->acknowledgment);
   tcp[12] = (TCP_HEADER / 4) << 4;
   tcp[13] = is_opening ? TCP_RST | TCP_ACK : TCP_RST;
   uint32_t pseudo = PROTOCOL_TCP + TCP_HEADER;
   pseudo = add16 (from->ip, address, pseudo);
   pseudo = add16 (to->ip, address, pseudo);
-  put16 (tcp + 16, gbd_checksum (tcp, TCP_HEADER, pseudo));
+  gbd_put16 (tcp + 16, gbd_checksum (tcp, TCP_HEADER, pseudo));
   return header + TCP_HEADER;
 }
 
@@ -189,8 +187,8 @@
   if (available < header)
     return GBD_DROP_TRUNCATED;
 
-  ip->length = ip->family == 4 ? get16 (bytes + 2)
-                               : (size_t)get16 (bytes + 4) + IPV6_HEADER;
+  ip->length = ip->family == 4 ? gbd_get16 (bytes + 2)
+                               : (size_t)gbd_get16 (bytes + 4) + IPV6_HEADER;
   gbd_drop_t drop = check_length (available, is_quote, ip);
   if (drop != GBD_DROP_NONE)
     return drop;
@@ -225,7 +223,7 @@
   if (!is_quote && gbd_checksum (bytes, ip->header, 0) != 0)
     return GBD_DROP_BAD_CHECKSUM;
 
-  uint16_t fragment = get16 (bytes + 6);
+  uint16_t fragment = gbd_get16 (bytes + 6);
   uint16_t refused = IPV4_FRAGMENT_OFFSET;
   if (!is_quote)
     refused |= IPV4_MORE_FRAGMENTS;
@@ -312,8 +310,8 @@
   set_address (&packet->flow.caller, ip->family, ip->source, segment);
   set_address (&packet->flow.service, ip->family, ip->destination,
                segment + 2);
-  packet->sequence = get32 (segment + 4);
-  packet->acknowledgment = get32 (segment + 8);
+  packet->sequence = gbd_get32 (segment + 4);
+  packet->acknowledgment = gbd_get32 (segment + 8);
   packet->has_ack = segment[13] & TCP_ACK;
   packet->is_reset = segment[13] & TCP_RST;
   packet->payload_length = (uint16_t)(length - header);
@@ -394,7 +392,7 @@
   packet->kind = GBD_PACKET_ICMP;
   set_address (&packet->flow.caller, ip->family, quoted.destination, tcp + 2);
   set_address (&packet->flow.service, ip->family, quoted.source, tcp);
-  packet->sequence = get32 (tcp + 4);
+  packet->sequence = gbd_get32 (tcp + 4);
   packet->acknowledgment = 0;
   packet->cookie = 0;
   packet->has_ack = false;
@@ -419,7 +417,7 @@
 {
   memset (address, 0, sizeof *address);
   address->family = family;
-  address->port = get16 (port);
+  address->port = gbd_get16 (port);
   if (family == 4)
     memcpy (address->ip, ip, 4);
   else
@@ -432,37 +430,11 @@
   return family == 6 ? 16 : 4;
 }
 
-static uint16_t
-get16 (const uint8_t *at)
-{
-  return (uint16_t)(at[0] << 8 | at[1]);
-}
-
-static uint32_t
-get32 (const uint8_t *at)
-{
-  return (uint32_t)get16 (at) << 16 | get16 (at + 2);
-}
-
-static void
-put16 (uint8_t *at, uint16_t value)
-{
-  at[0] = (uint8_t)(value >> 8);
-  at[1] = (uint8_t)value;
-}
-
-static void
-put32 (uint8_t *at, uint32_t value)
-{
-  put16 (at, (uint16_t)(value >> 16));
-  put16 (at + 2, (uint16_t)value);
-}
-
 static uint32_t
 add16 (const uint8_t *bytes, size_t length, uint32_t sum)
 {
   for (size_t i = 0; i + 1 < length; i += 2)
-    sum += get16 (bytes + i);
+    sum += gbd_get16 (bytes + i);
   if (length & 1)
     sum += (uint32_t)bytes[length - 1] << 8;
   return sum;
--- a/src/standins/inner.c
+++ b/src/standins/inner.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "gooseberrydrum/bytes.h"
+
 #define IPV4_HEADER 20
 #define IPV6_HEADER 40
 #define TCP_HEADER 20
@@ -9,9 +11,6 @@
 #define HOP_LIMIT 64
 #define WINDOW 65535
 
-static void put16 (uint8_t *at, uint32_t value);
-static void put32 (uint8_t *at, uint32_t value);
-static uint32_t get32 (const uint8_t *at);
 static uint32_t sum16 (const uint8_t *bytes, size_t length);
 static uint16_t fold (uint32_t sum);
 
@@ -32,7 +31,7 @@
   if (is_ipv6)
     {
       bytes[0] = 0x60;
-      put16 (bytes + 4, (uint32_t)tcp_length);
+      gbd_put16 (bytes + 4, (uint32_t)tcp_length);
       bytes[6] = PROTOCOL_TCP;
       bytes[7] = HOP_LIMIT;
       memcpy (bytes + 8, from->ip, 16);
@@ -41,30 +40,30 @@
   else
     {
       bytes[0] = 0x45;
-      put16 (bytes + 2, (uint32_t)length);
+      gbd_put16 (bytes + 2, (uint32_t)length);
       bytes[6] = 0x40; /* do not fragment */
       bytes[8] = HOP_LIMIT;
       bytes[9] = PROTOCOL_TCP;
       memcpy (bytes + 12, from->ip, 4);
       memcpy (bytes + 16, to->ip, 4);
-      put16 (bytes + 10, fold (sum16 (bytes, IPV4_HEADER)));
+      gbd_put16 (bytes + 10, fold (sum16 (bytes, IPV4_HEADER)));
     }
 
   uint8_t *tcp = bytes + ip_length;
-  put16 (tcp, from->port);
-  put16 (tcp + 2, to->port);
-  put32 (tcp + 4, sequence);
-  put32 (tcp + 8, acknowledgment);
+  gbd_put16 (tcp, from->port);
+  gbd_put16 (tcp + 2, to->port);
+  gbd_put32 (tcp + 4, sequence);
+  gbd_put32 (tcp + 8, acknowledgment);
   tcp[12] = (TCP_HEADER / 4) << 4;
   tcp[13] = flags;
-  put16 (tcp + 14, WINDOW);
+  gbd_put16 (tcp + 14, WINDOW);
   if (payload_length)
     memcpy (tcp + TCP_HEADER, payload, payload_length);
 
   uint32_t sum = PROTOCOL_TCP + (uint32_t)tcp_length;
   sum += sum16 (from->ip, address_length) + sum16 (to->ip, address_length);
   sum += sum16 (tcp, tcp_length);
-  put16 (tcp + 16, fold (sum));
+  gbd_put16 (tcp + 16, fold (sum));
   return length;
 }
 
@@ -85,33 +84,12 @@
   segment->to = packet.flow.service;
   segment->flags = tcp[13];
   segment->sequence = packet.sequence;
-  segment->acknowledgment = get32 (tcp + 8);
+  segment->acknowledgment = gbd_get32 (tcp + 8);
   segment->payload_length = packet.payload_length;
   segment->payload = bytes + length - packet.payload_length;
   return true;
 }
 
-static void
-put16 (uint8_t *at, uint32_t value)
-{
-  at[0] = (uint8_t)(value >> 8);
-  at[1] = (uint8_t)value;
-}
-
-static void
-put32 (uint8_t *at, uint32_t value)
-{
-  put16 (at, value >> 16);
-  put16 (at + 2, value);
-}
-
-static uint32_t
-get32 (const uint8_t *at)
-{
-  return (uint32_t)at[0] << 24 | (uint32_t)at[1] << 16 | (uint32_t)at[2] << 8
-         | at[3];
-}
-
 static uint32_t
 sum16 (const uint8_t *bytes, size_t length)
 {
