--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -163,12 +163,17 @@
       if (!serve->ready_server)
         return false;
     }
+  /* Without counters an instance still serves. */
   if (settings->metrics_listen.family)
     {
+      const char *wrong = NULL;
       serve->metrics_server
-          = open_public (serve, &settings->metrics_listen, error);
+          = open_public (serve, &settings->metrics_listen, &wrong);
       if (!serve->metrics_server)
-        return false;
+        gbd_journal_note (serve->journal, GBD_EVENT_BAD_SETTING,
+                          serve->started_at,
+                          json_pack ("{s:s, s:s}", "setting", "metrics-listen",
+                                     "cause", wrong));
     }
   return true;
 }
--- a/src/gooseberrydrum/journal.c
+++ b/src/gooseberrydrum/journal.c
@@ -1,6 +1,8 @@
 #include "journal.h"
 
 #include <fcntl.h>
+#include <inttypes.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
@@ -13,6 +15,7 @@
    (up to 60 a second at an instance of the site sheets), at about 10 us. */
 #define RATE_PER_SECOND 100
 #define BURST 200
+#define MAX_TAIL 2 /* brace and end of line */
 #define MS_PER_S 1000
 #define NS_PER_MS 1000000
 
@@ -45,6 +48,8 @@
 };
 
 static stream_t *find_stream (gbd_journal_t *journal, gbd_event_t event);
+static size_t write_head (const gbd_journal_t *journal, const stream_t *stream,
+                          char *line, size_t room);
 static json_int_t time_of_day_ms (void);
 
 gbd_journal_t *
@@ -104,29 +109,31 @@
 gbd_journal_write (gbd_journal_t *journal, gbd_event_t event, json_t *fields)
 {
   stream_t *stream = find_stream (journal, event);
-  json_t *line = json_pack (
-      "{s:I, s:i, s:s, s:i, s:s, s:s}", "time_ms", time_of_day_ms (), "event",
-      (int)event, "name", stream->name, "priority", stream->priority,
-      "instance", journal->instance, "message", stream->message);
-  if (stream->suppressed)
-    json_object_set_new (line, "suppressed",
-                         json_integer ((json_int_t)stream->suppressed));
-  if (fields)
-    json_object_update (line, fields);
-  json_decref (fields);
+  char *line = journal->buffer + journal->length;
   size_t room = BUFFER_BYTES - journal->length;
-  size_t length = json_dumpb (line, journal->buffer + journal->length, room,
-                              JSON_COMPACT);
-  json_decref (line);
-  if (length == 0 || length >= room)
+  size_t length = write_head (journal, stream, line, room);
+  /* The fields' opening brace becomes the comma after the head. */
+  size_t more = length < room ? json_dumpb (fields, line + length,
+                                            room - length, JSON_COMPACT)
+                              : 0;
+  bool has_fields = json_object_size (fields) > 0;
+  json_decref (fields);
+  if (length + MAX_TAIL > room || more > room - length - MAX_TAIL)
     {
       stream->suppressed++;
       journal->suppressed++;
       return;
     }
+  if (has_fields)
+    line[length] = ',';
+  else
+    {
+      line[length] = '}';
+      more = 1;
+    }
+  line[length + more] = '\n';
+  journal->length += length + more + 1;
   stream->suppressed = 0;
-  journal->length += length;
-  journal->buffer[journal->length++] = '\n';
 }
 
 void
@@ -168,6 +175,24 @@
   return NULL;
 }
 
+/* Names and messages hold nothing that JSON would escape. */
+static size_t
+write_head (const gbd_journal_t *journal, const stream_t *stream, char *line,
+            size_t room)
+{
+  int length = snprintf (
+      line, room,
+      "{\"time_ms\":%" JSON_INTEGER_FORMAT
+      ",\"event\":%d,\"name\":\"%s\",\"priority\":%d,\"instance\":\"%s\","
+      "\"message\":\"%s\"",
+      time_of_day_ms (), (int)stream->event, stream->name, stream->priority,
+      journal->instance, stream->message);
+  if (stream->suppressed && (size_t)length < room)
+    length += snprintf (line + length, room - (size_t)length,
+                        ",\"suppressed\":%" PRIu64, stream->suppressed);
+  return (size_t)length;
+}
+
 static json_int_t
 time_of_day_ms (void)
 {
--- a/src/gooseberrydrum/settings_kinds.c
+++ b/src/gooseberrydrum/settings_kinds.c
@@ -110,7 +110,8 @@
 parse_optional_address (const gbd_setting_t *setting, const char *text,
                         void *field)
 {
-  if (strcmp (text, "off") != 0)
+  /* A template leaves nothing where the platform has no address. */
+  if (text[0] && strcmp (text, "off") != 0)
     return parse_address (setting, text, field);
   memset (field, 0, sizeof (gbd_address_t));
   return NULL;
--- a/src/test_gooseberrydrum/test_settings.c
+++ b/src/test_gooseberrydrum/test_settings.c
@@ -360,6 +360,8 @@
       "--relays: has more than three addresses" },
     { 8, "--relays=here", "--relays: is not a list of IP numbers" },
     { 8, "--policy=keepers", "policy: does not fit" },
+    { 8, "--relay-listen=", NULL },
+    { 8, "--relays=", NULL },
   };
   unsetenv ("GOOSEBERRYDRUM_GROUP_KEY");
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
