--- /dev/null
+++ b/bench/bench_placement.c
@@ -0,0 +1,264 @@
+/* Compares ways of placing new flows under one replayed load: each zone's
+   instances see only their own flows, backend servers have two slots and a
+   queue of eight, and a request that crosses zones pays the zones' delay.
+   One row of JSON for each way and load. */
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "gooseberrydrum/placement.h"
+
+#define ZONES 4
+#define SERVERS 14
+#define INSTANCES 9
+#define SLOTS 2
+#define QUEUE 8
+#define REQUESTS 60000
+#define WORK_MS 32.0  /* mean of the site majilaini-lb */
+#define CROSS_MS 14.0 /* four crossings of 3.5 ms */
+#define AIM_MS 200.0
+#define RATE_PER_MS 0.375 /* new flows of `dispatch`, all zones */
+
+/* Zone of each server and instance, as the site has them. */
+static const int server_zones[SERVERS]
+    = { 0, 0, 0, 0, 1, 1, 1, 1, 2, 2, 2, 3, 3, 3 };
+static const int instance_zones[INSTANCES] = { 0, 0, 0, 1, 1, 2, 2, 3, 3 };
+
+typedef struct
+{
+  double ends[SLOTS + QUEUE]; /* of requests at the server, any order */
+  int count;
+  int taken;
+} server_t;
+
+typedef struct
+{
+  gbd_pool_t *pool; /* what the instance knows */
+  int zone;
+} instance_t;
+
+/** A way to choose. */
+typedef struct
+{
+  const char *name;
+  int (*choose) (instance_t *instance, uint64_t hash);
+} way_t;
+
+typedef struct
+{
+  double end;
+  int instance;
+  int server;
+} running_t;
+
+static int choose_hash (instance_t *instance, uint64_t hash);
+static int choose_zone_hash (instance_t *instance, uint64_t hash);
+static int choose_two (instance_t *instance, uint64_t hash);
+static int choose_product (instance_t *instance, uint64_t hash);
+static void run (const way_t *way, double load);
+static double serve (server_t *server, double now);
+static void forget (instance_t *instances, running_t *running, int *count,
+                    double now);
+static void make_instances (instance_t *instances);
+static uint32_t waiting_at (const instance_t *instance, int server);
+static int compare (const void *a, const void *b);
+static double draw (void);
+
+static const way_t ways[] = {
+  { "hash", choose_hash },
+  { "hash of own zone", choose_zone_hash },
+  { "two choices", choose_two },
+  { "least cost", choose_product },
+};
+
+static uint64_t random_state;
+
+int
+main (void)
+{
+  static const double loads[] = { 1.0, 1.7, 2.2 };
+  for (size_t l = 0; l < sizeof loads / sizeof loads[0]; l++)
+    {
+      for (size_t w = 0; w < sizeof ways / sizeof ways[0]; w++)
+        run (&ways[w], loads[l]);
+    }
+  return EXIT_SUCCESS;
+}
+
+static int
+choose_hash (instance_t *instance, uint64_t hash)
+{
+  (void)instance;
+  return (int)(hash % SERVERS);
+}
+
+static int
+choose_zone_hash (instance_t *instance, uint64_t hash)
+{
+  int own[SERVERS];
+  int count = 0;
+  for (int i = 0; i < SERVERS; i++)
+    {
+      if (server_zones[i] == instance->zone)
+        own[count++] = i;
+    }
+  return own[hash % (uint64_t)count];
+}
+
+static int
+choose_two (instance_t *instance, uint64_t hash)
+{
+  int first = choose_zone_hash (instance, hash);
+  int second = choose_zone_hash (instance, hash >> 32);
+  return waiting_at (instance, first) <= waiting_at (instance, second)
+             ? first
+             : second;
+}
+
+static int
+choose_product (instance_t *instance, uint64_t hash)
+{
+  gbd_placement_t placement = { .service = 1,
+                                .zone = (gbd_zone_id_t)instance->zone + 1,
+                                .hash = hash,
+                                .avoid = GBD_POOL_NONE };
+  return gbd_placement_choose (instance->pool, &placement, 0);
+}
+
+static void
+run (const way_t *way, double load)
+{
+  static double times[REQUESTS];
+  static running_t running[INSTANCES * SERVERS * (SLOTS + QUEUE)];
+  server_t servers[SERVERS];
+  instance_t instances[INSTANCES];
+  int running_count = 0;
+  int shed = 0;
+  int late = 0;
+  int answered = 0;
+  double now = 0;
+  random_state = 1;
+  memset (servers, 0, sizeof servers);
+  make_instances (instances);
+  for (int i = 0; i < REQUESTS; i++)
+    {
+      now += -log (1.0 - draw ()) / (RATE_PER_MS * load);
+      forget (instances, running, &running_count, now);
+      int zone = (int)(draw () * ZONES);
+      int index = (int)(draw () * INSTANCES);
+      while (instance_zones[index] != zone)
+        index = (index + 1) % INSTANCES;
+      instance_t *instance = &instances[index];
+      int chosen = way->choose (instance, gbd_rendezvous ((uint64_t)i + 1, 7));
+      double end = serve (&servers[chosen], now);
+      if (end < 0)
+        {
+          shed++;
+          continue;
+        }
+      servers[chosen].taken++;
+      gbd_pool_get (instance->pool, (gbd_pool_handle_t)chosen)->load.waiting++;
+      running[running_count++] = (running_t){ end, index, chosen };
+      double time = end - now + (server_zones[chosen] == zone ? 0 : CROSS_MS);
+      times[answered++] = time;
+      late += time > AIM_MS;
+    }
+  int most = 0;
+  int total = 0;
+  for (int i = 0; i < SERVERS; i++)
+    {
+      most = servers[i].taken > most ? servers[i].taken : most;
+      total += servers[i].taken;
+    }
+  qsort (times, (size_t)answered, sizeof times[0], compare);
+  printf ("{\"way\":\"%s\",\"load\":%.1f,\"p50_ms\":%.1f,\"p99_ms\":%.1f,"
+          "\"late\":%.4f,\"shed\":%.4f,\"busiest_over_mean\":%.3f}\n",
+          way->name, load, times[answered / 2], times[answered * 99 / 100],
+          (double)late / REQUESTS, (double)shed / REQUESTS,
+          (double)most * SERVERS / total);
+  for (int i = 0; i < INSTANCES; i++)
+    gbd_pool_delete (instances[i].pool);
+}
+
+/* End of a request that comes now; negative if the queue is full. */
+static double
+serve (server_t *server, double now)
+{
+  int kept = 0;
+  for (int i = 0; i < server->count; i++)
+    {
+      if (server->ends[i] > now)
+        server->ends[kept++] = server->ends[i];
+    }
+  server->count = kept;
+  if (server->count == SLOTS + QUEUE)
+    return -1;
+  qsort (server->ends, (size_t)server->count, sizeof server->ends[0], compare);
+  double start
+      = server->count < SLOTS ? now : server->ends[server->count - SLOTS];
+  double end = start - log (1.0 - draw ()) * WORK_MS;
+  server->ends[server->count++] = end;
+  return end;
+}
+
+static void
+forget (instance_t *instances, running_t *running, int *count, double now)
+{
+  int kept = 0;
+  for (int i = 0; i < *count; i++)
+    {
+      if (running[i].end > now)
+        {
+          running[kept++] = running[i];
+          continue;
+        }
+      gbd_pool_t *pool = instances[running[i].instance].pool;
+      gbd_pool_get (pool, (gbd_pool_handle_t)running[i].server)
+          ->load.waiting--;
+    }
+  *count = kept;
+}
+
+static void
+make_instances (instance_t *instances)
+{
+  for (int i = 0; i < INSTANCES; i++)
+    {
+      instances[i].zone = instance_zones[i];
+      instances[i].pool = gbd_pool_new ();
+      for (int s = 0; s < SERVERS; s++)
+        {
+          gbd_pool_entry_t entry
+              = { .backend = { .id = (gbd_backend_id_t)s + 1,
+                               .zone = (gbd_zone_id_t)server_zones[s] + 1,
+                               .state = GBD_BACKEND_READY },
+                  .service = 1,
+                  .slots = SLOTS };
+          gbd_pool_put (instances[i].pool, &entry, 0);
+        }
+    }
+}
+
+static uint32_t
+waiting_at (const instance_t *instance, int server)
+{
+  return gbd_pool_peek (instance->pool, (gbd_pool_handle_t)server)
+      ->load.waiting;
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  double first = *(const double *)a;
+  double second = *(const double *)b;
+  return first < second ? -1 : first > second;
+}
+
+/* Evenly from 0 up to 1. */
+static double
+draw (void)
+{
+  random_state = gbd_rendezvous (random_state, 11);
+  return (double)(random_state >> 11) / (double)((uint64_t)1 << 53);
+}
