--- a/src/standins/main_world.c
+++ b/src/standins/main_world.c
@@ -65,7 +65,7 @@
       "address of the platform's stand-in", "IP:PORT" },
     { "pids", 0, 0, G_OPTION_ARG_STRING, &options->pids,
       "folder with the instances' process numbers, as 1.pid", "FOLDER" },
-    { "instances", 0, 0, G_OPTION_ARG_INT, &options->instances, "1 to 12",
+    { "instances", 0, 0, G_OPTION_ARG_INT, &options->instances, "1 to 100",
       "N" },
     { "seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds,
       "how long faults come", "N" },
--- a/src/standins/world.h
+++ b/src/standins/world.h
@@ -21,12 +21,12 @@
 #include "standins/delay_queue.h"
 #include "standins/echo_wire.h"
 
-#define WORLD_INSTANCES_MAX 12
+#define WORLD_INSTANCES_MAX 100
 #define WORLD_SERVERS_MAX 64
 #define WORLD_CALLERS 8
 #define WORLD_FLOWS 96 /**< callers' flows at one time */
 #define WORLD_ROUTES 3
-#define WORLD_POLLED_MAX 512
+#define WORLD_POLLED_MAX 2048
 
 /** Bounds of the promises, as the platform's sites state them. */
 #define WORLD_DRAIN_TIME (3 * GBD_SECOND)
