Watch the backend servers through their own client from the start

The watch began on the client of the routes and moved to its own only after its first failure, so the two shared a circuit breaker until then; found by reading the change. A relay that does not answer has an event of its own (309).

--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -309,6 +309,10 @@
   add_counter (counters, "gooseberrydrum_log_suppressed_total",
                "Log lines left out.", GBD_COUNTER_SUM, NULL, NULL,
                gbd_journal_get_suppressed (serve->journal));
+  if (serve->relay)
+    add_counter (counters, "gooseberrydrum_relay_answers_total",
+                 "Answers to instances that read here.", GBD_COUNTER_SUM, NULL,
+                 NULL, gbd_relay_get_answers (serve->relay));
   uint32_t room = gbd_pool_get_room (pool);
   for (uint32_t i = 0; i < room; i++)
     {
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -89,9 +89,6 @@
 /** Start to watch the backend servers, at the platform or at relays. */
 bool gbd_cookie_servers_start (gbd_cookie_serve_t *serve, const char **error);
 void gbd_cookie_servers_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
-/** Time has passed that this process did not see: what it awaits may never
- *  come. */
-void gbd_cookie_servers_refresh (gbd_cookie_serve_t *serve);
 void gbd_cookie_servers_stop (gbd_cookie_serve_t *serve);
 
 /** Log an object of the platform that does not decode. */
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -19,6 +19,7 @@
 /* Longer than a late tick on a slow machine. */
 #define PAUSED_TIME (700 * GBD_MILLISECOND)
 
+static void ask_again (gbd_cookie_serve_t *serve);
 static uint32_t find_relays (const gbd_cookie_serve_t *serve,
                              gbd_address_t *relays, bool *is_relay);
 static void sort_relays (const gbd_cookie_serve_t *serve,
@@ -85,9 +86,9 @@
       if (!serve->relay)
         return false;
     }
-  serve->servers_watch
-      = gbd_platform_watch_new (serve->platform, serve->dialect->servers_kind,
-                                "", now, &servers_callbacks, serve);
+  serve->servers_watch = gbd_platform_watch_new (
+      serve->servers_platform, serve->dialect->servers_kind, "", now,
+      &servers_callbacks, serve);
   if (is_relay)
     gbd_platform_watch_set_wait (serve->servers_watch, RELAY_WATCH_MS);
   set_routes_wait (serve);
@@ -98,10 +99,7 @@
 gbd_cookie_servers_tick (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
   if (serve->ticked_at && now - serve->ticked_at > PAUSED_TIME)
-    {
-      gbd_cookie_servers_refresh (serve);
-      gbd_platform_watch_refresh (serve->routes_watch);
-    }
+    ask_again (serve);
   serve->ticked_at = now;
   for (uint32_t i = 0; i < serve->sources.count; i++)
     gbd_platform_tick (serve->clients[i], now);
@@ -109,14 +107,6 @@
     gbd_relay_tick (serve->relay, now);
 }
 
-void
-gbd_cookie_servers_refresh (gbd_cookie_serve_t *serve)
-{
-  if (serve->relay)
-    gbd_relay_lose (serve->relay);
-  gbd_platform_watch_refresh (serve->servers_watch);
-}
-
 void
 gbd_cookie_servers_stop (gbd_cookie_serve_t *serve)
 {
@@ -137,6 +127,17 @@
                                wrong));
 }
 
+/* Time has passed that this process did not see: the answers that it awaits
+   may never come, and what it relays may be old. */
+static void
+ask_again (gbd_cookie_serve_t *serve)
+{
+  if (serve->relay)
+    gbd_relay_lose (serve->relay);
+  gbd_platform_watch_refresh (serve->servers_watch);
+  gbd_platform_watch_refresh (serve->routes_watch);
+}
+
 /* The relays other than this instance.  @return their number. */
 static uint32_t
 find_relays (const gbd_cookie_serve_t *serve, gbd_address_t *relays,
@@ -291,7 +292,10 @@
 {
   gbd_cookie_serve_t *serve = data;
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
-  log_source (serve, GBD_EVENT_PLATFORM_LOST, now);
+  log_source (serve,
+              is_in_touch (serve) ? GBD_EVENT_PLATFORM_LOST
+                                  : GBD_EVENT_RELAY_LOST,
+              now);
   if (serve->relay)
     gbd_relay_lose (serve->relay);
   bool was_at_relay = !is_in_touch (serve);
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -31,6 +31,7 @@
   EVENT (SERVER_REMOVED, 306, LOG_INFO,    "backend server removed from the list") \
   EVENT (KEY_KNOWN,      307, LOG_INFO,    "key of the routing cookies known") \
   EVENT (READY,          308, LOG_NOTICE,  "this instance takes packets") \
+  EVENT (RELAY_LOST,     309, LOG_NOTICE,  "relay does not answer") \
   EVENT (LINK_UP,        401, LOG_INFO,    "link to %s is up") \
   EVENT (LINK_DOWN,      402, LOG_NOTICE,  "link to %s is down") \
   EVENT (TOUCH,          403, LOG_NOTICE,  "%s") \
