--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -96,7 +96,7 @@
 static int
 choose_zone_hash (instance_t *instance, uint64_t hash)
 {
-  int own[SERVERS];
+  int own[SERVERS] = { 0 };
   int count = 0;
   for (int i = 0; i < SERVERS; i++)
     {
