--- a/include/gooseberrydrum/cookie.h
+++ b/include/gooseberrydrum/cookie.h
@@ -7,7 +7,9 @@
  *  key and the list of backend servers reads it without further state.  A
  *  caller can neither take a cookie from one flow to another nor choose the
  *  backend server that an invented one names: the odds are the number of
- *  backend servers in 2^32.
+ *  backend servers in 2^32.  The hash below it is fast and not made to resist
+ *  cryptanalysis; a cookie that is found out leads to a backend server that
+ *  holds no such flow and answers with a reset.
  */
 #ifndef GOOSEBERRYDRUM_COOKIE_H
 #define GOOSEBERRYDRUM_COOKIE_H
