Log the age of the list; extend the pool's index instead of rebuilding it

Found by reading the change. Every entry put into the pool rebuilt its whole index, also for an update, so the first listing at a start cost the square of the backend servers; now a new entry is added, and the index is rebuilt only when it grows or an entry makes room.

--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -123,7 +123,7 @@
   char flow[FLOW_TEXT_MAX];
   format_flow (packet, flow);
   json_t *fields = json_pack (
-      "{s:s, s:s, s:I, s:I}", "flow", flow, "rule",
+      "{s:s, s:s, s:I, s:I, s:I}", "flow", flow, "rule",
       gbd_direction_strings[direction->rule], "version",
       (json_int_t)direction->version, "version_age_ms",
       (json_int_t)((now - serve->routes_at) / GBD_MILLISECOND), "list_age_ms",
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -21,6 +21,7 @@
 static gbd_pool_handle_t find_id (const gbd_pool_t *pool, gbd_backend_id_t id);
 static gbd_pool_handle_t take_handle (gbd_pool_t *pool);
 static bool build_index (gbd_pool_t *pool);
+static void add_to_index (gbd_pool_t *pool, gbd_pool_handle_t handle);
 static uint32_t hash_place (const gbd_pool_t *pool,
                             gbd_fingerprint_t fingerprint);
 static void drop_entry (gbd_pool_t *pool, gbd_pool_server_t *server,
@@ -52,12 +53,15 @@
   (void)now;
   gbd_fingerprint_t fingerprint = gbd_cookie_fingerprint (entry->backend.id);
   gbd_pool_handle_t handle = find_id (pool, entry->backend.id);
-  if (handle == GBD_POOL_NONE)
+  bool is_new = handle == GBD_POOL_NONE;
+  bool has_freed = false;
+  if (is_new)
     {
       gbd_pool_handle_t other = gbd_pool_find (pool, fingerprint);
       if (other != GBD_POOL_NONE && pool->servers[other].is_listed)
         return GBD_ERROR_CONFLICT;
-      if (other != GBD_POOL_NONE)
+      has_freed = other != GBD_POOL_NONE;
+      if (has_freed)
         pool->servers[other].is_used = false;
       handle = take_handle (pool);
       if (handle == GBD_POOL_NONE)
@@ -76,7 +80,12 @@
   server->is_listed = true;
   server->gone_at = GBD_TIME_NEVER;
   server->removal_due = GBD_TIME_NEVER;
-  return build_index (pool) ? GBD_OK : GBD_ERROR_MEMORY;
+  if (!is_new)
+    return GBD_OK;
+  if (has_freed || pool->index_room != pool->room * INDEX_LOAD)
+    return build_index (pool) ? GBD_OK : GBD_ERROR_MEMORY;
+  add_to_index (pool, handle);
+  return GBD_OK;
 }
 
 void
@@ -275,16 +284,21 @@
   memset (pool->index, 0xff, room * sizeof *pool->index);
   for (uint32_t i = 0; i < pool->room; i++)
     {
-      if (!pool->servers[i].is_used)
-        continue;
-      uint32_t place = hash_place (pool, pool->servers[i].fingerprint);
-      while (pool->index[place] != GBD_POOL_NONE)
-        place = (place + 1) & (room - 1);
-      pool->index[place] = (gbd_pool_handle_t)i;
+      if (pool->servers[i].is_used)
+        add_to_index (pool, (gbd_pool_handle_t)i);
     }
   return true;
 }
 
+static void
+add_to_index (gbd_pool_t *pool, gbd_pool_handle_t handle)
+{
+  uint32_t place = hash_place (pool, pool->servers[handle].fingerprint);
+  while (pool->index[place] != GBD_POOL_NONE)
+    place = (place + 1) & (pool->index_room - 1);
+  pool->index[place] = handle;
+}
+
 static uint32_t
 hash_place (const gbd_pool_t *pool, gbd_fingerprint_t fingerprint)
 {
