Let the stand-ins speak the hosting platform's object API

The stand-in server takes a table of forms: the own one, and one under platform/standin/ that writes what the platform's side writes. Both share one store. The store forgets its history, and answers reads that may lag from an older copy, by switches.

Ruled out: a stand-in of its own, which would have repeated the store.

--- a/src/standins/main_platform.c
+++ b/src/standins/main_platform.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "platform/standin/objects_form.h"
 #include "share/log.h"
 #include "standins/platform_server.h"
 
@@ -16,6 +17,7 @@
   char *load;
   int writes_per_second;
   int reads_per_second;
+  int page_items;
 } options_t;
 
 typedef struct
@@ -36,7 +38,8 @@
 int
 main (int argc, char **argv)
 {
-  options_t options = { g_strdup ("127.0.0.1:8500"), NULL, 300, 2000 };
+  options_t options
+      = { g_strdup ("127.0.0.1:8500"), NULL, 300, 2000, PLATFORM_PAGE_ITEMS };
   platform_store_t *store = NULL;
   ticker_t ticker = { 0 };
   gbd_address_t listen;
@@ -67,6 +70,8 @@
                "cannot listen there; see whether the address is taken");
       goto out;
     }
+  platform_server_add_form (ticker.server, &platform_form_objects,
+                            (uint32_t)MAX (options.page_items, 1));
   signal (SIGTERM, stop);
   signal (SIGINT, stop);
   gbd_log (GBD_EVENT_STANDIN_READY, "platform", options.listen);
@@ -98,6 +103,8 @@
       "rate of writes before 429 (300; 0 for no limit)", "N" },
     { "reads-per-second", 0, 0, G_OPTION_ARG_INT, &options->reads_per_second,
       "rate of reads and watches before 429 (2000; 0 for no limit)", "N" },
+    { "page-items", 0, 0, G_OPTION_ARG_INT, &options->page_items,
+      "objects of one page under /objects/ (500)", "N" },
     G_OPTION_ENTRY_NULL,
   };
   GOptionContext *context = g_option_context_new ("");
--- a/src/standins/main_world.c
+++ b/src/standins/main_world.c
@@ -4,8 +4,10 @@
 #include <inttypes.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <unistd.h>
 
+#include "platform/standin/objects_form.h"
 #include "share/log.h"
 #include "share/udp.h"
 #include "standins/world.h"
@@ -20,6 +22,7 @@
   int port;
   char *platform;
   char *pids;
+  char *form;
   int instances;
   int seconds;
   int seed;
@@ -27,6 +30,7 @@
   gboolean is_planned;
 } options_t;
 
+static const world_form_t *find_form (const char *name);
 static bool parse_options (options_t *options, int argc, char **argv);
 static bool start (world_t *world, const options_t *options);
 static void run (world_t *world);
@@ -39,6 +43,7 @@
   options_t options = { .port = 21000,
                         .platform = g_strdup ("127.0.0.1:8500"),
                         .pids = g_strdup ("."),
+                        .form = g_strdup ("own"),
                         .instances = 6,
                         .seconds = 30,
                         .seed = 1 };
@@ -52,6 +57,7 @@
     }
   g_free (options.platform);
   g_free (options.pids);
+  g_free (options.form);
   return result;
 }
 
@@ -65,6 +71,8 @@
       "address of the platform's stand-in", "IP:PORT" },
     { "pids", 0, 0, G_OPTION_ARG_STRING, &options->pids,
       "folder with the instances' process numbers, as 1.pid", "FOLDER" },
+    { "form", 0, 0, G_OPTION_ARG_STRING, &options->form,
+      "own or objects: how entries and routes are written", "FORM" },
     { "instances", 0, 0, G_OPTION_ARG_INT, &options->instances, "1 to 100",
       "N" },
     { "seconds", 0, 0, G_OPTION_ARG_INT, &options->seconds,
@@ -82,20 +90,30 @@
   bool is_good = g_option_context_parse (context, &argc, &argv, &error)
                  && options->instances > 0
                  && options->instances <= WORLD_INSTANCES_MAX
-                 && options->seconds >= 0;
+                 && options->seconds >= 0 && find_form (options->form);
   if (!is_good)
     gbd_log (GBD_EVENT_STANDIN_FAILED, "world",
-             error ? error->message : "a number is out of range");
+             error ? error->message : "a number or form is out of range");
   g_clear_error (&error);
   g_option_context_free (context);
   return is_good;
 }
 
+static const world_form_t *
+find_form (const char *name)
+{
+  if (strcmp (name, world_form_own.name) == 0)
+    return &world_form_own;
+  return strcmp (name, world_form_objects.name) == 0 ? &world_form_objects
+                                                     : NULL;
+}
+
 static bool
 start (world_t *world, const options_t *options)
 {
   gbd_time_t now = g_get_monotonic_time ();
   world->port = (uint16_t)options->port;
+  world->form = find_form (options->form);
   world->instance_count = (uint32_t)options->instances;
   world->random = g_rand_new_with_seed ((guint32)options->seed);
   world->delayed = delay_queue_new ();
--- /dev/null
+++ b/src/standins/platform_form.c
@@ -0,0 +1,87 @@
+#include "standins/platform_form.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define NUMBER_BYTES 64
+#define WAIT_MS_MAX 60000
+
+static bool read_own (const platform_message_t *message,
+                      platform_request_t *request, char **text);
+static void write_own (const platform_request_t *request, uint32_t page_items,
+                       platform_reply_t *reply);
+
+const platform_form_t platform_form_own
+    = { .prefix = "/v1/", .read = read_own, .write = write_own };
+
+bool
+platform_form_read_target (const char *path, platform_request_t *request)
+{
+  const char *slash = strchr (path, '/');
+  size_t length = slash ? (size_t)(slash - path) : strlen (path);
+  if (length == 0 || length >= sizeof request->kind)
+    return false;
+  memcpy (request->kind, path, length);
+  request->kind[length] = '\0';
+  if (!slash)
+    return true;
+  if (!slash[1] || strlen (slash + 1) >= sizeof request->name)
+    return false;
+  g_strlcpy (request->name, slash + 1, sizeof request->name);
+  return true;
+}
+
+uint64_t
+platform_form_get_number (struct lws *wsi, const char *name)
+{
+  char text[NUMBER_BYTES];
+  const char *value = lws_get_urlarg_by_name (wsi, name, text, sizeof text);
+  return value ? g_ascii_strtoull (value, NULL, 10) : 0;
+}
+
+bool
+platform_form_has_argument (struct lws *wsi, const char *name)
+{
+  char text[NUMBER_BYTES];
+  return lws_get_urlarg_by_name (wsi, name, text, sizeof text) != NULL;
+}
+
+static bool
+read_own (const platform_message_t *message, platform_request_t *request,
+          char **text)
+{
+  struct lws *wsi = message->wsi;
+  bool is_read = message->method == PLATFORM_METHOD_GET;
+  (void)text;
+  if (message->method == PLATFORM_METHOD_POST
+      || !platform_form_read_target (message->path, request)
+      || (!is_read && !request->name[0]))
+    return false;
+  request->version
+      = platform_form_get_number (wsi, is_read ? "since=" : "version=");
+  request->wait_ms = (uint32_t)MIN (platform_form_get_number (wsi, "wait_ms="),
+                                    WAIT_MS_MAX);
+  request->body = message->body;
+  request->body_length = message->body_length;
+  if (message->method == PLATFORM_METHOD_PUT)
+    request->verb = PLATFORM_PUT;
+  else if (message->method == PLATFORM_METHOD_DELETE)
+    request->verb = PLATFORM_DELETE;
+  else if (request->name[0])
+    request->verb = PLATFORM_GET;
+  else
+    request->verb = platform_form_has_argument (wsi, "since=") ? PLATFORM_WATCH
+                                                               : PLATFORM_LIST;
+  return true;
+}
+
+/* The store's replies are in this form; it lists everything in one. */
+static void
+write_own (const platform_request_t *request, uint32_t page_items,
+           platform_reply_t *reply)
+{
+  (void)request;
+  (void)page_items;
+  (void)reply;
+}
--- a/src/standins/platform_server.c
+++ b/src/standins/platform_server.c
@@ -6,12 +6,10 @@
 
 #include <glib.h>
 
-#define PATH_PREFIX "/v1/"
 #define HEADER_BYTES 1024
-#define NUMBER_BYTES 64
-#define WAIT_MS_MAX 60000
 /* A body is read at most one byte over the limit, to tell that it is. */
 #define BODY_MAX (PLATFORM_VALUE_MAX + 1)
+#define FORMS_MAX 2
 
 typedef enum
 {
@@ -28,8 +26,9 @@
   call_state_t state;
   platform_request_t request;
   char *path;
-  bool is_put;
-  bool is_delete;
+  platform_method_t method;
+  const platform_form_t *form; /* NULL: none has read the request */
+  char *text;                  /* of the request's body, or NULL */
   GByteArray *body;
   gbd_time_t deadline;
   platform_reply_t reply;
@@ -40,6 +39,9 @@
   struct lws_vhost *vhost;
   platform_store_t *store;
   gbd_time_t now;
+  const platform_form_t *forms[FORMS_MAX];
+  unsigned form_count;
+  uint32_t page_items;
   GList *calls; /* of call_t that wait for a change or for their time */
   struct lws_protocols protocols[2];
 };
@@ -50,9 +52,8 @@
                        struct lws *wsi);
 static void run_call (call_t *call);
 static void end_call (call_t *call);
-static bool parse_target (call_t *call);
-static uint64_t get_number (struct lws *wsi, const char *name);
-static bool has_argument (struct lws *wsi, const char *name);
+static bool read_request (call_t *call);
+static bool find_method (int method, platform_method_t *found);
 static void switch_faults (call_t *call);
 static void settle (call_t *call);
 static bool is_left (struct lws *wsi);
@@ -66,6 +67,8 @@
   platform_server_t *server = g_new0 (platform_server_t, 1);
   server->store = store;
   server->now = now;
+  server->forms[server->form_count++] = &platform_form_own;
+  server->page_items = PLATFORM_PAGE_ITEMS;
   server->protocols[0] = (struct lws_protocols){
     .name = "platform",
     .callback = handle_event,
@@ -94,6 +97,14 @@
   return server;
 }
 
+void
+platform_server_add_form (platform_server_t *server,
+                          const platform_form_t *form, uint32_t page_items)
+{
+  server->forms[server->form_count++] = form;
+  server->page_items = page_items;
+}
+
 void
 platform_server_delete (platform_server_t *server)
 {
@@ -167,33 +178,21 @@
 {
   char *path;
   int length;
-  int method = lws_http_get_uri_and_method (wsi, &path, &length);
-  if (method != LWSHUMETH_GET && method != LWSHUMETH_PUT
-      && method != LWSHUMETH_DELETE)
+  platform_method_t method;
+  if (!find_method (lws_http_get_uri_and_method (wsi, &path, &length),
+                    &method))
     return -1;
 
   memset (call, 0, sizeof *call);
   call->server = server;
   call->wsi = wsi;
   call->path = g_strndup (path, (gsize)length);
-  call->is_put = method == LWSHUMETH_PUT;
-  call->is_delete = method == LWSHUMETH_DELETE;
+  call->method = method;
   call->body = g_byte_array_new ();
   server->calls = g_list_prepend (server->calls, call);
 
-  bool is_write = call->is_put || call->is_delete;
-  call->request.version = get_number (wsi, is_write ? "version=" : "since=");
-  call->request.wait_ms
-      = (uint32_t)MIN (get_number (wsi, "wait_ms="), WAIT_MS_MAX);
-  if (call->is_put)
-    call->request.verb = PLATFORM_PUT;
-  else if (call->is_delete)
-    call->request.verb = PLATFORM_DELETE;
-  else
-    call->request.verb
-        = has_argument (wsi, "since=") ? PLATFORM_WATCH : PLATFORM_LIST;
   lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
-  if (!call->is_put)
+  if (method == PLATFORM_METHOD_GET || method == PLATFORM_METHOD_DELETE)
     run_call (call);
   return 0;
 }
@@ -203,22 +202,20 @@
 {
   platform_server_t *server = call->server;
   call->state = CALL_READY;
-  call->request.body = (const char *)call->body->data;
-  call->request.body_length = call->body->len;
-  call->deadline = server->now + call->request.wait_ms * GBD_MILLISECOND;
-
-  if (strcmp (call->path, "/switch") == 0 && call->is_put)
+  if (strcmp (call->path, "/switch") == 0
+      && call->method == PLATFORM_METHOD_PUT)
     switch_faults (call);
   else if (strcmp (call->path, "/stats") == 0)
     {
       call->reply.status = 200;
       call->reply.body = platform_store_get_stats (server->store);
     }
-  else if (!parse_target (call))
+  else if (!read_request (call))
     call->reply.status = 400;
   else
     platform_store_handle (server->store, &call->request, server->now,
                            &call->reply);
+  call->deadline = server->now + call->request.wait_ms * GBD_MILLISECOND;
   if (call->reply.flags & PLATFORM_REPLY_WAIT)
     call->state = CALL_WAITING;
   /* A change may be what other calls wait for. */
@@ -231,54 +228,55 @@
   call->server->calls = g_list_remove (call->server->calls, call);
   call->server = NULL;
   g_free (call->path);
+  free (call->text);
   g_byte_array_free (call->body, TRUE);
   json_decref (call->reply.body);
 }
 
+/* The form whose prefix the path has reads the request. */
 static bool
-parse_target (call_t *call)
+read_request (call_t *call)
 {
-  platform_request_t *request = &call->request;
-  if (!g_str_has_prefix (call->path, PATH_PREFIX))
-    return false;
-  const char *kind = call->path + strlen (PATH_PREFIX);
-  const char *slash = strchr (kind, '/');
-  size_t length = slash ? (size_t)(slash - kind) : strlen (kind);
-  if (length == 0 || length >= sizeof request->kind)
-    return false;
-  memcpy (request->kind, kind, length);
-  request->kind[length] = '\0';
-  if (!slash)
-    return !call->is_put && !call->is_delete;
-
-  if (!slash[1] || strlen (slash + 1) >= sizeof request->name)
-    return false;
-  g_strlcpy (request->name, slash + 1, sizeof request->name);
-  if (!call->is_put && !call->is_delete)
-    request->verb = PLATFORM_GET;
-  return true;
-}
-
-static uint64_t
-get_number (struct lws *wsi, const char *name)
-{
-  char text[NUMBER_BYTES];
-  const char *value = lws_get_urlarg_by_name (wsi, name, text, sizeof text);
-  return value ? g_ascii_strtoull (value, NULL, 10) : 0;
+  platform_server_t *server = call->server;
+  for (unsigned i = 0; i < server->form_count; i++)
+    {
+      const platform_form_t *form = server->forms[i];
+      if (!g_str_has_prefix (call->path, form->prefix))
+        continue;
+      call->form = form;
+      platform_message_t message = {
+        .method = call->method,
+        .path = call->path + strlen (form->prefix),
+        .wsi = call->wsi,
+        .body = (const char *)call->body->data,
+        .body_length = call->body->len,
+      };
+      return form->read (&message, &call->request, &call->text);
+    }
+  return false;
 }
 
 static bool
-has_argument (struct lws *wsi, const char *name)
+find_method (int method, platform_method_t *found)
 {
-  char text[NUMBER_BYTES];
-  return lws_get_urlarg_by_name (wsi, name, text, sizeof text) != NULL;
+  static const int methods[] = { [PLATFORM_METHOD_GET] = LWSHUMETH_GET,
+                                 [PLATFORM_METHOD_POST] = LWSHUMETH_POST,
+                                 [PLATFORM_METHOD_PUT] = LWSHUMETH_PUT,
+                                 [PLATFORM_METHOD_DELETE] = LWSHUMETH_DELETE };
+  for (unsigned i = 0; i < G_N_ELEMENTS (methods); i++)
+    {
+      *found = (platform_method_t)i;
+      if (methods[i] == method)
+        return true;
+    }
+  return false;
 }
 
 static void
 switch_faults (call_t *call)
 {
   json_t *switches
-      = json_loadb (call->request.body, call->request.body_length, 0, NULL);
+      = json_loadb ((const char *)call->body->data, call->body->len, 0, NULL);
   gbd_status_t status
       = platform_store_set_switches (call->server->store, switches);
   json_decref (switches);
@@ -329,6 +327,8 @@
     return 0;
 
   struct lws *wsi = call->wsi;
+  if (call->form)
+    call->form->write (&call->request, call->server->page_items, &call->reply);
   char *text = call->reply.body ? json_dumps (call->reply.body, JSON_COMPACT)
                                 : g_strdup ("{}");
   size_t length = strlen (text);
--- a/src/standins/platform_server.h
+++ b/src/standins/platform_server.h
@@ -6,7 +6,10 @@
 
 #include <libwebsockets.h>
 
-#include "standins/platform_store.h"
+#include "standins/platform_form.h"
+
+/** Objects of one page of a listing, unless set. */
+#define PLATFORM_PAGE_ITEMS 500
 
 typedef struct platform_server platform_server_t;
 
@@ -20,6 +23,12 @@
                                         platform_store_t *store,
                                         gbd_time_t now);
 
+/** Serve another form beside the own one.
+ *  @param page_items most items of a page of a listing */
+void platform_server_add_form (platform_server_t *server,
+                               const platform_form_t *form,
+                               uint32_t page_items);
+
 /** The context is destroyed first, for it closes the connections. */
 void platform_server_delete (platform_server_t *server);
 
--- a/src/standins/platform_state.c
+++ b/src/standins/platform_state.c
@@ -123,6 +123,12 @@
   return state->version;
 }
 
+void
+platform_state_forget (platform_state_t *state)
+{
+  state->forgotten = state->version;
+}
+
 uint64_t
 platform_state_get_forgotten (const platform_state_t *state)
 {
--- a/src/standins/platform_state.h
+++ b/src/standins/platform_state.h
@@ -44,7 +44,10 @@
 /** Version of the newest change. */
 uint64_t platform_state_get_version (const platform_state_t *state);
 
-/** Version of the newest deletion that is no longer remembered. */
+/** Forget all changes made until now; the objects stay. */
+void platform_state_forget (platform_state_t *state);
+
+/** Version of the newest change that is no longer remembered. */
 uint64_t platform_state_get_forgotten (const platform_state_t *state);
 
 /** Objects, deleted ones that are remembered included. */
--- a/src/standins/platform_store.c
+++ b/src/standins/platform_store.c
@@ -15,6 +15,11 @@
 {
   platform_state_t *present;
   platform_state_t *stale; /* NULL unless reads are stale */
+  platform_state_t
+      *lagging;          /* for reads that may lag; NULL before the first */
+  gbd_time_t lagging_at; /* when it was copied */
+  uint32_t lag_ms;
+  gbd_time_t now;
   bool is_limiting_writes;
   bool is_limiting_reads;
   gbd_token_bucket_t writes;
@@ -26,6 +31,7 @@
   uint32_t slow_ms;
   uint32_t lose_answers;
   json_t *calls;   /* kind -> verb -> count */
+  json_t *lags;    /* kind -> count of reads that might lag */
   json_t *refused; /* status -> count */
 };
 
@@ -48,8 +54,10 @@
 static bool is_version_right (platform_store_t *store,
                               const platform_request_t *request,
                               platform_reply_t *reply);
-static const platform_state_t *get_read_state (const platform_store_t *store);
-static void set_stale (platform_store_t *store, bool is_stale);
+static const platform_state_t *
+get_read_state (platform_store_t *store, const platform_request_t *request);
+static void set_copy (platform_store_t *store, platform_state_t **copy,
+                      bool is_copied);
 static void count (json_t *counts, const char *key);
 static void count_call (platform_store_t *store,
                         const platform_request_t *request);
@@ -64,6 +72,7 @@
   platform_store_t *store = g_new0 (platform_store_t, 1);
   store->present = platform_state_new (PLATFORM_DELETED_MAX);
   store->calls = json_object ();
+  store->lags = json_object ();
   store->refused = json_object ();
   store->is_limiting_writes = writes_per_second > 0;
   store->is_limiting_reads = reads_per_second > 0;
@@ -81,7 +90,9 @@
     return;
   platform_state_delete (store->present);
   platform_state_delete (store->stale);
+  platform_state_delete (store->lagging);
   json_decref (store->calls);
+  json_decref (store->lags);
   json_decref (store->refused);
   g_free (store);
 }
@@ -127,6 +138,7 @@
                        platform_reply_t *reply)
 {
   memset (reply, 0, sizeof *reply);
+  store->now = now;
   reply->answer_at = now + store->slow_ms * GBD_MILLISECOND;
   count_call (store, request);
   if (store->is_down)
@@ -167,6 +179,7 @@
                      gbd_time_t now, platform_reply_t *reply)
 {
   memset (reply, 0, sizeof *reply);
+  store->now = now;
   reply->answer_at = now + store->slow_ms * GBD_MILLISECOND;
   if (store->is_cutting_watches)
     {
@@ -185,7 +198,7 @@
   reply->status = 200;
   reply->body = json_pack (
       "{s:I, s:[]}", "version",
-      (json_int_t)platform_state_get_version (get_read_state (store)),
+      (json_int_t)platform_state_get_version (get_read_state (store, request)),
       "changes");
 }
 
@@ -196,17 +209,21 @@
   int stale = store->stale != NULL;
   int cut = store->is_cutting_watches;
   int replay = store->is_replaying_watches;
+  int forget = 0;
+  json_int_t lag_ms = store->lag_ms;
   json_int_t slow_ms = store->slow_ms;
   json_int_t lose = store->lose_answers;
   json_int_t garble = store->garble_answers;
   json_error_t error;
   int failed = json_unpack_ex (
       (json_t *)switches, &error, JSON_STRICT,
-      "{s?b, s?I, s?I, s?b, s?b, s?b, s?I}", "down", &down, "slow_ms",
-      &slow_ms, "lose_answers", &lose, "stale_reads", &stale, "cut_watches",
-      &cut, "replay_watches", &replay, "garble_answers", &garble);
+      "{s?b, s?I, s?I, s?b, s?b, s?b, s?I, s?I, s?b}", "down", &down,
+      "slow_ms", &slow_ms, "lose_answers", &lose, "stale_reads", &stale,
+      "cut_watches", &cut, "replay_watches", &replay, "garble_answers",
+      &garble, "lag_ms", &lag_ms, "forget_history", &forget);
   if (failed || slow_ms < 0 || slow_ms > UINT32_MAX || lose < 0
-      || lose > UINT32_MAX || garble < 0 || garble > UINT32_MAX)
+      || lose > UINT32_MAX || garble < 0 || garble > UINT32_MAX || lag_ms < 0
+      || lag_ms > UINT32_MAX)
     return GBD_ERROR_FORMAT;
   store->is_down = down;
   store->is_cutting_watches = cut;
@@ -214,8 +231,11 @@
   store->garble_answers = (uint32_t)garble;
   store->slow_ms = (uint32_t)slow_ms;
   store->lose_answers = (uint32_t)lose;
+  store->lag_ms = (uint32_t)lag_ms;
+  if (forget)
+    platform_state_forget (store->present);
   if ((store->stale != NULL) != (stale != 0))
-    set_stale (store, stale);
+    set_copy (store, &store->stale, stale);
   return GBD_OK;
 }
 
@@ -223,9 +243,10 @@
 platform_store_get_stats (const platform_store_t *store)
 {
   return json_pack (
-      "{s:O, s:O, s:I, s:I}", "calls", store->calls, "refused", store->refused,
-      "version", (json_int_t)platform_state_get_version (store->present),
-      "objects", (json_int_t)platform_state_get_count (store->present));
+      "{s:O, s:O, s:O, s:I, s:I}", "calls", store->calls, "lagging",
+      store->lags, "refused", store->refused, "version",
+      (json_int_t)platform_state_get_version (store->present), "objects",
+      (json_int_t)platform_state_get_count (store->present));
 }
 
 static void
@@ -233,7 +254,7 @@
             platform_reply_t *reply)
 {
   const platform_object_t *object = platform_state_find (
-      get_read_state (store), request->kind, request->name);
+      get_read_state (store, request), request->kind, request->name);
   if (!object)
     {
       reply->status = 404;
@@ -249,7 +270,7 @@
 handle_list (platform_store_t *store, const platform_request_t *request,
              platform_reply_t *reply)
 {
-  const platform_state_t *state = get_read_state (store);
+  const platform_state_t *state = get_read_state (store, request);
   reply->status = 200;
   reply->body = json_pack (
       "{s:I, s:o}", "version", (json_int_t)platform_state_get_version (state),
@@ -260,7 +281,7 @@
 handle_watch (platform_store_t *store, const platform_request_t *request,
               platform_reply_t *reply)
 {
-  const platform_state_t *state = get_read_state (store);
+  const platform_state_t *state = get_read_state (store, request);
   if (request->version < platform_state_get_forgotten (state))
     {
       reply->status = 410;
@@ -340,6 +361,8 @@
 is_over_rate (platform_store_t *store, const platform_request_t *request,
               gbd_time_t now)
 {
+  if (request->may_lag)
+    return false;
   if (is_write (request))
     return store->is_limiting_writes
            && !gbd_token_bucket_take (&store->writes, now);
@@ -364,16 +387,26 @@
 }
 
 static const platform_state_t *
-get_read_state (const platform_store_t *store)
+get_read_state (platform_store_t *store, const platform_request_t *request)
 {
-  return store->stale ? store->stale : store->present;
+  if (store->stale)
+    return store->stale;
+  if (!request->may_lag || store->lag_ms == 0)
+    return store->present;
+  if (!store->lagging
+      || store->now - store->lagging_at >= store->lag_ms * GBD_MILLISECOND)
+    {
+      set_copy (store, &store->lagging, true);
+      store->lagging_at = store->now;
+    }
+  return store->lagging;
 }
 
 static void
-set_stale (platform_store_t *store, bool is_stale)
+set_copy (platform_store_t *store, platform_state_t **copy, bool is_copied)
 {
-  platform_state_delete (store->stale);
-  store->stale = is_stale ? platform_state_copy (store->present) : NULL;
+  platform_state_delete (*copy);
+  *copy = is_copied ? platform_state_copy (store->present) : NULL;
 }
 
 static void
@@ -393,4 +426,6 @@
       json_object_set_new (store->calls, request->kind, verbs);
     }
   count (verbs, platform_verb_strings[request->verb]);
+  if (request->may_lag)
+    count (store->lags, request->kind);
 }
--- a/src/standins/platform_store.h
+++ b/src/standins/platform_store.h
@@ -35,7 +35,10 @@
   char name[2 * GBD_NAME_MAX + 2];
   uint64_t version; /**< put, delete: the one to replace; watch: since */
   uint32_t wait_ms; /**< watch */
-  const char *body; /**< put */
+  bool may_lag;     /**< a read that a copy may answer which lags behind;
+                         counts for no rate */
+  char after[2 * GBD_NAME_MAX + 2]; /**< list: the page after this name */
+  const char *body;                 /**< put */
   size_t body_length;
 } platform_request_t;
 
@@ -98,11 +101,14 @@
  *  "cut_watches": bool    cut the connections of watches that wait
  *  "replay_watches": bool answers of watches repeat all older changes
  *  "garble_answers": N    cut the text of the next N answers in the middle
+ *  "lag_ms": N            reads that may lag see a copy up to so old
+ *  "forget_history": bool watches from before this was set get 410
  *  @return GBD_ERROR_FORMAT, nothing changed, for anything else. */
 gbd_status_t platform_store_set_switches (platform_store_t *store,
                                           const json_t *switches);
 
-/** Counts of calls by kind and verb, refusals by status; owned by caller. */
+/** Counts of calls by kind and verb, refusals by status, and reads that might
+ *  lag by kind ("lagging"; they count as calls too); owned by caller. */
 json_t *platform_store_get_stats (const platform_store_t *store);
 
 #endif
--- a/src/standins/world.h
+++ b/src/standins/world.h
@@ -20,6 +20,7 @@
 
 #include "standins/delay_queue.h"
 #include "standins/echo_wire.h"
+#include "standins/world_form.h"
 
 #define WORLD_INSTANCES_MAX 100
 #define WORLD_SERVERS_MAX 64
@@ -73,6 +74,7 @@
   uint32_t service; /**< 0 or 1 */
   uint64_t id;
   char name[GBD_NAME_MAX + 1];
+  uint64_t writes;       /**< of its entry */
   gbd_time_t due;        /**< of the state's end */
   gbd_time_t drained_at; /**< its draining entry was acknowledged */
   gbd_time_t disturbed_at;
@@ -157,6 +159,7 @@
 {
   uint16_t port;
   gbd_address_t platform;
+  const world_form_t *form; /**< of what is written there */
   GRand *random;
   gbd_time_t started_at;
   gbd_time_t faults_end_at;
--- a/src/standins/world_faults.c
+++ b/src/standins/world_faults.c
@@ -33,6 +33,8 @@
 static void store_down (world_t *world, gbd_time_t now, gbd_time_t until);
 static void store_slow (world_t *world, gbd_time_t now, gbd_time_t until);
 static void cut_watches (world_t *world, gbd_time_t now, gbd_time_t until);
+static void forget_history (world_t *world, gbd_time_t now, gbd_time_t until);
+static void let_copies_lag (world_t *world, gbd_time_t now, gbd_time_t until);
 static void lose_packets (world_t *world, gbd_time_t now, gbd_time_t until);
 static void crash_server (world_t *world, gbd_time_t now, gbd_time_t until);
 static void drain_server (world_t *world, gbd_time_t now, gbd_time_t until);
@@ -63,6 +65,8 @@
   { "platform down", 2, false, store_down },
   { "platform slow", 1, false, store_slow },
   { "watches cut", 1, false, cut_watches },
+  { "history forgotten", 1, false, forget_history },
+  { "copies lag", 2, false, let_copies_lag },
   { "packets lost", 2, false, lose_packets },
   { "server crash", 3, false, crash_server },
   { "server drain", 4, true, drain_server },
@@ -183,6 +187,20 @@
   set_switch (world, "{\"cut_watches\":true}", now, until);
 }
 
+static void
+forget_history (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  (void)until;
+  set_switch (world, "{\"forget_history\":true}", now, now);
+}
+
+/* Reads that may lag see an older state; all others the present one. */
+static void
+let_copies_lag (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  set_switch (world, "{\"lag_ms\":3000}", now, until);
+}
+
 static void
 lose_packets (world_t *world, gbd_time_t now, gbd_time_t until)
 {
@@ -317,7 +335,7 @@
     {
       is_switched = http_call (&world->platform, "PUT", "/switch",
                                "{\"down\":false,\"slow_ms\":0,"
-                               "\"cut_watches\":false}",
+                               "\"cut_watches\":false,\"lag_ms\":0}",
                                TIMEOUT_MS, NULL)
                     != 200;
       if (!is_switched)
--- /dev/null
+++ b/src/standins/world_form.c
@@ -0,0 +1,54 @@
+#include "standins/world_form.h"
+
+#include <glib.h>
+
+static uint64_t name_server (uint64_t number, char *name, size_t room);
+static json_t *describe_server (const world_server_text_t *server);
+static json_t *describe_routes (uint64_t version,
+                                const world_route_text_t *routes,
+                                uint32_t count);
+
+const world_form_t world_form_own = {
+  .name = "own",
+  .servers_kind = "endpoints",
+  .routes_kind = "routes",
+  .routes_name = "main",
+  .name_server = name_server,
+  .describe_server = describe_server,
+  .describe_routes = describe_routes,
+};
+
+static uint64_t
+name_server (uint64_t number, char *name, size_t room)
+{
+  g_snprintf (name, (gulong)room, "server-%" G_GUINT64_FORMAT, number);
+  return gbd_id_from_name (name);
+}
+
+static json_t *
+describe_server (const world_server_text_t *server)
+{
+  return json_pack ("{s:s, s:s, s:s, s:s, s:i}", "service", server->service,
+                    "address", server->address, "zone", server->zone, "state",
+                    server->is_ready ? "ready" : "draining", "slots",
+                    (int)server->slots);
+}
+
+static json_t *
+describe_routes (uint64_t version, const world_route_text_t *routes,
+                 uint32_t count)
+{
+  json_t *list = json_array ();
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char address[GBD_ADDRESS_TEXT_MAX];
+      g_snprintf (address, sizeof address, "%s:%u", routes[i].ip,
+                  (unsigned)routes[i].port);
+      json_array_append_new (list,
+                             json_pack ("{s:s, s:[{s:s, s:i}]}", "address",
+                                        address, "services", "name",
+                                        routes[i].service, "weight", 1));
+    }
+  return json_pack ("{s:I, s:o}", "version", (json_int_t)version, "routes",
+                    list);
+}
--- a/src/standins/world_servers.c
+++ b/src/standins/world_servers.c
@@ -13,6 +13,7 @@
 #define WORK_MIN (2 * GBD_MILLISECOND)
 #define WORK_SPREAD_US 20000
 #define FIRST_SERVER 0x1000000u
+#define SLOTS 2
 #define SOCKET_BUFFER (1 << 20)
 
 /** One flow at a backend server. */
@@ -60,10 +61,8 @@
   if (server->fd < 0)
     return false;
   server->service = service;
-  snprintf (server->name, sizeof server->name, "server-%" PRIu64,
-            FIRST_SERVER + world->next_server++);
-  /* The own form of the store names a server by the hash of its name. */
-  server->id = gbd_id_from_name (server->name);
+  server->id = world->form->name_server (FIRST_SERVER + world->next_server++,
+                                         server->name, sizeof server->name);
   server->flows
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   server->state = SERVER_READY;
@@ -81,11 +80,15 @@
   gbd_address_format (&at, address);
   bool is_ready
       = server->state == SERVER_READY || server->state == SERVER_CRASHED;
-  json_t *value = json_pack ("{s:s, s:s, s:s, s:s, s:i}", "service",
-                             service_names[server->service], "address",
-                             address, "zone", index % 2 ? "b" : "a", "state",
-                             is_ready ? "ready" : "draining", "slots", 2);
-  bool is_written = put_object (world, "endpoints", server->name, value);
+  world_server_text_t text = { .service = service_names[server->service],
+                               .address = address,
+                               .zone = index % 2 ? "b" : "a",
+                               .slots = SLOTS,
+                               .writes = ++server->writes,
+                               .is_ready = is_ready };
+  json_t *value = world->form->describe_server (&text);
+  bool is_written
+      = put_object (world, world->form->servers_kind, server->name, value);
   json_decref (value);
   return is_written;
 }
@@ -93,23 +96,23 @@
 bool
 world_routes_write (world_t *world, gbd_time_t now)
 {
-  json_t *list = json_array ();
+  world_route_text_t routes[WORLD_ROUTES];
+  uint32_t count = 0;
   for (int i = 0; i < WORLD_ROUTES; i++)
     {
       int service = i < 2 ? i : world->third_service;
       if (service < 0)
         continue;
-      char address[GBD_ADDRESS_TEXT_MAX];
-      snprintf (address, sizeof address, "198.18.0.1:%d", 1000 + i);
-      json_array_append_new (list,
-                             json_pack ("{s:s, s:[{s:s, s:i}]}", "address",
-                                        address, "services", "name",
-                                        service_names[service], "weight", 1));
+      routes[count++]
+          = (world_route_text_t){ .ip = "198.18.0.1",
+                                  .port = (uint16_t)(1000 + i),
+                                  .service = service_names[service] };
     }
+  const world_form_t *form = world->form;
   json_t *value
-      = json_pack ("{s:I, s:o}", "version",
-                   (json_int_t)world->routes_version + 1, "routes", list);
-  bool is_written = put_object (world, "routes", "main", value);
+      = form->describe_routes (world->routes_version + 1, routes, count);
+  bool is_written
+      = put_object (world, form->routes_kind, form->routes_name, value);
   json_decref (value);
   if (is_written)
     {
@@ -326,7 +329,7 @@
 static void
 remove_server (world_t *world, world_server_t *server)
 {
-  if (!put_object (world, "endpoints", server->name, NULL))
+  if (!put_object (world, world->form->servers_kind, server->name, NULL))
     return;
   close (server->fd);
   server->fd = -1;
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -9,6 +9,8 @@
 
 #include "gooseberrydrum/platform_client.h"
 #include "gooseberrydrum/platform_private.h"
+#include "platform/adapter.h"
+#include "platform/standin/objects_form.h"
 #include "platform_fixture.h"
 
 #define KIND "accepted"
@@ -85,13 +87,21 @@
     GET, 0, GBD_OK, false, 2 },
 };
 
+/* Form of the store that the tests run with. */
+static const gbd_platform_dialect_t *dialect = &gbd_platform_dialect_own;
+
+#define PAGE_ITEMS 2
+
 static gbd_platform_t *
 make_platform (fixture_t *fixture)
 {
   gbd_platform_settings_t settings = { .platform = fixture->address,
+                                       .dialect = dialect,
                                        .call_timeout_ms = 2000,
                                        .watch_wait_ms = 1000,
                                        .random_seed = 5 };
+  platform_server_add_form (fixture->server, &platform_form_objects,
+                            PAGE_ITEMS);
   gbd_platform_t *platform = gbd_platform_new (fixture->context, &settings);
   assert_non_null (platform);
   fixture->platform = platform;
@@ -513,9 +523,83 @@
   fixture_close (&fixture);
 }
 
+static void
+a_listing_comes_page_by_page (void **state)
+{
+  (void)state;
+  static const char *const names[] = { "d", "b", "e", "a", "c" };
+  fixture_t fixture;
+  view_t view = { .view = json_object () };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    fixture_write (&fixture, KIND, names[i], "1");
+  gbd_platform_watch_t *watch = gbd_platform_watch_new (
+      platform, KIND, "", fixture.now, &view_callbacks, &view);
+  /* Written between the first and the last page, to either side. */
+  while (view.changes == 0)
+    fixture_step (&fixture);
+  fixture_write (&fixture, KIND, "a", "2");
+  fixture_write (&fixture, KIND, "f", "2");
+  run_until_confirmed (&fixture, &view);
+  assert_int_equal (view.resets, 1);
+  assert_int_equal (json_object_size (view.view), 6);
+  assert_int_equal (json_integer_value (json_object_get (view.view, "a")), 2);
+  assert_int_equal (json_integer_value (json_object_get (view.view, "f")), 2);
+  assert_true (fixture_count_calls (&fixture, KIND, "list") >= 3);
+  assert_int_equal (gbd_platform_watch_get_version (watch), 7);
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
+static void
+a_watch_from_before_forgotten_history_lists_again (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  view_t view = { .view = json_object () };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  fixture_write (&fixture, KIND, "a", "1");
+  fixture_write (&fixture, KIND, "b", "1");
+  gbd_platform_watch_new (platform, KIND, "", fixture.now, &view_callbacks,
+                          &view);
+  run_until_confirmed (&fixture, &view);
+  fixture_switch (&fixture, "{\"cut_watches\":true}");
+  fixture_step (&fixture);
+  fixture_write (&fixture, KIND, "a", NULL);
+  fixture_switch (&fixture, "{\"cut_watches\":false,\"forget_history\":true}");
+  run_until_confirmed (&fixture, &view);
+  assert_int_equal (view.resets, 2);
+  assert_null (json_object_get (view.view, "a"));
+  assert_non_null (json_object_get (view.view, "b"));
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
+static int
+use_objects (void **state)
+{
+  (void)state;
+  dialect = &gbd_platform_dialect_objects;
+  return 0;
+}
+
 int
 main (void)
 {
+  const struct CMUnitTest objects_tests[] = {
+    cmocka_unit_test (calls_report_the_truth_under_faults),
+    cmocka_unit_test (write_over_the_rate_is_refused),
+    cmocka_unit_test (older_version_than_seen_is_ignored),
+    cmocka_unit_test (breaker_stops_calls_while_down),
+    cmocka_unit_test (watch_reports_each_change_once),
+    cmocka_unit_test (a_refresh_asks_at_once_whatever_pause_is_under_way),
+    cmocka_unit_test (watch_lists_again_when_the_platform_forgot),
+    cmocka_unit_test (watch_ends_with_the_state_of_the_platform),
+    cmocka_unit_test (a_listing_comes_page_by_page),
+    cmocka_unit_test (a_watch_from_before_forgotten_history_lists_again),
+  };
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (calls_report_the_truth_under_faults),
     cmocka_unit_test (call_to_a_closed_port_has_no_effect),
@@ -527,6 +611,8 @@
     cmocka_unit_test (a_refresh_asks_at_once_whatever_pause_is_under_way),
     cmocka_unit_test (watch_lists_again_when_the_platform_forgot),
     cmocka_unit_test (watch_ends_with_the_state_of_the_platform),
+    cmocka_unit_test (a_watch_from_before_forgotten_history_lists_again),
   };
-  return cmocka_run_group_tests (tests, NULL, NULL);
+  int failed = cmocka_run_group_tests (tests, NULL, NULL);
+  return failed + cmocka_run_group_tests (objects_tests, use_objects, NULL);
 }
