Spare the platform calls at a start and in an outage

While the store is away each round through the relays ended at the store and refreshed the routes' watch, which set its pause back to 50 ms. Each start read key, routes and four pages at the full price, and asked for the routes with a wait of 4 s just before it moved to a relay.

A watch on routes that fails is left to its own pauses. Key and first list may come from a copy that lags (a tenth of the price); what has changed since is asked for at once, and pages of different age count as the oldest. Instances that relay read the present list. Before its first list an instance waits as a reader of a relay does.

--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 
 #include "counters.h"
-#include "loop.h"
 
 #define FLOW_TEXT_MAX ((size_t)2 * GBD_ADDRESS_TEXT_MAX)
 
@@ -280,7 +279,7 @@
 static void
 add_state_counters (gbd_counters_t *counters, const gbd_cookie_serve_t *serve)
 {
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   const gbd_routes_t *routes = gbd_director_get_routes (serve->director);
   const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
   gbd_platform_stats_t routes_calls;
@@ -351,7 +350,7 @@
   gbd_cookie_serve_t *serve = data;
   json_t *dump = make_status (serve);
   json_object_set_new (dump, "servers",
-                       make_servers (serve, gbd_loop_now (NULL)));
+                       make_servers (serve, serve->clock (NULL)));
   return dump;
 }
 
@@ -361,7 +360,7 @@
 make_explanation (void *data, const gbd_flow_t *flow)
 {
   gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   gbd_packet_t packet = { .kind = GBD_PACKET_OPENING, .flow = *flow };
   gbd_direction_t direction;
   gbd_director_route (serve->director, &packet, now, &direction);
--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -52,6 +52,7 @@
   int exit_status = GBD_EXIT_FAILED;
   gbd_cookie_serve_t serve = { .settings = settings,
                                .flags = flags,
+                               .clock = gbd_loop_now,
                                .started_at = gbd_loop_now (NULL) };
   serve.journal = gbd_journal_new (STDOUT_FILENO, settings->name,
                                    settings->log_priority, serve.started_at);
@@ -74,7 +75,7 @@
       if (lws_service (serve.context, 0) < 0)
         goto done;
     }
-  gbd_journal_note (serve.journal, GBD_EVENT_STOPPED, gbd_loop_now (NULL),
+  gbd_journal_note (serve.journal, GBD_EVENT_STOPPED, serve.clock (NULL),
                     json_pack ("{s:s}", "cause", "planned"));
   exit_status = GBD_EXIT_OK;
 
@@ -133,7 +134,7 @@
     .listen = serve->settings->fabric_listen,
     .codec = &gbd_packet_codec_echo,
     .socket_buffer = SOCKET_BUFFER,
-    .clock = gbd_loop_now,
+    .clock = serve->clock,
     .observe = gbd_cookie_report_decision,
     .data = serve,
   };
@@ -222,7 +223,7 @@
       if (info.ssi_signo == SIGUSR1)
         gbd_cookie_report_dump (serve);
       else if (info.ssi_signo == SIGHUP)
-        read_settings_again (serve, gbd_loop_now (NULL));
+        read_settings_again (serve, serve->clock (NULL));
       else
         begin_stop (serve);
     }
@@ -233,7 +234,7 @@
 {
   if (serve->is_stopping)
     return;
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   serve->is_stopping = true;
   serve->stop_asked_at = now;
   serve->stop_at = now + serve->settings->stop_forward_ms * GBD_MILLISECOND;
@@ -326,7 +327,7 @@
 {
   gbd_cookie_serve_t *serve
       = lws_container_of (timer, gbd_cookie_serve_t, timer);
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   gbd_cookie_store_tick (serve, now);
   gbd_cookie_servers_tick (serve, now);
   gbd_director_tick (serve->director, now);
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -20,6 +20,7 @@
 {
   gbd_settings_t *settings;
   char **flags; /**< of the command line, to read settings again */
+  gbd_time_t (*clock) (void *data); /**< called with NULL */
   struct lws_context *context;
   gbd_journal_t *journal;
   gbd_director_t *director;
@@ -72,7 +73,8 @@
  *  for a silent connection does not hold up the other's tries.
  *  @return NULL when memory is short. */
 gbd_platform_t *gbd_cookie_store_open (gbd_cookie_serve_t *serve,
-                                       uint32_t longest_pause_ms);
+                                       uint32_t longest_pause_ms,
+                                       bool first_list_may_lag);
 
 /** Start to read what the platform holds.  @return false with `error` set. */
 bool gbd_cookie_store_start (gbd_cookie_serve_t *serve, const char **error);
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -2,8 +2,6 @@
 
 #include <string.h>
 
-#include "loop.h"
-
 /* An instance that relays must know within about a second that it is out of
    touch: its readers rely on it. */
 #define RELAY_WATCH_MS 1000
@@ -64,7 +62,10 @@
   };
   /* All instances may have stopped together: the platform answers first. */
   gbd_sources_init (&serve->sources, relay_count + 1, platform_at);
-  serve->servers_platform = gbd_cookie_store_open (serve, SERVERS_RETRY_MS);
+  /* What a relay hands on must not be old.  Another instance asks once more
+     as soon as it has the list, and decides by old entries until then. */
+  serve->servers_platform
+      = gbd_cookie_store_open (serve, SERVERS_RETRY_MS, !is_relay);
   serve->clients[platform_at] = serve->servers_platform;
   *error = "the platform client does not start; raise the memory limit";
   if (!serve->servers_platform)
@@ -92,6 +93,9 @@
   if (is_relay)
     gbd_platform_watch_set_wait (serve->servers_watch, RELAY_WATCH_MS);
   set_routes_wait (serve);
+  /* Once it has the first list, it reads at a relay. */
+  if (relay_count > 0 && !is_relay)
+    gbd_platform_watch_set_wait (serve->routes_watch, ROUTES_WAIT_MS);
   return true;
 }
 
@@ -203,7 +207,7 @@
 server_changed (void *data, const char *name, uint64_t version, json_t *value)
 {
   gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   gbd_pool_entry_t entry;
   const char *wrong = NULL;
@@ -262,7 +266,7 @@
 {
   (void)asked_at;
   gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   bool was_away = gbd_pool_is_away (pool);
   gbd_sources_answered (&serve->sources);
@@ -301,7 +305,9 @@
   bool was_at_relay = !is_in_touch (serve);
   bool has_next = gbd_sources_failed (&serve->sources, now);
   set_routes_wait (serve);
-  if (was_at_relay && is_in_touch (serve))
+  /* No relay says any longer whether the routes are behind.  A watch that
+     fails knows by itself, and its pauses keep load off the platform. */
+  if (was_at_relay && is_in_touch (serve) && !serve->is_routes_lost)
     gbd_platform_watch_refresh (serve->routes_watch);
   gbd_platform_watch_move (serve->servers_watch,
                            serve->clients[serve->sources.current], has_next);
@@ -315,7 +321,7 @@
 servers_advised (void *data, uint32_t settling_ms, uint64_t hint)
 {
   gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   gbd_pool_set_settling (gbd_director_get_pool (serve->director),
                          now + settling_ms * GBD_MILLISECOND);
   gbd_cookie_routes_advised (serve, hint, now);
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -4,7 +4,6 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "loop.h"
 #include "platform/adapter.h"
 
 /* A connection may go silent for good without a reset: a watch on it is given
@@ -44,7 +43,8 @@
 };
 
 gbd_platform_t *
-gbd_cookie_store_open (gbd_cookie_serve_t *serve, uint32_t longest_pause_ms)
+gbd_cookie_store_open (gbd_cookie_serve_t *serve, uint32_t longest_pause_ms,
+                       bool first_list_may_lag)
 {
   gbd_platform_settings_t settings = {
     .platform = serve->settings->platform,
@@ -53,6 +53,7 @@
     .watch_wait_ms = WATCH_WAIT_MS,
     .watch_pause_ms = SERVERS_PAUSE_MS,
     .longest_pause_ms = longest_pause_ms,
+    .first_list_may_lag = first_list_may_lag,
     .random_seed = serve->random,
   };
   return gbd_platform_new (serve->context, &settings);
@@ -65,7 +66,7 @@
   serve->dialect
       = is_own ? &gbd_platform_dialect_own : &gbd_platform_dialect_objects;
   gbd_time_t now = serve->started_at;
-  serve->platform = gbd_cookie_store_open (serve, ROUTES_RETRY_MS);
+  serve->platform = gbd_cookie_store_open (serve, ROUTES_RETRY_MS, false);
   *error = "the platform client does not start; raise the memory limit";
   if (!serve->platform)
     return false;
@@ -104,7 +105,10 @@
 ask_key (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
   serve->is_key_asked = true;
-  gbd_platform_get (serve->platform, KEY_KIND, KEY_NAME, now, take_key, serve);
+  /* Never changes once written, and is written under the condition that none
+     exists: an old answer misleads nobody. */
+  gbd_platform_get (serve->platform, KEY_KIND, KEY_NAME, true, now, take_key,
+                    serve);
 }
 
 /* Outcome of a read, or of the proposal of a key: the key that the platform
@@ -113,7 +117,7 @@
 take_key (void *data, gbd_status_t status, uint64_t version, json_t *value)
 {
   gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   const char *text = json_string_value (json_object_get (value, KEY_FIELD));
   serve->is_key_asked = false;
   if (status == GBD_ERROR_NOT_FOUND)
@@ -144,7 +148,7 @@
 routes_changed (void *data, const char *name, uint64_t version, json_t *value)
 {
   gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = gbd_loop_now (NULL);
+  gbd_time_t now = serve->clock (NULL);
   if (!value || strcmp (name, serve->dialect->routes_name) != 0)
     return;
   const char *wrong = NULL;
--- a/src/gooseberrydrum/lists_command.c
+++ b/src/gooseberrydrum/lists_command.c
@@ -263,7 +263,7 @@
   outcome_t outcome = { 0 };
   *accepted = NULL;
   gbd_platform_get (environment->platform, GBD_ACCEPTED_KIND, options->group,
-                    environment->turn (environment->data), note_outcome,
+                    false, environment->turn (environment->data), note_outcome,
                     &outcome);
   finish_call (environment, &outcome);
   if (outcome.status == GBD_ERROR_NOT_FOUND)
@@ -301,7 +301,8 @@
         {
         case GBD_ACCEPTANCE_READ:
           gbd_platform_get (environment->platform, GBD_ACCEPTED_KIND,
-                            options->group, now, note_outcome, &outcome);
+                            options->group, false, now, note_outcome,
+                            &outcome);
           break;
         case GBD_ACCEPTANCE_WRITE:
           gbd_platform_put (environment->platform, GBD_ACCEPTED_KIND,
--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -125,10 +125,11 @@
 
 void
 gbd_platform_get (gbd_platform_t *platform, const char *kind, const char *name,
-                  gbd_time_t now, gbd_platform_done_t done, void *data)
+                  bool may_lag, gbd_time_t now, gbd_platform_done_t done,
+                  void *data)
 {
   call_t *call = call_new (platform, kind, name, now, done, data);
-  platform->settings.dialect->get (kind, name, &call->request);
+  platform->settings.dialect->get (kind, name, may_lag, &call->request);
   attempt (call);
 }
 
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -21,6 +21,8 @@
   uint32_t watch_pause_ms;   /**< after an answer with changes, so that more of
                                   them come in one; 0: none */
   uint32_t longest_pause_ms; /**< between two tries; 1000 unless set */
+  bool first_list_may_lag;   /**< of each watch; what has changed since comes
+                                  with its next answer */
   uint64_t random_seed;      /**< of the jitter */
 } gbd_platform_settings_t;
 
@@ -45,9 +47,10 @@
 typedef void (*gbd_platform_done_t) (void *data, gbd_status_t status,
                                      uint64_t version, json_t *value);
 
-/** One attempt to read an object, retried within the budget. */
+/** One attempt to read an object, retried within the budget.
+ *  @param may_lag a copy that is seconds behind may answer */
 void gbd_platform_get (gbd_platform_t *platform, const char *kind,
-                       const char *name, gbd_time_t now,
+                       const char *name, bool may_lag, gbd_time_t now,
                        gbd_platform_done_t done, void *data);
 
 /** One conditional update; never retried here, for its effect may be unknown.
--- a/src/gooseberrydrum/platform_dialect.c
+++ b/src/gooseberrydrum/platform_dialect.c
@@ -7,11 +7,11 @@
 #define PREFIX "/v1/"
 #define VERSION_FORMAT "%" G_GUINT64_FORMAT
 
-static void make_list (const char *kind, const char *after,
+static void make_list (const char *kind, const char *after, bool may_lag,
                        gbd_platform_request_t *request);
 static void make_watch (const char *kind, uint64_t version, uint32_t wait_ms,
                         gbd_platform_request_t *request);
-static void make_get (const char *kind, const char *name,
+static void make_get (const char *kind, const char *name, bool may_lag,
                       gbd_platform_request_t *request);
 static void make_put (const char *kind, const char *name, uint64_t version,
                       json_t *value, gbd_platform_request_t *request);
@@ -52,11 +52,12 @@
 }
 
 static void
-make_list (const char *kind, const char *after,
+make_list (const char *kind, const char *after, bool may_lag,
            gbd_platform_request_t *request)
 {
-  /* The own API lists everything in one answer. */
+  /* The own API lists everything in one answer, and has no copies. */
   (void)after;
+  (void)may_lag;
   request->method = "GET";
   request->path = gbd_platform_make_path (PREFIX, kind, NULL);
 }
@@ -73,8 +74,10 @@
 }
 
 static void
-make_get (const char *kind, const char *name, gbd_platform_request_t *request)
+make_get (const char *kind, const char *name, bool may_lag,
+          gbd_platform_request_t *request)
 {
+  (void)may_lag;
   request->method = "GET";
   request->path = gbd_platform_make_path (PREFIX, kind, name);
 }
--- a/src/gooseberrydrum/platform_dialect.h
+++ b/src/gooseberrydrum/platform_dialect.h
@@ -21,14 +21,16 @@
 typedef struct
 {
   const char *name;
-  /** List a kind.  @param after continue after this name; NULL: from the
-   *  first */
-  void (*list) (const char *kind, const char *after,
+  /** List a kind.
+   *  @param after   continue after this name; NULL: from the first
+   *  @param may_lag a copy that is seconds behind may answer, where that
+   *                 spares the platform work; so for get() */
+  void (*list) (const char *kind, const char *after, bool may_lag,
                 gbd_platform_request_t *request);
   /** Wait for changes after a version. */
   void (*watch) (const char *kind, uint64_t version, uint32_t wait_ms,
                  gbd_platform_request_t *request);
-  void (*get) (const char *kind, const char *name,
+  void (*get) (const char *kind, const char *name, bool may_lag,
                gbd_platform_request_t *request);
   /** @param version the version that is replaced; 0: must not exist */
   void (*put) (const char *kind, const char *name, uint64_t version,
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -9,7 +9,9 @@
   void *data;
   bool is_listed;        /* a full listing has been reported */
   char *after;           /* last name of the page before; NULL: first page */
-  uint64_t page_version; /* of the first page of the listing under way */
+  uint64_t page_version; /* oldest of the pages of the listing under way */
+  bool has_listed;       /* once at least */
+  bool may_lag;          /* the answer that is awaited, or was taken last */
   uint64_t version;      /* up to which everything was reported */
   GHashTable *seen;      /* name -> version, a uint64_t */
   gbd_http_call_t *http_call;
@@ -169,10 +171,11 @@
   uint32_t wait_ms = is_waiting ? longest_ms : 0;
   const gbd_platform_dialect_t *dialect = platform->settings.dialect;
   gbd_platform_request_t request = { 0 };
+  watch->may_lag = platform->settings.first_list_may_lag && !watch->has_listed;
   if (watch->is_listed)
     dialect->watch (watch->kind, watch->version, wait_ms, &request);
   else
-    dialect->list (watch->kind, watch->after, &request);
+    dialect->list (watch->kind, watch->after, watch->may_lag, &request);
   uint32_t timeout_ms = wait_ms + platform->settings.call_timeout_ms;
   watch->has_moved = false;
   watch->asked_at = platform->now;
@@ -235,7 +238,8 @@
   uint32_t pause_ms = watch->pause_ms
                           ? watch->pause_ms
                           : watch->platform->settings.watch_pause_ms;
-  if (json_array_size (items) > 0)
+  /* What a copy lacks must come at once. */
+  if (json_array_size (items) > 0 && !watch->may_lag)
     watch->retry_at = watch->platform->now + pause_ms * GBD_MILLISECOND;
   gbd_backoff_reset (&watch->backoff);
   if (watch->callbacks.advised)
@@ -266,6 +270,8 @@
       if (watch->callbacks.reset)
         watch->callbacks.reset (watch->data);
     }
+  /* Pages may come from copies of different age. */
+  watch->page_version = MIN (watch->page_version, result->version);
   report_items (watch, items);
   json_t *last = json_array_get (items, json_array_size (items) - 1);
   const char *name = json_string_value (json_object_get (last, "name"));
@@ -276,8 +282,9 @@
       watch->after = g_strdup (name);
       return;
     }
-  /* Changes made between two pages are among those after the first. */
+  /* Changes made between two pages are among those after the oldest. */
   watch->is_listed = true;
+  watch->has_listed = true;
   watch->version = watch->page_version;
 }
 
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -7,7 +7,6 @@
 #include <glib.h>
 
 #include "admin_response.h"
-#include "loop.h"
 
 #define PATH_PREFIX "/v1/"
 #define ARGUMENT_SIZE 32
@@ -56,6 +55,7 @@
   bool is_current; /* in touch with the platform */
   bool is_listing;
   uint64_t answers;
+  gbd_time_t now; /* as last passed in */
 };
 
 static int handle (struct lws *wsi, enum lws_callback_reasons reason,
@@ -212,6 +212,7 @@
 void
 gbd_relay_tick (gbd_relay_t *relay, gbd_time_t now)
 {
+  relay->now = now;
   for (guint i = relay->waiting->len; i-- > 0;)
     {
       reader_t *reader = g_ptr_array_index (relay->waiting, i);
@@ -318,7 +319,7 @@
   if (has_news)
     return answer (relay, reader, &reader->since);
   wait_ms = MIN (wait_ms, WAIT_MS_MAX);
-  reader->due = gbd_loop_now (NULL) + (gbd_time_t)wait_ms * GBD_MILLISECOND;
+  reader->due = relay->now + (gbd_time_t)wait_ms * GBD_MILLISECOND;
   reader->is_waiting = true;
   g_ptr_array_add (relay->waiting, reader);
   /* The library would close a transaction that sends nothing. */
--- a/src/gooseberrydrum/serve_platform.c
+++ b/src/gooseberrydrum/serve_platform.c
@@ -128,8 +128,8 @@
     return;
   serve->is_state_pending = true;
   serve->state_due = now + STATE_RETRY;
-  gbd_platform_get (serve->platform, "instances", serve->settings->name, now,
-                    state_read, serve);
+  gbd_platform_get (serve->platform, "instances", serve->settings->name, false,
+                    now, state_read, serve);
 }
 
 gbd_status_t
--- a/src/test_gooseberrydrum/test_adapter.c
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -314,12 +314,22 @@
   (void)state;
   gbd_platform_request_t request = { 0 };
   json_t *value = json_pack ("{s:s}", "key", "1f");
-  dialect->list ("servers", NULL, &request);
+  dialect->list ("servers", NULL, false, &request);
   assert_string_equal (request.path, "/objects/servers");
   free (request.path);
-  dialect->list ("servers", "i-1 2", &request);
+  dialect->list ("servers", "i-1 2", false, &request);
   assert_string_equal (request.path, "/objects/servers?after=i-1%202");
   free (request.path);
+  dialect->list ("servers", NULL, true, &request);
+  assert_string_equal (request.path, "/objects/servers?stale_ok=1");
+  free (request.path);
+  dialect->list ("servers", "i-1 2", true, &request);
+  assert_string_equal (request.path,
+                       "/objects/servers?after=i-1%202&stale_ok=1");
+  free (request.path);
+  dialect->get ("mine", "a", true, &request);
+  assert_string_equal (request.path, "/objects/mine/a?stale_ok=1");
+  free (request.path);
   dialect->watch ("servers", 530, 20000, &request);
   assert_string_equal (request.path,
                        "/objects/servers?watch=530&wait_ms=20000");
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -114,7 +114,7 @@
 {
   memset (outcome, 0, sizeof *outcome);
   if (operation == GET)
-    gbd_platform_get (platform, KIND, NAME, now, note_outcome, outcome);
+    gbd_platform_get (platform, KIND, NAME, false, now, note_outcome, outcome);
   else if (operation == PUT)
     gbd_platform_put (platform, KIND, NAME, version, value, now, note_outcome,
                       outcome);
@@ -552,6 +552,47 @@
   fixture_close (&fixture);
 }
 
+/* Makes the copy for reads that may lag, or renews it. */
+static void
+copy_for_lagging_reads (fixture_t *fixture)
+{
+  platform_request_t request = {
+    .verb = PLATFORM_GET, .kind = KIND, .name = "none", .may_lag = true
+  };
+  platform_reply_t reply;
+  fixture_switch (fixture, "{\"lag_ms\":3600000}");
+  platform_store_handle (fixture->store, &request, fixture->now, &reply);
+  json_decref (reply.body);
+}
+
+/* What changed between the two copies is in neither page that is reported. */
+static void
+pages_of_different_age_hide_no_change (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  view_t view = { .view = json_object () };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  platform->settings.first_list_may_lag = true;
+  for (const char *name = "abcd"; *name; name++)
+    fixture_write (&fixture, KIND, (const char[]){ *name, '\0' }, "1");
+  copy_for_lagging_reads (&fixture);
+  fixture_switch (&fixture, "{\"lag_ms\":0}");
+  fixture_write (&fixture, KIND, "d", "2");
+  gbd_platform_watch_new (platform, KIND, "", fixture.now, &view_callbacks,
+                          &view);
+  while (view.changes == 0)
+    fixture_step (&fixture);
+  assert_int_equal (view.changes, PAGE_ITEMS);
+  fixture_switch (&fixture, "{\"lag_ms\":3600000}");
+  run_until_confirmed (&fixture, &view);
+  assert_int_equal (view.resets, 1);
+  assert_int_equal (json_integer_value (json_object_get (view.view, "d")), 2);
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
 static void
 a_watch_from_before_forgotten_history_lists_again (void **state)
 {
@@ -598,6 +639,7 @@
     cmocka_unit_test (watch_lists_again_when_the_platform_forgot),
     cmocka_unit_test (watch_ends_with_the_state_of_the_platform),
     cmocka_unit_test (a_listing_comes_page_by_page),
+    cmocka_unit_test (pages_of_different_age_hide_no_change),
     cmocka_unit_test (a_watch_from_before_forgotten_history_lists_again),
   };
   const struct CMUnitTest tests[] = {
