Watch routes at copies where a relay tells when they lag

Cause: a change of the routes woke every instance's watch, a call each at the full price and against the store's rate: at 3,100 instances more than the 2,000 reads a second that it serves.

Readers of a relay wait for routes with reads that may lag. A watch that has listed tries again after 250 ms at first. A refresh leaves a call alone that does not wait: each round through the relays had cancelled it before its time-out, once a second and instance.

Ruled out: routes through the relays (60 to 100 KB to each reader at every change); first lists of routes from copies, as an instance that has just started would reset flows of a route that was added meanwhile.

Test: routes_come_in_time_though_their_copy_lags, which fails without the hint.

--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -328,7 +328,8 @@
 }
 
 /* Whoever reads at a relay hears there that its own watch on the routes has
-   gone silent; the others must not wait for it for long. */
+   gone silent or is served by a copy that lags; the others must not wait for
+   it for long. */
 static void
 set_routes_wait (gbd_cookie_serve_t *serve)
 {
@@ -336,6 +337,8 @@
   if (serve->relay)
     wait_ms = RELAY_ROUTES_MS;
   gbd_platform_watch_set_wait (serve->routes_watch, wait_ms);
+  gbd_platform_watch_set_lag (serve->routes_watch,
+                              !serve->relay && !is_in_touch (serve));
 }
 
 static void
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -104,12 +104,18 @@
 void gbd_platform_watch_set_wait (gbd_platform_watch_t *watch,
                                   uint32_t wait_ms);
 
+/** Let a copy that is seconds behind answer calls that wait for changes; for
+ *  a watch whose user hears by other means when it is behind, and then asks
+ *  for a refresh, which no copy answers. */
+void gbd_platform_watch_set_lag (gbd_platform_watch_t *watch, bool may_lag);
+
 /** Pause after an answer with changes, instead of the client's. */
 void gbd_platform_watch_set_pause (gbd_platform_watch_t *watch,
                                    uint32_t pause_ms);
 
 /** Ask again at once, whatever pause is under way: the answer that is awaited
- *  may never come, or the platform is known to answer others. */
+ *  may never come, or the platform is known to answer others.  A call that
+ *  does not wait for changes is left alone: its time-out is short. */
 void gbd_platform_watch_refresh (gbd_platform_watch_t *watch);
 
 /** Version up to which everything was reported. */
--- a/src/gooseberrydrum/platform_dialect.c
+++ b/src/gooseberrydrum/platform_dialect.c
@@ -10,7 +10,7 @@
 static void make_list (const char *kind, const char *after, bool may_lag,
                        gbd_platform_request_t *request);
 static void make_watch (const char *kind, uint64_t version, uint32_t wait_ms,
-                        gbd_platform_request_t *request);
+                        bool may_lag, gbd_platform_request_t *request);
 static void make_get (const char *kind, const char *name, bool may_lag,
                       gbd_platform_request_t *request);
 static void make_put (const char *kind, const char *name, uint64_t version,
@@ -63,9 +63,10 @@
 }
 
 static void
-make_watch (const char *kind, uint64_t version, uint32_t wait_ms,
+make_watch (const char *kind, uint64_t version, uint32_t wait_ms, bool may_lag,
             gbd_platform_request_t *request)
 {
+  (void)may_lag;
   char *path = gbd_platform_make_path (PREFIX, kind, NULL);
   request->method = "GET";
   request->path = g_strdup_printf ("%s?since=" VERSION_FORMAT "&wait_ms=%u",
--- a/src/gooseberrydrum/platform_dialect.h
+++ b/src/gooseberrydrum/platform_dialect.h
@@ -27,9 +27,10 @@
    *                 spares the platform work; so for get() */
   void (*list) (const char *kind, const char *after, bool may_lag,
                 gbd_platform_request_t *request);
-  /** Wait for changes after a version. */
+  /** Wait for changes after a version.
+   *  @param may_lag as of list() */
   void (*watch) (const char *kind, uint64_t version, uint32_t wait_ms,
-                 gbd_platform_request_t *request);
+                 bool may_lag, gbd_platform_request_t *request);
   void (*get) (const char *kind, const char *name, bool may_lag,
                gbd_platform_request_t *request);
   /** @param version the version that is replaced; 0: must not exist */
--- a/src/gooseberrydrum/platform_private.h
+++ b/src/gooseberrydrum/platform_private.h
@@ -12,6 +12,9 @@
 
 #define GBD_PLATFORM_BACKOFF_FIRST (50 * GBD_MILLISECOND)
 #define GBD_PLATFORM_BACKOFF_LONGEST GBD_SECOND
+/** Of a watch that has listed: what it knows still holds, and all instances
+ *  begin to try again at the same moment. */
+#define GBD_PLATFORM_BACKOFF_LISTED (250 * GBD_MILLISECOND)
 
 struct gbd_platform
 {
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -12,6 +12,7 @@
   uint64_t page_version; /* oldest of the pages of the listing under way */
   bool has_listed;       /* once at least */
   bool may_lag;          /* the answer that is awaited, or was taken last */
+  bool waits_at_copies;  /* calls that wait for changes may lag */
   uint64_t version;      /* up to which everything was reported */
   GHashTable *seen;      /* name -> version, a uint64_t */
   gbd_http_call_t *http_call;
@@ -35,6 +36,7 @@
                          const gbd_platform_result_t *result, json_t *items);
 static void report_items (gbd_platform_watch_t *watch, json_t *items);
 static void report_item (gbd_platform_watch_t *watch, json_t *item);
+static void init_backoff (gbd_platform_watch_t *watch, gbd_time_t first);
 static void pause_watch (gbd_platform_watch_t *watch);
 static void list_again (gbd_platform_watch_t *watch);
 static bool is_newer (gbd_platform_watch_t *watch, const char *name,
@@ -56,9 +58,7 @@
   watch->asked_at = GBD_TIME_NEVER;
   watch->seen
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  gbd_backoff_init (&watch->backoff, GBD_PLATFORM_BACKOFF_FIRST,
-                    platform->settings.longest_pause_ms * GBD_MILLISECOND,
-                    platform->seeds++);
+  init_backoff (watch, GBD_PLATFORM_BACKOFF_FIRST);
   g_ptr_array_add (platform->watches, watch);
   ask (watch);
   return watch;
@@ -106,9 +106,20 @@
   watch->pause_ms = pause_ms;
 }
 
+void
+gbd_platform_watch_set_lag (gbd_platform_watch_t *watch, bool may_lag)
+{
+  watch->waits_at_copies = may_lag;
+}
+
 void
 gbd_platform_watch_refresh (gbd_platform_watch_t *watch)
 {
+  if (watch->http_call && watch->is_retry)
+    {
+      gbd_backoff_reset (&watch->backoff);
+      return;
+    }
   if (watch->http_call)
     gbd_http_cancel (watch->http_call);
   watch->http_call = NULL;
@@ -171,9 +182,13 @@
   uint32_t wait_ms = is_waiting ? longest_ms : 0;
   const gbd_platform_dialect_t *dialect = platform->settings.dialect;
   gbd_platform_request_t request = { 0 };
-  watch->may_lag = platform->settings.first_list_may_lag && !watch->has_listed;
+  watch->may_lag
+      = watch->is_listed
+            ? is_waiting && watch->waits_at_copies
+            : !watch->has_listed && platform->settings.first_list_may_lag;
   if (watch->is_listed)
-    dialect->watch (watch->kind, watch->version, wait_ms, &request);
+    dialect->watch (watch->kind, watch->version, wait_ms, watch->may_lag,
+                    &request);
   else
     dialect->list (watch->kind, watch->after, watch->may_lag, &request);
   uint32_t timeout_ms = wait_ms + platform->settings.call_timeout_ms;
@@ -226,6 +241,17 @@
     }
   json_t *items
       = json_object_get (result->body, watch->is_listed ? "changes" : "items");
+  uint32_t pause_ms = watch->pause_ms
+                          ? watch->pause_ms
+                          : watch->platform->settings.watch_pause_ms;
+  gbd_time_t pause_end = watch->platform->now + pause_ms * GBD_MILLISECOND;
+  if (result->status == GBD_OK && watch->may_lag
+      && result->version < watch->version)
+    {
+      /* The copy has nothing to tell yet. */
+      watch->retry_at = pause_end;
+      return;
+    }
   /* A version below the reported one comes from a copy that lags. */
   if (result->status != GBD_OK || !json_is_array (items)
       || result->version < watch->version)
@@ -235,12 +261,9 @@
     }
   watch->is_retry = false;
   watch->retry_at = 0;
-  uint32_t pause_ms = watch->pause_ms
-                          ? watch->pause_ms
-                          : watch->platform->settings.watch_pause_ms;
-  /* What a copy lacks must come at once. */
-  if (json_array_size (items) > 0 && !watch->may_lag)
-    watch->retry_at = watch->platform->now + pause_ms * GBD_MILLISECOND;
+  /* What a copy's list lacks must come at once. */
+  if (json_array_size (items) > 0 && (watch->is_listed || !watch->may_lag))
+    watch->retry_at = pause_end;
   gbd_backoff_reset (&watch->backoff);
   if (watch->callbacks.advised)
     watch->callbacks.advised (
@@ -283,6 +306,8 @@
       return;
     }
   /* Changes made between two pages are among those after the oldest. */
+  if (!watch->has_listed)
+    init_backoff (watch, GBD_PLATFORM_BACKOFF_LISTED);
   watch->is_listed = true;
   watch->has_listed = true;
   watch->version = watch->page_version;
@@ -318,6 +343,15 @@
   watch->callbacks.changed (watch->data, name, version, value);
 }
 
+static void
+init_backoff (gbd_platform_watch_t *watch, gbd_time_t first)
+{
+  gbd_platform_t *platform = watch->platform;
+  gbd_backoff_init (&watch->backoff, first,
+                    platform->settings.longest_pause_ms * GBD_MILLISECOND,
+                    platform->seeds++);
+}
+
 static void
 pause_watch (gbd_platform_watch_t *watch)
 {
--- a/src/test_gooseberrydrum/test_adapter.c
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -330,10 +330,14 @@
   dialect->get ("mine", "a", true, &request);
   assert_string_equal (request.path, "/objects/mine/a?stale_ok=1");
   free (request.path);
-  dialect->watch ("servers", 530, 20000, &request);
+  dialect->watch ("servers", 530, 20000, false, &request);
   assert_string_equal (request.path,
                        "/objects/servers?watch=530&wait_ms=20000");
   free (request.path);
+  dialect->watch ("servers", 530, 20000, true, &request);
+  assert_string_equal (request.path,
+                       "/objects/servers?watch=530&wait_ms=20000&stale_ok=1");
+  free (request.path);
   dialect->put ("mine", "a", 0, value, &request);
   assert_string_equal (request.method, "POST");
   assert_string_equal (request.path, "/objects/mine");
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -11,21 +11,30 @@
 #include "gooseberrydrum/cookie_serve.h"
 #include "platform/adapter.h"
 #include "platform/standin/objects_form.h"
+#include "free_address.h"
 #include "platform_fixture.h"
 
 #define PAGE_ITEMS 3
 #define SERVERS 7
+/* Turns of the loop in which a call on loopback is answered. */
+#define ROUNDS 8
+#define CONFIG_BOUND (3 * GBD_SECOND) /* of the smallest sites */
 /* Nobody listens on these: tcpmux and its neighbour. */
 #define DEAD_RELAYS "127.0.0.1:1", "127.0.0.1:2"
 
-/* An instance as far as it reads from the platform, beside a stand-in of it.
- */
+/* Instances as far as they read from the platform, beside a stand-in of it. */
 typedef struct
 {
-  fixture_t fixture;
   gbd_settings_t settings;
   gbd_cookie_serve_t serve;
-} reader_t;
+} instance_t;
+
+typedef struct
+{
+  fixture_t fixture;
+  instance_t instances[2];
+  uint32_t count;
+} group_t;
 
 static fixture_t *clocked;
 
@@ -37,7 +46,7 @@
 }
 
 static void
-write_server (reader_t *reader, uint64_t number, bool is_ready)
+write_server (group_t *group, uint64_t number, bool is_ready)
 {
   char name[GBD_NAME_MAX + 1];
   const world_form_t *form = &world_form_objects;
@@ -47,115 +56,134 @@
                                .slots = 2,
                                .is_ready = is_ready };
   form->name_server (number, name, sizeof name);
-  platform_store_write (reader->fixture.store, form->servers_kind, name,
+  platform_store_write (group->fixture.store, form->servers_kind, name,
                         form->describe_server (&text));
-  platform_server_tick (reader->fixture.server, reader->fixture.now);
+  platform_server_tick (group->fixture.server, group->fixture.now);
 }
 
 static void
-write_routes (reader_t *reader, uint64_t version)
+write_routes (group_t *group, uint64_t version)
 {
   const world_form_t *form = &world_form_objects;
   world_route_text_t route = { "198.18.0.1", 80, "web" };
-  platform_store_write (reader->fixture.store, form->routes_kind,
+  platform_store_write (group->fixture.store, form->routes_kind,
                         form->routes_name,
                         form->describe_routes (version, &route, 1));
-  platform_server_tick (reader->fixture.server, reader->fixture.now);
+  platform_server_tick (group->fixture.server, group->fixture.now);
 }
 
 static void
-open_reader (reader_t *reader)
+open_group (group_t *group)
 {
-  memset (reader, 0, sizeof *reader);
-  fixture_t *fixture = &reader->fixture;
+  memset (group, 0, sizeof *group);
+  fixture_t *fixture = &group->fixture;
   fixture_open (fixture, 0);
   platform_server_add_form (fixture->server, &platform_form_objects,
                             PAGE_ITEMS);
   clocked = fixture;
   for (uint64_t i = 1; i <= SERVERS; i++)
-    write_server (reader, i, true);
-  write_routes (reader, 1);
+    write_server (group, i, true);
+  write_routes (group, 1);
 }
 
-static void
-start_reader (reader_t *reader)
+/* Start another instance.
+   @param relays     of all; @param own  its relay's address, or NULL */
+static gbd_cookie_serve_t *
+start_instance (group_t *group, const gbd_address_list_t *relays,
+                const gbd_address_t *own)
 {
-  static const char *const relays[] = { DEAD_RELAYS };
-  fixture_t *fixture = &reader->fixture;
-  gbd_settings_t *settings = &reader->settings;
-  gbd_cookie_serve_t *serve = &reader->serve;
-  g_strlcpy (settings->name, "entry-1", sizeof settings->name);
+  fixture_t *fixture = &group->fixture;
+  instance_t *instance = &group->instances[group->count++];
+  gbd_settings_t *settings = &instance->settings;
+  gbd_cookie_serve_t *serve = &instance->serve;
+  g_snprintf (settings->name, sizeof settings->name, "entry-%u", group->count);
   settings->platform_form = "objects";
   settings->platform = fixture->address;
-  for (size_t i = 0; i < G_N_ELEMENTS (relays); i++)
-    gbd_address_parse (relays[i],
-                       &settings->relays.addresses[settings->relays.count++]);
+  settings->relays = *relays;
+  if (own)
+    settings->relay_listen = *own;
   gbd_director_settings_t director
       = { .zone = gbd_zone_from_name ("a"), .flow_capacity = 64 };
   serve->settings = settings;
   serve->context = fixture->context;
   serve->clock = read_clock;
   serve->started_at = fixture->now;
-  serve->journal = gbd_journal_new (-1, "entry-1", LOG_ERR, fixture->now);
+  serve->journal = gbd_journal_new (-1, settings->name, LOG_ERR, fixture->now);
   serve->director = gbd_director_new (&director);
   const char *error = NULL;
   assert_true (gbd_cookie_store_start (serve, &error));
+  return serve;
+}
+
+static gbd_cookie_serve_t *
+start_without_relays (group_t *group)
+{
+  static const char *const dead[] = { DEAD_RELAYS };
+  gbd_address_list_t relays = { .count = 0 };
+  for (size_t i = 0; i < G_N_ELEMENTS (dead); i++)
+    gbd_address_parse (dead[i], &relays.addresses[relays.count++]);
+  return start_instance (group, &relays, NULL);
 }
 
 static void
-step (reader_t *reader)
-{
-  fixture_t *fixture = &reader->fixture;
-  gbd_cookie_serve_t *serve = &reader->serve;
-  uint32_t open = gbd_http_get_open_count (serve->platform->http);
-  for (uint32_t i = 0; i < serve->sources.count; i++)
-    open += gbd_http_get_open_count (serve->clients[i]->http);
-  lws_cancel_service (fixture->context);
-  lws_service (fixture->context, 0);
-  if (platform_server_get_held_count (fixture->server) >= open)
-    fixture->now += FIXTURE_STEP;
+step (group_t *group)
+{
+  fixture_t *fixture = &group->fixture;
+  for (int round = 0; round < ROUNDS; round++)
+    {
+      lws_cancel_service (fixture->context);
+      lws_service (fixture->context, 0);
+    }
+  fixture->now += FIXTURE_STEP;
   platform_server_tick (fixture->server, fixture->now);
-  gbd_cookie_store_tick (serve, fixture->now);
-  gbd_cookie_servers_tick (serve, fixture->now);
-  gbd_director_tick (serve->director, fixture->now);
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      gbd_cookie_serve_t *serve = &group->instances[i].serve;
+      gbd_cookie_store_tick (serve, fixture->now);
+      gbd_cookie_servers_tick (serve, fixture->now);
+      gbd_director_tick (serve->director, fixture->now);
+    }
 }
 
 static void
-run_for (reader_t *reader, gbd_time_t time)
+run_for (group_t *group, gbd_time_t time)
 {
-  gbd_time_t end = reader->fixture.now + time;
-  while (reader->fixture.now < end)
-    step (reader);
+  gbd_time_t end = group->fixture.now + time;
+  while (group->fixture.now < end)
+    step (group);
 }
 
 static void
-run_until_ready (reader_t *reader)
+run_until_ready (group_t *group, const gbd_cookie_serve_t *serve)
 {
-  gbd_time_t end = reader->fixture.now + 5 * GBD_SECOND;
-  while (!gbd_director_is_ready (reader->serve.director))
+  gbd_time_t end = group->fixture.now + 5 * GBD_SECOND;
+  while (!gbd_director_is_ready (serve->director))
     {
-      assert_true (reader->fixture.now < end);
-      step (reader);
+      assert_true (group->fixture.now < end);
+      step (group);
     }
 }
 
 static int
-count_all (reader_t *reader, const char *kind)
+count_all (group_t *group, const char *kind)
 {
-  return fixture_count_calls (&reader->fixture, kind, "list")
-         + fixture_count_calls (&reader->fixture, kind, "watch");
+  return fixture_count_calls (&group->fixture, kind, "list")
+         + fixture_count_calls (&group->fixture, kind, "watch");
 }
 
 static void
-close_reader (reader_t *reader)
+close_group (group_t *group)
 {
-  gbd_cookie_serve_t *serve = &reader->serve;
-  gbd_cookie_servers_stop (serve);
-  gbd_platform_watch_delete (serve->routes_watch);
-  gbd_platform_delete (serve->platform);
-  gbd_director_delete (serve->director);
-  gbd_journal_delete (serve->journal);
-  fixture_close (&reader->fixture);
+  for (uint32_t i = 0; i < group->count; i++)
+    {
+      gbd_cookie_serve_t *serve = &group->instances[i].serve;
+      gbd_cookie_servers_stop (serve);
+      gbd_platform_watch_delete (serve->routes_watch);
+      gbd_platform_delete (serve->platform);
+      gbd_director_delete (serve->director);
+      gbd_journal_delete (serve->journal);
+    }
+  fixture_close (&group->fixture);
 }
 
 /* Found by a sweep over the calls of a day: while the platform is down, each
@@ -164,26 +192,25 @@
 an_outage_costs_few_calls_for_routes (void **state)
 {
   (void)state;
-  reader_t reader;
-  open_reader (&reader);
-  start_reader (&reader);
-  run_until_ready (&reader);
-  run_for (&reader, GBD_SECOND);
-  fixture_switch (&reader.fixture, "{\"down\":true}");
-  int before = count_all (&reader, "config");
-  run_for (&reader, 20 * GBD_SECOND);
-  int calls = count_all (&reader, "config") - before;
+  group_t group;
+  open_group (&group);
+  run_until_ready (&group, start_without_relays (&group));
+  run_for (&group, GBD_SECOND);
+  fixture_switch (&group.fixture, "{\"down\":true}");
+  int before = count_all (&group, "config");
+  run_for (&group, 20 * GBD_SECOND);
+  int calls = count_all (&group, "config") - before;
   print_message ("%d calls\n", calls);
   /* Seven while the pause doubles from 50 ms, then one in 4 s, a pause being
      at least half of that. */
   assert_true (calls <= 7 + 20 / 2);
-  close_reader (&reader);
+  close_group (&group);
 }
 
 static int
-count_lagging (reader_t *reader, const char *kind)
+count_lagging (group_t *group, const char *kind)
 {
-  json_t *stats = platform_store_get_stats (reader->fixture.store);
+  json_t *stats = platform_store_get_stats (group->fixture.store);
   json_t *kinds = json_object_get (stats, "lagging");
   int count = (int)json_integer_value (json_object_get (kinds, kind));
   json_decref (stats);
@@ -191,9 +218,10 @@
 }
 
 static const gbd_pool_server_t *
-find_server (reader_t *reader, gbd_backend_id_t id)
+find_server (group_t *group, gbd_backend_id_t id)
 {
-  const gbd_pool_t *pool = gbd_director_peek_pool (reader->serve.director);
+  const gbd_pool_t *pool
+      = gbd_director_peek_pool (group->instances[0].serve.director);
   gbd_pool_handle_t handle = gbd_pool_find (pool, gbd_cookie_fingerprint (id));
   return handle == GBD_POOL_NONE ? NULL : gbd_pool_peek (pool, handle);
 }
@@ -204,28 +232,73 @@
 a_start_reads_a_list_that_lags_and_catches_up (void **state)
 {
   (void)state;
-  reader_t reader;
-  open_reader (&reader);
-  fixture_switch (&reader.fixture, "{\"lag_ms\":3600000}");
+  group_t group;
+  open_group (&group);
+  fixture_switch (&group.fixture, "{\"lag_ms\":3600000}");
   platform_request_t request = {
     .verb = PLATFORM_GET, .kind = "servers", .name = "none", .may_lag = true
   };
   platform_reply_t reply;
-  platform_store_handle (reader.fixture.store, &request, reader.fixture.now,
+  platform_store_handle (group.fixture.store, &request, group.fixture.now,
                          &reply);
-  write_server (&reader, 1, false);
-  write_server (&reader, SERVERS + 1, true);
-  start_reader (&reader);
-  run_until_ready (&reader);
+  write_server (&group, 1, false);
+  write_server (&group, SERVERS + 1, true);
+  run_until_ready (&group, start_without_relays (&group));
   int pages = (SERVERS + PAGE_ITEMS - 1) / PAGE_ITEMS;
-  assert_int_equal (count_lagging (&reader, "servers"), 1 + pages);
-  assert_int_equal (fixture_count_calls (&reader.fixture, "servers", "list"),
+  assert_int_equal (count_lagging (&group, "servers"), 1 + pages);
+  assert_int_equal (fixture_count_calls (&group.fixture, "servers", "list"),
                     pages);
-  run_for (&reader, GBD_SECOND);
-  assert_int_equal (find_server (&reader, 1)->entry.backend.state,
+  run_for (&group, GBD_SECOND);
+  assert_int_equal (find_server (&group, 1)->entry.backend.state,
                     GBD_BACKEND_DRAINING);
-  assert_non_null (find_server (&reader, SERVERS + 1));
-  close_reader (&reader);
+  assert_non_null (find_server (&group, SERVERS + 1));
+  close_group (&group);
+}
+
+static uint64_t
+routes_version (const gbd_cookie_serve_t *serve)
+{
+  return gbd_routes_get_version (gbd_director_get_routes (serve->director));
+}
+
+/* A change of the routes wakes every instance: those that read at a relay wait
+   at a copy, and the relay tells them when it lags. */
+static void
+routes_come_in_time_though_their_copy_lags (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  gbd_address_t address = choose_address ();
+  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
+  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
+  run_until_ready (&group, relay);
+  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
+  run_until_ready (&group, reader);
+  run_for (&group, 5 * GBD_SECOND);
+  for (int is_lagging = 0; is_lagging < 2; is_lagging++)
+    {
+      if (is_lagging)
+        fixture_switch (&group.fixture, "{\"lag_ms\":3600000}");
+      step (&group); /* the copy is made */
+      int calls = count_all (&group, "config");
+      int lagging = count_lagging (&group, "config");
+      uint64_t version = 2 + (uint64_t)is_lagging;
+      write_routes (&group, version);
+      gbd_time_t end = group.fixture.now + CONFIG_BOUND;
+      while (routes_version (reader) < version && group.fixture.now < end)
+        step (&group);
+      assert_int_equal (routes_version (reader), version);
+      assert_int_equal (routes_version (relay), version);
+      run_for (&group, 2 * GBD_SECOND);
+      calls = count_all (&group, "config") - calls;
+      lagging = count_lagging (&group, "config") - lagging;
+      print_message ("%d calls, %d of them may lag\n", calls, lagging);
+      /* Only the relay's are at the full price while the copy keeps up. */
+      assert_true (lagging > 0);
+      assert_true (calls - lagging <= 2 + is_lagging);
+    }
+  close_group (&group);
 }
 
 int
@@ -233,6 +306,7 @@
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (an_outage_costs_few_calls_for_routes),
-          cmocka_unit_test (a_start_reads_a_list_that_lags_and_catches_up) };
+          cmocka_unit_test (a_start_reads_a_list_that_lags_and_catches_up),
+          cmocka_unit_test (routes_come_in_time_though_their_copy_lags) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -11,6 +11,7 @@
 #include <unistd.h>
 
 #include "gooseberrydrum/platform_client.h"
+#include "free_address.h"
 #include "gooseberrydrum/relay.h"
 
 #define KIND "servers"
@@ -28,22 +29,6 @@
 static uint32_t settling;
 static uint64_t hinted;
 
-static gbd_address_t
-choose_address (void)
-{
-  struct sockaddr_in name = { .sin_family = AF_INET };
-  socklen_t length = sizeof name;
-  gbd_address_t address;
-  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  assert_int_equal (bind (fd, (struct sockaddr *)&name, sizeof name), 0);
-  getsockname (fd, (struct sockaddr *)&name, &length);
-  close (fd);
-  gbd_address_parse ("127.0.0.1:1", &address);
-  address.port = ntohs (name.sin_port);
-  return address;
-}
-
 static int
 set_up (void **state)
 {
