Keep room in the log for notices

A line that finds no room has the buffer written out first, and lines below a notice leave a quarter of it to the others.

Tests, failing before: a_flood_of_lines_leaves_room_for_a_notice, a_notice_finds_room_behind_a_reader_that_stops.

Ruled out: a larger buffer (memory is priced); one line for a whole listing, since an entry's line says when an instance learned of that backend server.

--- a/src/gooseberrydrum/journal.c
+++ b/src/gooseberrydrum/journal.c
@@ -5,12 +5,16 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <syslog.h>
 #include <time.h>
 #include <unistd.h>
 
 #include "gooseberrydrum/retry.h"
 
 #define BUFFER_BYTES 16384 /* about 50 lines, between two flushes */
+/* Of them, for notices and what is more important: a start, a stop or a lost
+   dependency must not be left out for lines of single flows. */
+#define RESERVED_BYTES 4096
 /* Lines a second of one event: each new flow of an ordinary day has its line
    (up to 60 a second at an instance of the site sheets), at about 10 us. */
 #define RATE_PER_SECOND 100
@@ -48,6 +52,8 @@
 };
 
 static stream_t *find_stream (gbd_journal_t *journal, gbd_event_t event);
+static bool append (gbd_journal_t *journal, const stream_t *stream,
+                    const json_t *fields);
 static size_t write_head (const gbd_journal_t *journal, const stream_t *stream,
                           char *line, size_t room);
 static json_int_t time_of_day_ms (void);
@@ -109,31 +115,20 @@
 gbd_journal_write (gbd_journal_t *journal, gbd_event_t event, json_t *fields)
 {
   stream_t *stream = find_stream (journal, event);
-  char *line = journal->buffer + journal->length;
-  size_t room = BUFFER_BYTES - journal->length;
-  size_t length = write_head (journal, stream, line, room);
-  /* The fields' opening brace becomes the comma after the head. */
-  size_t more = length < room ? json_dumpb (fields, line + length,
-                                            room - length, JSON_COMPACT)
-                              : 0;
-  bool has_fields = json_object_size (fields) > 0;
-  json_decref (fields);
-  if (length + MAX_TAIL > room || more > room - length - MAX_TAIL)
+  bool is_written = append (journal, stream, fields);
+  if (!is_written)
     {
-      stream->suppressed++;
-      journal->suppressed++;
-      return;
+      gbd_journal_flush (journal);
+      is_written = append (journal, stream, fields);
     }
-  if (has_fields)
-    line[length] = ',';
-  else
+  json_decref (fields);
+  if (is_written)
     {
-      line[length] = '}';
-      more = 1;
+      stream->suppressed = 0;
+      return;
     }
-  line[length + more] = '\n';
-  journal->length += length + more + 1;
-  stream->suppressed = 0;
+  stream->suppressed++;
+  journal->suppressed++;
 }
 
 void
@@ -175,6 +170,35 @@
   return NULL;
 }
 
+/* Append a line to what waits.  @return false if it finds no room. */
+static bool
+append (gbd_journal_t *journal, const stream_t *stream, const json_t *fields)
+{
+  char *line = journal->buffer + journal->length;
+  size_t room = BUFFER_BYTES - journal->length;
+  size_t reserved = stream->priority > LOG_NOTICE ? RESERVED_BYTES : 0;
+  if (room <= reserved)
+    return false;
+  room -= reserved;
+  size_t length = write_head (journal, stream, line, room);
+  /* The fields' opening brace becomes the comma after the head. */
+  size_t more = length < room ? json_dumpb (fields, line + length,
+                                            room - length, JSON_COMPACT)
+                              : 0;
+  if (length + MAX_TAIL > room || more > room - length - MAX_TAIL)
+    return false;
+  if (json_object_size (fields) > 0)
+    line[length] = ',';
+  else
+    {
+      line[length] = '}';
+      more = 1;
+    }
+  line[length + more] = '\n';
+  journal->length += length + more + 1;
+  return true;
+}
+
 /* Names and messages hold nothing that JSON would escape. */
 static size_t
 write_head (const gbd_journal_t *journal, const stream_t *stream, char *line,
--- a/src/gooseberrydrum/journal.h
+++ b/src/gooseberrydrum/journal.h
@@ -2,7 +2,8 @@
  *  Structured log: one JSON object a line on standard output.
  *
  *  Lines wait in a bounded buffer for a descriptor that does not block; what
- *  finds no room is left out and counted.  Each event has a rate of its own;
+ *  finds no room is left out and counted, lines below a notice first.  Each
+ *  event has a rate of its own;
  *  the next line of an event says how many were left out before it.
  */
 #ifndef PROGRAM_JOURNAL_H
--- a/src/test_gooseberrydrum/test_journal.c
+++ b/src/test_gooseberrydrum/test_journal.c
@@ -118,6 +118,42 @@
   json_decref (line);
 }
 
+/* A first list of 200 backend servers comes in one turn of the loop. */
+static void
+a_flood_of_lines_leaves_room_for_a_notice (void **state)
+{
+  (void)state;
+  static char text[4 * READ_BYTES];
+  for (int i = 0; i < 200; i++)
+    write_line (GBD_EVENT_SERVER_LISTED, NOW,
+                json_pack ("{s:s, s:i, s:s, s:b}", "server", "i-0123456789",
+                           "version", i, "state", "ready", "cold", 0));
+  write_line (GBD_EVENT_READY, NOW, json_pack ("{s:i}", "start_ms", 70));
+  gbd_journal_flush (journal);
+  assert_true (read (ends[0], text, sizeof text - 1) > 0);
+  assert_non_null (strstr (text, "\"READY\""));
+  assert_int_equal (gbd_journal_get_suppressed (journal), 0);
+}
+
+/* Nobody reads: what waits is full of lines of little weight. */
+static void
+a_notice_finds_room_behind_a_reader_that_stops (void **state)
+{
+  (void)state;
+  gbd_time_t now = NOW;
+  uint64_t lost;
+  do
+    {
+      lost = gbd_journal_get_suppressed (journal);
+      now += GBD_SECOND;
+      write_line (GBD_EVENT_SERVER_LISTED, now, NULL);
+    }
+  while (gbd_journal_get_suppressed (journal) == lost);
+  lost = gbd_journal_get_suppressed (journal);
+  write_line (GBD_EVENT_READY, now, json_pack ("{s:i}", "start_ms", 70));
+  assert_int_equal (gbd_journal_get_suppressed (journal), lost);
+}
+
 static void
 priorities_below_the_set_one_are_left_out (void **state)
 {
@@ -138,6 +174,10 @@
         an_event_has_a_rate_and_says_what_was_left_out, set_up, tear_down),
     cmocka_unit_test_setup_teardown (a_reader_that_stops_blocks_nothing,
                                      set_up, tear_down),
+    cmocka_unit_test_setup_teardown (a_flood_of_lines_leaves_room_for_a_notice,
+                                     set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        a_notice_finds_room_behind_a_reader_that_stops, set_up, tear_down),
     cmocka_unit_test_setup_teardown (priorities_below_the_set_one_are_left_out,
                                      set_up, tear_down),
   };
