Probe suspected backend servers and reset flows of those that are down

Answers pass the instance by, so its own evidence on one backend server is a few packets a second.

A suspected backend server is connected to, at 0.2, 0.4 ... 1.6 s, 16 at a time. Refused: its process has ended, so no flow that this instance knows from before is held there. Silent for 0.3 s, with two signs of flows besides, while flows of others are answered: flows whose requests may be repeated are reset. Requests that must not run twice are left to the backend server, and so are flows that this instance has not seen before the probe, as a backend server that has started again may hold them. New flows make no trial while a probe says it would be in vain.

Tests: flows_of_a_server_that_is_down_are_reset, 10 cases, of which "ended and back" failed at first as a packet with news of an answer was reset; probes_spare_trials_and_end_them_soon; a_flow_that_is_answered_outweighs_a_probe; test_prober. In the soak the backend servers accept connections until they crash.

Ruled out: signs of flows alone, which come too seldom on the grown sites and are what a full queue shows as well; health requests, which take a slot and may lie.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -25,7 +25,7 @@
  *  GBD_DIRECTOR_SILENT signs unanswered since its last answer. */
 #define GBD_DIRECTOR_RESET_DRAINED (300 * GBD_MILLISECOND)
 /** One packet may be lost; two signs without an answer between them, besides
- *  the entry, are not chance. */
+ *  the entry or a probe, are not chance. */
 #define GBD_DIRECTOR_SILENT 2
 /** The same for any other: it may only have been silent towards the
  *  platform, and writes its entry again within GBD_POOL_SETTLE_TIME. */
@@ -34,18 +34,20 @@
 /** Rule that decided; logs and `explain` print it. */
 typedef enum
 {
-  GBD_DIRECTION_NOT_READY,  /**< no key, routes or backend servers yet */
-  GBD_DIRECTION_NO_ROUTE,   /**< the address has no route */
-  GBD_DIRECTION_NO_SERVER,  /**< nothing can take a new flow */
-  GBD_DIRECTION_PLACED,     /**< first opening packet of a flow */
-  GBD_DIRECTION_SAME,       /**< opening packet of a flow placed before */
-  GBD_DIRECTION_MOVED,      /**< repeated opening packet: the backend server
-                                 chosen before did not answer */
-  GBD_DIRECTION_COOKIE,     /**< the cookie names the backend server */
-  GBD_DIRECTION_NO_COOKIE,  /**< the cookie names none that is known */
-  GBD_DIRECTION_SERVER_GONE /**< the flow's backend server has left */
+  GBD_DIRECTION_NOT_READY,   /**< no key, routes or backend servers yet */
+  GBD_DIRECTION_NO_ROUTE,    /**< the address has no route */
+  GBD_DIRECTION_NO_SERVER,   /**< nothing can take a new flow */
+  GBD_DIRECTION_PLACED,      /**< first opening packet of a flow */
+  GBD_DIRECTION_SAME,        /**< opening packet of a flow placed before */
+  GBD_DIRECTION_MOVED,       /**< repeated opening packet: the backend server
+                                  chosen before did not answer */
+  GBD_DIRECTION_COOKIE,      /**< the cookie names the backend server */
+  GBD_DIRECTION_NO_COOKIE,   /**< the cookie names none that is known */
+  GBD_DIRECTION_SERVER_GONE, /**< the flow's backend server has left */
+  GBD_DIRECTION_SERVER_DOWN  /**< it is listed, but neither its flows nor a
+                                  probe are answered */
 } gbd_direction_rule_t;
-#define GBD_DIRECTION_COUNT 9
+#define GBD_DIRECTION_COUNT 10
 extern const char *const gbd_direction_strings[GBD_DIRECTION_COUNT];
 
 /** One decision. */
--- a/include/gooseberrydrum/flow_watch.h
+++ b/include/gooseberrydrum/flow_watch.h
@@ -38,6 +38,8 @@
   gbd_time_t sent_at; /**< first sending of the newest packet that wants an
                            answer */
   gbd_time_t newest_at;
+  gbd_time_t answered_at;  /**< newest sign that the backend server answers
+                                this flow, or when it was first seen */
   uint32_t sequence;       /**< of that packet */
   uint32_t acknowledgment; /**< newest that the caller sent */
   gbd_pool_handle_t server;
@@ -73,6 +75,12 @@
                                       gbd_pool_handle_t server,
                                       gbd_time_t now);
 
+/** A flow has ended. */
+void gbd_flow_watch_forget (gbd_flow_watch_t *watch, gbd_flow_hash_t hash);
+
+/** Newest sign that any backend server answers; 0: none yet. */
+gbd_time_t gbd_flow_watch_get_answered_at (const gbd_flow_watch_t *watch);
+
 /** Clear what is due. */
 void gbd_flow_watch_tick (gbd_flow_watch_t *watch, gbd_time_t now);
 
--- a/include/gooseberrydrum/routes.h
+++ b/include/gooseberrydrum/routes.h
@@ -23,6 +23,7 @@
 typedef struct
 {
   gbd_address_t address;
+  bool is_repeatable; /**< callers try its requests again after any failure */
   uint32_t target_count;
   gbd_route_target_t targets[GBD_ROUTE_TARGETS_MAX];
 } gbd_route_t;
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -12,6 +12,8 @@
 static json_t *make_fields (const gbd_cookie_serve_t *serve,
                             const gbd_packet_t *packet,
                             const gbd_direction_t *direction, gbd_time_t now);
+static void add_probe (json_t *fields, const gbd_suspicion_t *suspicion,
+                       gbd_time_t now);
 static void log_silence (gbd_cookie_serve_t *serve, const gbd_packet_t *packet,
                          const gbd_direction_t *direction,
                          const gbd_flow_signs_t *signs, gbd_time_t now);
@@ -83,6 +85,26 @@
                        make_fields (serve, packet, direction, now));
 }
 
+void
+gbd_cookie_report_probe (void *data, const gbd_pool_server_t *server,
+                         gbd_time_t began_at, gbd_time_t now)
+{
+  gbd_cookie_serve_t *serve = data;
+  const gbd_suspicion_t *suspicion = &server->load.suspicion;
+  if (!gbd_journal_admits (serve->journal, GBD_EVENT_SERVER_PROBED, now))
+    return;
+  gbd_journal_write (
+      serve->journal, GBD_EVENT_SERVER_PROBED,
+      json_pack (
+          "{s:s, s:s, s:I, s:i, s:I}", "server", server->entry.name, "result",
+          gbd_probe_strings[gbd_suspicion_get_probe (suspicion, now)],
+          "probe_ms", (json_int_t)((now - began_at) / GBD_MILLISECOND),
+          "unanswered", (int)suspicion->unanswered, "answered_ms_ago",
+          suspicion->answered_at
+              ? (json_int_t)((now - suspicion->answered_at) / GBD_MILLISECOND)
+              : (json_int_t)-1));
+}
+
 void
 gbd_cookie_report_dump (gbd_cookie_serve_t *serve)
 {
@@ -136,6 +158,8 @@
                            json_integer (server->load.waiting));
       json_object_set_new (fields, "unanswered",
                            json_integer (server->load.suspicion.unanswered));
+      if (direction->rule == GBD_DIRECTION_SERVER_DOWN)
+        add_probe (fields, &server->load.suspicion, now);
     }
   if (direction->former != GBD_POOL_NONE)
     json_object_set_new (fields, "former",
@@ -146,6 +170,18 @@
   return fields;
 }
 
+/* What a flow was given up for. */
+static void
+add_probe (json_t *fields, const gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  gbd_probe_result_t probe = gbd_suspicion_get_probe (suspicion, now);
+  json_object_set_new (fields, "probe",
+                       json_string (gbd_probe_strings[probe]));
+  json_object_set_new (fields, "probe_age_ms",
+                       json_integer ((json_int_t)((now - suspicion->probed_at)
+                                                  / GBD_MILLISECOND)));
+}
+
 static void
 log_silence (gbd_cookie_serve_t *serve, const gbd_packet_t *packet,
              const gbd_direction_t *direction, const gbd_flow_signs_t *signs,
@@ -308,6 +344,13 @@
   add_counter (counters, "gooseberrydrum_log_suppressed_total",
                "Log lines left out.", GBD_COUNTER_SUM, NULL, NULL,
                gbd_journal_get_suppressed (serve->journal));
+  gbd_prober_stats_t probes;
+  if (serve->prober)
+    gbd_prober_get_stats (serve->prober, &probes);
+  for (int i = 0; serve->prober && i < GBD_PROBE_COUNT; i++)
+    add_counter (counters, "gooseberrydrum_probes_total",
+                 "Connections to suspected backend servers.", GBD_COUNTER_SUM,
+                 "result", gbd_probe_strings[i], probes.results[i]);
   if (serve->relay)
     add_counter (counters, "gooseberrydrum_relay_answers_total",
                  "Answers to instances that read here.", GBD_COUNTER_SUM, NULL,
--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -139,7 +139,11 @@
     .data = serve,
   };
   serve->path = gbd_cookie_path_new (&path, serve->director, error);
-  return serve->path;
+  if (!serve->path || !serve->settings->probe_servers)
+    return serve->path;
+  serve->prober = gbd_prober_new (gbd_director_get_pool (serve->director),
+                                  gbd_cookie_report_probe, serve);
+  return serve->prober;
 }
 
 static bool
@@ -200,6 +204,7 @@
   gbd_admin_delete (serve->metrics_server);
   if (serve->context)
     lws_context_destroy (serve->context);
+  gbd_prober_delete (serve->prober);
   gbd_cookie_path_delete (serve->path);
   gbd_director_delete (serve->director);
   gbd_journal_delete (serve->journal);
@@ -331,6 +336,8 @@
   gbd_cookie_store_tick (serve, now);
   gbd_cookie_servers_tick (serve, now);
   gbd_director_tick (serve->director, now);
+  if (serve->prober)
+    gbd_prober_tick (serve->prober, now);
   check_ready (serve, now);
   check_settings (serve, now);
   check_stop (serve, now);
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -10,6 +10,7 @@
 #include "journal.h"
 #include "gooseberrydrum/sources.h"
 #include "platform_client.h"
+#include "prober.h"
 #include "relay.h"
 #include "settings.h"
 
@@ -25,6 +26,7 @@
   gbd_journal_t *journal;
   gbd_director_t *director;
   gbd_cookie_path_t *path;
+  gbd_prober_t *prober;                 /**< NULL: none */
   gbd_platform_t *platform;             /**< for routes and key */
   gbd_platform_t *servers_platform;     /**< for the backend servers */
   gbd_platform_dialect_t relay_dialect; /**< own API, entries as the platform
@@ -106,6 +108,9 @@
                                  const gbd_direction_t *direction,
                                  const gbd_flow_signs_t *signs,
                                  gbd_time_t now);
+/** Log what a probe showed; told by the prober. */
+void gbd_cookie_report_probe (void *data, const gbd_pool_server_t *server,
+                              gbd_time_t began_at, gbd_time_t now);
 /** Write the dump to standard error, in one line. */
 void gbd_cookie_report_dump (gbd_cookie_serve_t *serve);
 
--- a/src/gooseberrydrum/platform_dialect.c
+++ b/src/gooseberrydrum/platform_dialect.c
@@ -176,6 +176,7 @@
 {
   const char *address = json_string_value (json_object_get (item, "address"));
   json_t *services = json_object_get (item, "services");
+  route->is_repeatable = json_is_true (json_object_get (item, "repeatable"));
   if (!address || gbd_address_parse (address, &route->address) != GBD_OK)
     return false;
   size_t index;
--- /dev/null
+++ b/src/gooseberrydrum/prober.c
@@ -0,0 +1,191 @@
+#include "prober.h"
+
+#include <errno.h>
+#include <poll.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "share/udp.h"
+
+/* A tick that comes so late says nothing about the backend server. */
+#define LATE_TIME (2 * GBD_SUSPICION_PROBE_WAIT)
+
+typedef struct
+{
+  int fd; /* -1: free */
+  gbd_pool_handle_t server;
+  gbd_backend_id_t id; /* a handle may be taken by another one meanwhile */
+  gbd_time_t began_at;
+} probe_t;
+
+struct gbd_prober
+{
+  gbd_pool_t *pool;
+  gbd_probe_news_t news;
+  void *data;
+  gbd_time_t ticked_at;
+  probe_t probes[GBD_PROBER_PLACES];
+  gbd_prober_stats_t stats;
+};
+
+static void finish (gbd_prober_t *prober, probe_t *probe, gbd_time_t now);
+static gbd_probe_result_t judge (const gbd_prober_t *prober,
+                                 const probe_t *probe, gbd_time_t now,
+                                 bool *is_over);
+static void conclude (gbd_prober_t *prober, const probe_t *probe,
+                      gbd_probe_result_t result, gbd_time_t now);
+static void start_due (gbd_prober_t *prober, gbd_time_t now);
+static void start (gbd_prober_t *prober, probe_t *probe,
+                   gbd_pool_handle_t handle, gbd_time_t now);
+static probe_t *find_place (gbd_prober_t *prober);
+
+gbd_prober_t *
+gbd_prober_new (gbd_pool_t *pool, gbd_probe_news_t news, void *data)
+{
+  gbd_prober_t *prober = calloc (1, sizeof *prober);
+  if (!prober)
+    return NULL;
+  prober->pool = pool;
+  prober->news = news;
+  prober->data = data;
+  for (int i = 0; i < GBD_PROBER_PLACES; i++)
+    prober->probes[i].fd = -1;
+  return prober;
+}
+
+void
+gbd_prober_delete (gbd_prober_t *prober)
+{
+  if (!prober)
+    return;
+  for (int i = 0; i < GBD_PROBER_PLACES; i++)
+    {
+      if (prober->probes[i].fd >= 0)
+        close (prober->probes[i].fd);
+    }
+  free (prober);
+}
+
+void
+gbd_prober_tick (gbd_prober_t *prober, gbd_time_t now)
+{
+  for (int i = 0; i < GBD_PROBER_PLACES; i++)
+    {
+      if (prober->probes[i].fd >= 0)
+        finish (prober, &prober->probes[i], now);
+    }
+  start_due (prober, now);
+  prober->ticked_at = now;
+}
+
+void
+gbd_prober_get_stats (const gbd_prober_t *prober, gbd_prober_stats_t *stats)
+{
+  *stats = prober->stats;
+}
+
+/* Take in what a probe shows, if it is over. */
+static void
+finish (gbd_prober_t *prober, probe_t *probe, gbd_time_t now)
+{
+  bool is_over;
+  gbd_probe_result_t result = judge (prober, probe, now, &is_over);
+  if (!is_over)
+    return;
+  close (probe->fd);
+  probe->fd = -1;
+  conclude (prober, probe, result, now);
+}
+
+static void
+conclude (gbd_prober_t *prober, const probe_t *probe,
+          gbd_probe_result_t result, gbd_time_t now)
+{
+  prober->stats.results[result]++;
+  gbd_pool_server_t *server = gbd_pool_get (prober->pool, probe->server);
+  if (result == GBD_PROBE_NONE || !server->is_used
+      || server->entry.backend.id != probe->id)
+    return;
+  if (gbd_suspicion_probed (&server->load.suspicion, result, probe->began_at,
+                            now))
+    prober->news (prober->data, server, probe->began_at, now);
+}
+
+static gbd_probe_result_t
+judge (const gbd_prober_t *prober, const probe_t *probe, gbd_time_t now,
+       bool *is_over)
+{
+  struct pollfd polled = { .fd = probe->fd, .events = POLLOUT };
+  *is_over = true;
+  if (poll (&polled, 1, 0) > 0)
+    {
+      int error = 0;
+      socklen_t length = sizeof error;
+      getsockopt (probe->fd, SOL_SOCKET, SO_ERROR, &error, &length);
+      if (error == 0)
+        return GBD_PROBE_ACCEPTED;
+      return error == ECONNREFUSED ? GBD_PROBE_REFUSED : GBD_PROBE_SILENT;
+    }
+  if (now - prober->ticked_at > LATE_TIME)
+    return GBD_PROBE_NONE;
+  *is_over = now - probe->began_at >= GBD_SUSPICION_PROBE_WAIT;
+  return GBD_PROBE_SILENT;
+}
+
+static void
+start_due (gbd_prober_t *prober, gbd_time_t now)
+{
+  uint32_t room = gbd_pool_get_room (prober->pool);
+  for (uint32_t i = 0; i < room; i++)
+    {
+      gbd_pool_server_t *server
+          = gbd_pool_get (prober->pool, (gbd_pool_handle_t)i);
+      if (!server->is_used || !server->is_listed
+          || !gbd_suspicion_wants_probe (&server->load.suspicion, now))
+        continue;
+      probe_t *probe = find_place (prober);
+      if (!probe)
+        return;
+      gbd_suspicion_probing (&server->load.suspicion, now);
+      start (prober, probe, (gbd_pool_handle_t)i, now);
+    }
+}
+
+static void
+start (gbd_prober_t *prober, probe_t *probe, gbd_pool_handle_t handle,
+       gbd_time_t now)
+{
+  const gbd_backend_t *backend
+      = &gbd_pool_peek (prober->pool, handle)->entry.backend;
+  struct sockaddr_storage name;
+  socklen_t length = gbd_udp_to_sockaddr (&backend->address, &name);
+  int fd
+      = socket (name.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  *probe = (probe_t){
+    .fd = -1, .server = handle, .id = backend->id, .began_at = now
+  };
+  if (fd >= 0
+      && (connect (fd, (const struct sockaddr *)&name, length) == 0
+          || errno == EINPROGRESS))
+    {
+      probe->fd = fd;
+      return;
+    }
+  bool is_refused = fd >= 0 && errno == ECONNREFUSED;
+  if (fd >= 0)
+    close (fd);
+  conclude (prober, probe, is_refused ? GBD_PROBE_REFUSED : GBD_PROBE_NONE,
+            now);
+}
+
+static probe_t *
+find_place (gbd_prober_t *prober)
+{
+  for (int i = 0; i < GBD_PROBER_PLACES; i++)
+    {
+      if (prober->probes[i].fd < 0)
+        return &prober->probes[i];
+    }
+  return NULL;
+}
--- a/src/gooseberrydrum/settings.h
+++ b/src/gooseberrydrum/settings.h
@@ -61,6 +61,7 @@
   gbd_path_text_t tls_key;
   gbd_path_text_t tls_authority;
   bool insecure_links;
+  bool probe_servers;
   uint32_t heartbeat_ms;
   uint32_t touch_timeout_ms;
   uint32_t silence_timeout_ms;
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -61,6 +61,11 @@
     packet_forms, false,
     "How the fabric's packets look: ip, or echo, which carries a routing "
     "cookie." },
+  { "probe-servers", &gbd_kind_flag, FIELD (probe_servers), "no", "", 0, 0,
+    NULL, false,
+    "Connect to a backend server that leaves flows unanswered, to learn "
+    "whether it has ended; all of them must accept TCP connections at their "
+    "address.  Only for the policy cookie." },
   { "admin-listen", &gbd_kind_optional_address, FIELD (admin_listen),
     "127.0.0.1:7480", "", 0, 0, NULL, false,
     "Where status, dump, explain and counters are served (HTTP).  Anything "
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -14,8 +14,8 @@
 };
 
 const char *const gbd_direction_strings[GBD_DIRECTION_COUNT]
-    = { "not_ready", "no_route", "no_server", "placed",     "same",
-        "moved",     "cookie",   "no_cookie", "server_gone" };
+    = { "not_ready", "no_route", "no_server", "placed",      "same",
+        "moved",     "cookie",   "no_cookie", "server_gone", "server_down" };
 
 static void route_opening (const gbd_director_t *director,
                            const gbd_packet_t *packet, gbd_time_t now,
@@ -26,8 +26,11 @@
 static void drop (gbd_direction_t *direction, gbd_direction_rule_t rule,
                   gbd_drop_t cause);
 static void reset (gbd_direction_t *direction, gbd_direction_rule_t rule);
-static bool is_given_up (const gbd_director_t *director,
-                         const gbd_pool_server_t *server, gbd_time_t now);
+static bool is_gone (const gbd_director_t *director,
+                     const gbd_pool_server_t *server, gbd_time_t now);
+static bool is_down (const gbd_director_t *director,
+                     const gbd_packet_t *packet,
+                     const gbd_direction_t *direction, gbd_time_t now);
 
 gbd_director_t *
 gbd_director_new (const gbd_director_settings_t *settings)
@@ -130,7 +133,12 @@
 {
   director->rules[direction->rule]++;
   if (direction->kind != GBD_ACTION_BACKEND)
-    return (gbd_flow_signs_t){ .is_silent_now = false };
+    {
+      if (direction->rule == GBD_DIRECTION_SERVER_GONE
+          || direction->rule == GBD_DIRECTION_SERVER_DOWN)
+        gbd_flow_watch_forget (director->watch, direction->hash);
+      return (gbd_flow_signs_t){ .is_silent_now = false };
+    }
   return gbd_flow_watch_note (director->watch, packet, direction->hash,
                               direction->server, now);
 }
@@ -216,8 +224,12 @@
     }
   const gbd_pool_server_t *server
       = gbd_pool_peek (director->pool, direction->server);
-  if (!packet->is_reset && is_given_up (director, server, now))
+  if (packet->is_reset)
+    return;
+  if (is_gone (director, server, now))
     reset (direction, GBD_DIRECTION_SERVER_GONE);
+  else if (is_down (director, packet, direction, now))
+    reset (direction, GBD_DIRECTION_SERVER_DOWN);
 }
 
 static void
@@ -238,8 +250,8 @@
 /* Whether the backend server is surely gone, so that its callers may as well
    open another flow at once. */
 static bool
-is_given_up (const gbd_director_t *director, const gbd_pool_server_t *server,
-             gbd_time_t now)
+is_gone (const gbd_director_t *director, const gbd_pool_server_t *server,
+         gbd_time_t now)
 {
   if (server->is_listed || gbd_pool_is_away (director->pool))
     return false;
@@ -250,3 +262,34 @@
       = is_surely_gone ? GBD_DIRECTOR_RESET_DRAINED : GBD_DIRECTOR_RESET_LOST;
   return now - server->gone_at >= wait;
 }
+
+/* Whether a listed backend server surely does not hold the flow any more, or
+   cannot be reached and the caller may try elsewhere at once.  Only for flows
+   that this instance knows to be older than the probe: a backend server that
+   has started again meanwhile may hold newer ones. */
+static bool
+is_down (const gbd_director_t *director, const gbd_packet_t *packet,
+         const gbd_direction_t *direction, gbd_time_t now)
+{
+  const gbd_suspicion_t *suspicion
+      = &gbd_pool_peek (director->pool, direction->server)->load.suspicion;
+  gbd_probe_result_t probe = gbd_suspicion_get_probe (suspicion, now);
+  if (probe != GBD_PROBE_REFUSED && probe != GBD_PROBE_SILENT)
+    return false;
+  const gbd_watched_flow_t *flow
+      = gbd_flow_watch_find (director->watch, direction->hash);
+  if (!flow || flow->phase != GBD_FLOW_OPEN
+      || flow->server != direction->server
+      || flow->answered_at >= suspicion->probed_at
+      || (int32_t)(packet->acknowledgment - flow->acknowledgment) > 0)
+    return false;
+  if (probe == GBD_PROBE_REFUSED)
+    return true;
+  /* It may run what it has got.  And the silence may be this instance's. */
+  const gbd_route_t *route
+      = gbd_routes_find (director->routes, &packet->flow.service);
+  return route && route->is_repeatable
+         && suspicion->unanswered >= GBD_DIRECTOR_SILENT
+         && gbd_flow_watch_get_answered_at (director->watch)
+                >= suspicion->probed_at;
+}
--- a/src/libgooseberrydrum/flow_watch.c
+++ b/src/libgooseberrydrum/flow_watch.c
@@ -9,6 +9,7 @@
   gbd_pool_t *pool;
   uint32_t capacity;
   uint32_t count;
+  gbd_time_t answered_at;
   gbd_watched_flow_t flows[];
 };
 
@@ -73,6 +74,7 @@
       flow->sequence = packet->sequence;
       flow->acknowledgment = packet->acknowledgment;
       flow->sent_at = now;
+      flow->answered_at = now;
     }
   gbd_flow_signs_t signs = { .is_silent_now = false };
   flow->newest_at = now;
@@ -91,6 +93,20 @@
   return signs;
 }
 
+void
+gbd_flow_watch_forget (gbd_flow_watch_t *watch, gbd_flow_hash_t hash)
+{
+  gbd_watched_flow_t *flow = find (watch, hash);
+  if (flow)
+    release (watch, flow);
+}
+
+gbd_time_t
+gbd_flow_watch_get_answered_at (const gbd_flow_watch_t *watch)
+{
+  return watch->answered_at;
+}
+
 void
 gbd_flow_watch_tick (gbd_flow_watch_t *watch, gbd_time_t now)
 {
@@ -219,6 +235,8 @@
       signs->is_heard_now
           = gbd_suspicion_is_suspected (&server->load.suspicion);
       flow->acknowledgment = packet->acknowledgment;
+      flow->answered_at = now;
+      watch->answered_at = now;
       gbd_suspicion_answered (&server->load.suspicion, now);
       if (!is_first)
         set_waiting (watch, flow, false);
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -1,5 +1,8 @@
 #include "gooseberrydrum/suspicion.h"
 
+const char *const gbd_probe_strings[GBD_PROBE_COUNT]
+    = { "none", "accepted", "refused", "silent" };
+
 static gbd_time_t shorter (gbd_time_t a, gbd_time_t b);
 
 void
@@ -7,6 +10,7 @@
 {
   suspicion->answered_at = now;
   suspicion->unanswered = 0;
+  suspicion->probe = GBD_PROBE_NONE;
 }
 
 bool
@@ -21,6 +25,8 @@
     {
       suspicion->trial_due = now + GBD_SUSPICION_FIRST_TRIAL;
       suspicion->trial_interval = 2 * GBD_SUSPICION_FIRST_TRIAL;
+      suspicion->probe_due = now;
+      suspicion->probe_interval = GBD_SUSPICION_FIRST_TRIAL;
     }
   return is_first;
 }
@@ -31,10 +37,52 @@
   return suspicion->unanswered > 0;
 }
 
+bool
+gbd_suspicion_wants_probe (const gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  return suspicion->unanswered > 0 && now >= suspicion->probe_due;
+}
+
+void
+gbd_suspicion_probing (gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  suspicion->probe_due = now + suspicion->probe_interval;
+  suspicion->probe_interval
+      = shorter (2 * suspicion->probe_interval, GBD_SUSPICION_LONGEST_TRIAL);
+}
+
+bool
+gbd_suspicion_probed (gbd_suspicion_t *suspicion, gbd_probe_result_t result,
+                      gbd_time_t began_at, gbd_time_t now)
+{
+  if (suspicion->unanswered == 0 || suspicion->answered_at >= began_at)
+    return false;
+  bool is_other = gbd_suspicion_get_probe (suspicion, now) != result;
+  suspicion->probe = (uint8_t)result;
+  suspicion->probed_at = began_at;
+  /* It is back: the next flow may try. */
+  if (result == GBD_PROBE_ACCEPTED && is_other)
+    suspicion->trial_due = shorter (suspicion->trial_due, now);
+  return is_other;
+}
+
+gbd_probe_result_t
+gbd_suspicion_get_probe (const gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  if (suspicion->unanswered == 0
+      || now - suspicion->probed_at > GBD_SUSPICION_PROBE_VALID)
+    return GBD_PROBE_NONE;
+  return (gbd_probe_result_t)suspicion->probe;
+}
+
 bool
 gbd_suspicion_admits (const gbd_suspicion_t *suspicion, gbd_time_t now)
 {
-  return suspicion->unanswered == 0 || now >= suspicion->trial_due;
+  if (suspicion->unanswered == 0)
+    return true;
+  gbd_probe_result_t probe = gbd_suspicion_get_probe (suspicion, now);
+  return now >= suspicion->trial_due && probe != GBD_PROBE_REFUSED
+         && probe != GBD_PROBE_SILENT;
 }
 
 void
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -51,6 +51,7 @@
   EVENT (SERVER_SILENT,  605, LOG_WARNING, "backend server does not answer") \
   EVENT (SERVER_HEARD,   606, LOG_NOTICE,  "backend server answers again") \
   EVENT (FLOW_WAITS,     607, LOG_INFO,    "data repeated; its backend server has not answered yet") \
+  EVENT (SERVER_PROBED,  608, LOG_NOTICE,  "connection to a backend server that leaves flows unanswered") \
   EVENT (STANDIN_READY,  801, LOG_INFO,    "stand-in %s listens on %s") \
   EVENT (STANDIN_FAILED, 802, LOG_ERR,     "stand-in %s: %s")
 /* clang-format on */
--- a/src/standins/world.h
+++ b/src/standins/world.h
@@ -71,6 +71,7 @@
 {
   world_server_state_t state;
   int fd;
+  int listen_fd;    /**< TCP at the same address; accepts and closes */
   uint32_t service; /**< 0 or 1 */
   uint64_t id;
   char name[GBD_NAME_MAX + 1];
@@ -227,6 +228,9 @@
 /* world_servers.c */
 bool world_server_add (world_t *world, uint32_t service, gbd_time_t now);
 bool world_server_write (world_t *world, world_server_t *server);
+/** End it without a word; its entry lapses later. */
+void world_server_crash (world_t *world, world_server_t *server,
+                         gbd_time_t now);
 void world_servers_poll (world_t *world);
 void world_servers_tick (world_t *world, gbd_time_t now);
 bool world_routes_write (world_t *world, gbd_time_t now);
--- a/src/standins/world_faults.c
+++ b/src/standins/world_faults.c
@@ -12,7 +12,6 @@
 #define SERVERS_MIN 2 /* of a service, that no fault takes away */
 #define SERVERS_PLANNED 8
 #define DRAIN_LENGTH (5 * GBD_SECOND)
-#define LAPSE_TIME (3 * GBD_SECOND) /* three heartbeats of a second */
 #define LOSS_SHARE 0.04
 #define TIMEOUT_MS 300
 
@@ -216,8 +215,7 @@
   world_server_t *server = choose_server (world);
   if (!server)
     return;
-  server->state = SERVER_CRASHED;
-  server->due = now + LAPSE_TIME;
+  world_server_crash (world, server, now);
 }
 
 static void
--- a/src/standins/world_servers.c
+++ b/src/standins/world_servers.c
@@ -14,6 +14,8 @@
 #define WORK_SPREAD_US 20000
 #define FIRST_SERVER 0x1000000u
 #define SLOTS 2
+#define BACKLOG 16
+#define LAPSE_TIME (3 * GBD_SECOND) /* three heartbeats of a second */
 #define SOCKET_BUFFER (1 << 20)
 
 /** One flow at a backend server. */
@@ -28,6 +30,9 @@
 
 static const char *const service_names[] = { "web", "mail" };
 
+static int open_listener (const gbd_address_t *address);
+static void accept_one (world_t *world, int fd, uint32_t index,
+                        gbd_time_t now);
 static void receive (world_t *world, int fd, uint32_t index, gbd_time_t now);
 static void handle (world_t *world, uint32_t index,
                     const echo_header_t *header, const uint8_t *data,
@@ -58,7 +63,8 @@
   gbd_address_t address = world_address (4, index, world->port);
   memset (server, 0, sizeof *server);
   server->fd = gbd_udp_listen (&address, SOCKET_BUFFER);
-  if (server->fd < 0)
+  server->listen_fd = open_listener (&address);
+  if (server->fd < 0 || server->listen_fd < 0)
     return false;
   server->service = service;
   server->id = world->form->name_server (FIRST_SERVER + world->next_server++,
@@ -122,6 +128,16 @@
   return is_written;
 }
 
+void
+world_server_crash (world_t *world, world_server_t *server, gbd_time_t now)
+{
+  (void)world;
+  server->state = SERVER_CRASHED;
+  server->due = now + LAPSE_TIME;
+  close (server->listen_fd);
+  server->listen_fd = -1;
+}
+
 void
 world_servers_poll (world_t *world)
 {
@@ -129,7 +145,10 @@
     {
       world_server_state_t state = world->servers[i].state;
       if (state == SERVER_READY || state == SERVER_DRAINING)
-        world_poll (world, world->servers[i].fd, i, receive);
+        {
+          world_poll (world, world->servers[i].fd, i, receive);
+          world_poll (world, world->servers[i].listen_fd, i, accept_one);
+        }
     }
 }
 
@@ -148,6 +167,34 @@
     }
 }
 
+static int
+open_listener (const gbd_address_t *address)
+{
+  struct sockaddr_storage name;
+  socklen_t length = gbd_udp_to_sockaddr (address, &name);
+  int on = 1;
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (fd >= 0 && bind (fd, (const struct sockaddr *)&name, length) == 0
+      && listen (fd, BACKLOG) == 0)
+    return fd;
+  if (fd >= 0)
+    close (fd);
+  return -1;
+}
+
+/* Nothing is said on a connection that tells whether a server listens. */
+static void
+accept_one (world_t *world, int fd, uint32_t index, gbd_time_t now)
+{
+  (void)world;
+  (void)index;
+  (void)now;
+  int inner = accept (fd, NULL, NULL);
+  if (inner >= 0)
+    close (inner);
+}
+
 static void
 receive (world_t *world, int fd, uint32_t index, gbd_time_t now)
 {
@@ -333,6 +380,9 @@
     return;
   close (server->fd);
   server->fd = -1;
+  if (server->listen_fd >= 0)
+    close (server->listen_fd);
+  server->listen_fd = -1;
   server->state = SERVER_FREE;
   server->due = 0;
   g_hash_table_destroy (server->flows);
--- /dev/null
+++ b/src/test_gooseberrydrum/test_prober.c
@@ -0,0 +1,171 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <cmocka.h>
+
+#include <poll.h>
+
+#include "free_address.h"
+#include "gooseberrydrum/prober.h"
+#include "share/udp.h"
+
+#define START (1000 * GBD_SECOND)
+#define TICK (100 * GBD_MILLISECOND)
+#define ID 7
+
+static gbd_pool_t *pool;
+static gbd_prober_t *prober;
+static gbd_pool_server_t *server;
+static uint32_t news_count;
+
+static void
+note_news (void *data, const gbd_pool_server_t *about, gbd_time_t began_at,
+           gbd_time_t now)
+{
+  (void)data;
+  assert_ptr_equal (about, server);
+  assert_true (began_at <= now);
+  news_count++;
+}
+
+/* Of a suspected backend server at this address. */
+static void
+set_up (const gbd_address_t *address)
+{
+  gbd_pool_entry_t entry
+      = { .backend = { .id = ID, .address = *address }, .slots = 1 };
+  pool = gbd_pool_new ();
+  assert_int_equal (gbd_pool_put (pool, &entry, START), GBD_OK);
+  server = gbd_pool_get (pool, 0);
+  gbd_suspicion_unanswered (&server->load.suspicion, START, START);
+  prober = gbd_prober_new (pool, note_news, NULL);
+  news_count = 0;
+}
+
+static void
+tear_down (void)
+{
+  gbd_prober_delete (prober);
+  gbd_pool_delete (pool);
+}
+
+static gbd_probe_result_t
+probe_for (gbd_time_t time)
+{
+  gbd_time_t now = START;
+  for (; now <= START + time; now += TICK)
+    {
+      gbd_prober_tick (prober, now);
+      /* The kernel's part takes no time of this clock. */
+      poll (NULL, 0, 1);
+    }
+  return gbd_suspicion_get_probe (&server->load.suspicion, now);
+}
+
+static int
+listen_at (gbd_address_t *address, int backlog)
+{
+  struct sockaddr_storage name;
+  gbd_address_parse ("127.0.0.1:1", address);
+  address->port = 0;
+  socklen_t length = gbd_udp_to_sockaddr (address, &name);
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  assert_int_equal (bind (fd, (struct sockaddr *)&name, length), 0);
+  assert_int_equal (listen (fd, backlog), 0);
+  gbd_udp_get_address (fd, address);
+  return fd;
+}
+
+static void
+a_server_that_listens_accepts (void **state)
+{
+  (void)state;
+  gbd_address_t address;
+  int fd = listen_at (&address, 8);
+  set_up (&address);
+  assert_int_equal (probe_for (2 * TICK), GBD_PROBE_ACCEPTED);
+  assert_int_equal (news_count, 1);
+  tear_down ();
+  close (fd);
+}
+
+static void
+one_that_has_ended_refuses (void **state)
+{
+  (void)state;
+  gbd_address_t address = choose_address ();
+  set_up (&address);
+  assert_int_equal (probe_for (2 * TICK), GBD_PROBE_REFUSED);
+  /* Told once, however often it is probed. */
+  assert_int_equal (probe_for (20 * TICK), GBD_PROBE_REFUSED);
+  assert_int_equal (news_count, 1);
+  tear_down ();
+}
+
+/* A full queue of connections answers nothing, as does a machine without
+   power. */
+static void
+one_that_is_gone_is_silent (void **state)
+{
+  (void)state;
+  gbd_address_t address;
+  struct sockaddr_storage name;
+  int fd = listen_at (&address, 0);
+  socklen_t length = gbd_udp_to_sockaddr (&address, &name);
+  int fillers[4];
+  for (int i = 0; i < 4; i++)
+    {
+      fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (fillers[i], (struct sockaddr *)&name, length);
+    }
+  set_up (&address);
+  assert_int_equal (probe_for (GBD_SUSPICION_PROBE_WAIT - TICK),
+                    GBD_PROBE_NONE);
+  assert_int_equal (probe_for (GBD_SUSPICION_PROBE_WAIT + TICK),
+                    GBD_PROBE_SILENT);
+  tear_down ();
+  for (int i = 0; i < 4; i++)
+    close (fillers[i]);
+  close (fd);
+}
+
+/* This process was paused while the probe was under way. */
+static void
+a_pause_proves_nothing (void **state)
+{
+  (void)state;
+  gbd_address_t address;
+  struct sockaddr_storage name;
+  int fd = listen_at (&address, 0);
+  socklen_t length = gbd_udp_to_sockaddr (&address, &name);
+  int fillers[4];
+  for (int i = 0; i < 4; i++)
+    {
+      fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      connect (fillers[i], (struct sockaddr *)&name, length);
+    }
+  set_up (&address);
+  gbd_prober_tick (prober, START);
+  gbd_prober_tick (prober, START + 3 * GBD_SECOND);
+  assert_int_equal (news_count, 0);
+  gbd_prober_stats_t stats;
+  gbd_prober_get_stats (prober, &stats);
+  assert_int_equal (stats.results[GBD_PROBE_NONE], 1);
+  tear_down ();
+  for (int i = 0; i < 4; i++)
+    close (fillers[i]);
+  close (fd);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (a_server_that_listens_accepts),
+    cmocka_unit_test (one_that_has_ended_refuses),
+    cmocka_unit_test (one_that_is_gone_is_silent),
+    cmocka_unit_test (a_pause_proves_nothing),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -135,6 +135,101 @@
   gbd_director_delete (director);
 }
 
+/* One case of a backend server that falls silent under open flows, 1 s after
+   they were opened; a probe 0.3 s later shows something. */
+typedef struct
+{
+  const char *label;
+  gbd_probe_result_t probe;
+  int signs; /* without an answer */
+  bool is_repeatable;
+  bool others_answer; /* flows of other backend servers, after the probe */
+  bool is_answered;   /* this flow, after the probe */
+  bool is_known;      /* this instance saw the flow before */
+  bool is_reset;
+} down_row_t;
+
+static const down_row_t down_rows[] = {
+  { "ended", GBD_PROBE_REFUSED, 1, false, false, false, true, true },
+  { "ended, flow not seen before", GBD_PROBE_REFUSED, 1, true, true, false,
+    false, false },
+  { "ended and back", GBD_PROBE_REFUSED, 1, true, true, true, true, false },
+  { "slow", GBD_PROBE_ACCEPTED, 5, true, true, false, true, false },
+  { "not probed", GBD_PROBE_NONE, 5, true, true, false, true, false },
+  { "silent", GBD_PROBE_SILENT, 2, true, true, false, true, true },
+  { "silent, must not run twice", GBD_PROBE_SILENT, 2, false, true, false,
+    true, false },
+  { "silent, one sign", GBD_PROBE_SILENT, 1, true, true, false, true, false },
+  { "all silent", GBD_PROBE_SILENT, 9, true, false, false, true, false },
+  { "silent, flow not seen before", GBD_PROBE_SILENT, 2, true, true, false,
+    false, false },
+};
+
+static void
+check_down_row (const down_row_t *row)
+{
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  gbd_routes_t *routes = gbd_routes_new (2);
+  gbd_route_t route = { .address = address_of ("198.18.0.1:443"),
+                        .is_repeatable = row->is_repeatable,
+                        .target_count = 1,
+                        .targets = { { gbd_id_from_name ("web"), 1 } } };
+  gbd_routes_add (routes, &route);
+  gbd_director_set_routes (director, routes);
+  gbd_direction_t opening = open_flow (director, 1, START);
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
+  packet.cookie = opening.cookie;
+  packet.sequence = 7001;
+  packet.acknowledgment = 90001;
+  packet.payload_length = 100;
+  gbd_time_t now = START + GBD_SECOND;
+  gbd_suspicion_t *suspicion
+      = &gbd_pool_get (pool, opening.server)->load.suspicion;
+  for (int i = 0; i < row->signs; i++)
+    gbd_suspicion_unanswered (suspicion, now, now);
+  now += 300 * GBD_MILLISECOND;
+  gbd_suspicion_probing (suspicion, now);
+  if (row->probe != GBD_PROBE_NONE)
+    gbd_suspicion_probed (suspicion, row->probe, now, now);
+  now += 10 * GBD_MILLISECOND;
+  for (uint16_t port = 100; row->others_answer && port < 110; port++)
+    open_flow (director, port, now);
+  now += 20 * GBD_MILLISECOND;
+  if (row->is_answered)
+    {
+      packet.acknowledgment += 10;
+      pass (director, &packet, now);
+    }
+  if (!row->is_known)
+    {
+      gbd_direction_t closing;
+      gbd_packet_t reset = packet;
+      reset.kind = GBD_PACKET_CLOSING;
+      reset.is_reset = true;
+      reset.payload_length = 0;
+      gbd_director_route (director, &reset, now, &closing);
+      gbd_director_commit (director, &reset, &closing, now);
+    }
+  gbd_direction_t direction = pass (director, &packet, now);
+  print_message ("%s\n", row->label);
+  assert_int_equal (direction.kind,
+                    row->is_reset ? GBD_ACTION_RESET : GBD_ACTION_BACKEND);
+  if (row->is_reset)
+    assert_int_equal (direction.rule, GBD_DIRECTION_SERVER_DOWN);
+  gbd_director_delete (director);
+}
+
+/* Load: callers send on flows of a backend server that is listed and does not
+   answer.  Those who may try again learn so at once. */
+static void
+flows_of_a_server_that_is_down_are_reset (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof down_rows / sizeof down_rows[0]; i++)
+    check_down_row (&down_rows[i]);
+}
+
 static void
 only_known_routes_are_refused (void **state)
 {
@@ -274,6 +369,7 @@
     cmocka_unit_test (open_flows_survive_draining_and_a_lapsed_entry),
     cmocka_unit_test (flows_of_a_server_that_left_are_reset),
     cmocka_unit_test (flows_of_a_silent_server_are_reset_as_its_entry_goes),
+    cmocka_unit_test (flows_of_a_server_that_is_down_are_reset),
     cmocka_unit_test (only_known_routes_are_refused),
     cmocka_unit_test (a_service_without_servers_is_refused_at_once),
     cmocka_unit_test (older_routes_never_come_into_force),
--- a/src/test_libgooseberrydrum/test_suspicion.c
+++ b/src/test_libgooseberrydrum/test_suspicion.c
@@ -59,11 +59,71 @@
     }
 }
 
+/* Load: a backend server ends for 6 s while its entry stands; then it is
+   back. */
+static void
+probes_spare_trials_and_end_them_soon (void **state)
+{
+  (void)state;
+  gbd_suspicion_t suspicion = { 0 };
+  gbd_time_t back = START + 6 * GBD_SECOND;
+  gbd_time_t now = START;
+  uint32_t probes = 0;
+  uint32_t placed = 0;
+  gbd_suspicion_unanswered (&suspicion, START, START);
+  for (; now < back + GBD_SUSPICION_LONGEST_TRIAL; now += 50 * GBD_MILLISECOND)
+    {
+      if (gbd_suspicion_wants_probe (&suspicion, now))
+        {
+          gbd_suspicion_probing (&suspicion, now);
+          gbd_suspicion_probed (
+              &suspicion, now < back ? GBD_PROBE_REFUSED : GBD_PROBE_ACCEPTED,
+              now, now);
+          probes++;
+        }
+      if (!gbd_suspicion_admits (&suspicion, now))
+        continue;
+      assert_true (now >= back);
+      gbd_suspicion_placed (&suspicion, now);
+      placed++;
+    }
+  assert_true (placed > 0);
+  /* 0.2, 0.4, 0.8, then each 1.6 s. */
+  assert_in_range (probes, 5, 9);
+}
+
+static void
+a_flow_that_is_answered_outweighs_a_probe (void **state)
+{
+  (void)state;
+  gbd_suspicion_t suspicion = { 0 };
+  gbd_suspicion_unanswered (&suspicion, START, START);
+  gbd_suspicion_answered (&suspicion, START + 10);
+  assert_false (gbd_suspicion_probed (&suspicion, GBD_PROBE_REFUSED, START + 5,
+                                      START + 20));
+  gbd_suspicion_unanswered (&suspicion, START + 30, START + 40);
+  assert_false (gbd_suspicion_probed (&suspicion, GBD_PROBE_SILENT, START + 5,
+                                      START + 50));
+  assert_true (gbd_suspicion_probed (&suspicion, GBD_PROBE_SILENT, START + 40,
+                                     START + 50));
+  assert_int_equal (gbd_suspicion_get_probe (&suspicion, START + 50),
+                    GBD_PROBE_SILENT);
+  /* It ages, and an answer ends it. */
+  assert_int_equal (gbd_suspicion_get_probe (
+                        &suspicion, START + 41 + GBD_SUSPICION_PROBE_VALID),
+                    GBD_PROBE_NONE);
+  gbd_suspicion_answered (&suspicion, START + 60);
+  assert_int_equal (gbd_suspicion_get_probe (&suspicion, START + 60),
+                    GBD_PROBE_NONE);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (trials_of_a_silent_server_grow_rare),
+    cmocka_unit_test (probes_spare_trials_and_end_them_soon),
+    cmocka_unit_test (a_flow_that_is_answered_outweighs_a_probe),
     cmocka_unit_test (an_answer_clears_and_an_older_sending_does_not_count),
     cmocka_unit_test (a_trial_is_due_at_the_latest_after_the_longest_interval),
   };
