An address that another backend server has taken over ends its former one

Of two listed backend servers at one address the one that started earlier is superseded: last choice for new flows, and its suspected flows are reset as if its process had refused a probe. When the newer entry goes, it counts again. Three signs of silence may be of flows and probes together: an instance of a grown site sees about one packet in two seconds of a backend server.

Tests, failing before: an_address_taken_over_ends_its_former_server, and the case "silent twice, one sign" of flows_of_a_server_that_is_down_are_reset.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -25,8 +25,10 @@
  *  GBD_DIRECTOR_SILENT signs unanswered since its last answer. */
 #define GBD_DIRECTOR_RESET_DRAINED (300 * GBD_MILLISECOND)
 /** One packet may be lost; two signs without an answer between them, besides
- *  the entry or a probe, are not chance. */
+ *  the entry that went, are not chance. */
 #define GBD_DIRECTOR_SILENT 2
+/** The same while the entry stands, of flows and probes together. */
+#define GBD_DIRECTOR_SILENT_LISTED 3
 /** The same for any other: it may only have been silent towards the
  *  platform, and writes its entry again within GBD_POOL_SETTLE_TIME. */
 #define GBD_DIRECTOR_RESET_LOST (GBD_POOL_SETTLE_TIME + GBD_SECOND)
--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -55,6 +55,9 @@
   gbd_time_t gone_at;     /**< when its entry went; GBD_TIME_NEVER while listed
                                or within the settling time */
   gbd_time_t removal_due; /**< a removal that waits; GBD_TIME_NEVER: none */
+  gbd_time_t superseded_at; /**< since then a listed one that started later has
+                                 its address, so it has ended; GBD_TIME_NEVER:
+                                 none has */
 } gbd_pool_server_t;
 
 typedef struct gbd_pool gbd_pool_t;
@@ -65,7 +68,8 @@
 void gbd_pool_delete (gbd_pool_t *pool);
 
 /** Insert or update an entry.  One that started again under its identifier
- *  loses what was seen of it.
+ *  loses what was seen of it; one whose address it has taken over, and that
+ *  started earlier, is superseded.
  *  @return GBD_ERROR_MEMORY at GBD_BACKENDS_MAX; GBD_ERROR_CONFLICT if
  *  another listed one has its fingerprint (the older one keeps it). */
 gbd_status_t gbd_pool_put (gbd_pool_t *pool, const gbd_pool_entry_t *entry,
--- a/include/gooseberrydrum/suspicion.h
+++ b/include/gooseberrydrum/suspicion.h
@@ -58,6 +58,7 @@
   gbd_time_t probe_interval; /**< to the probe after the next one */
   gbd_time_t probed_at;      /**< when the newest probe with a result began */
   uint8_t probe;             /**< gbd_probe_result_t of it */
+  uint32_t probes;           /**< that showed it without another between */
 } gbd_suspicion_t;
 
 /** Something sent to the backend server was answered. */
@@ -86,6 +87,10 @@
 gbd_probe_result_t gbd_suspicion_get_probe (const gbd_suspicion_t *suspicion,
                                             gbd_time_t now);
 
+/** Signs that it is silent: flows left unanswered, and probes. */
+uint32_t gbd_suspicion_count_silence (const gbd_suspicion_t *suspicion,
+                                      gbd_time_t now);
+
 /** Whether a new flow may go there: not suspected, or a trial is due and the
  *  probe did not show that it would be in vain. */
 bool gbd_suspicion_admits (const gbd_suspicion_t *suspicion, gbd_time_t now);
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -265,31 +265,40 @@
 
 /* Whether a listed backend server surely does not hold the flow any more, or
    cannot be reached and the caller may try elsewhere at once.  Only for flows
-   that this instance knows to be older than the probe: a backend server that
-   has started again meanwhile may hold newer ones. */
+   that this instance knows to be older than what it has learned: a backend
+   server that has started again meanwhile may hold newer ones. */
 static bool
 is_down (const gbd_director_t *director, const gbd_packet_t *packet,
          const gbd_direction_t *direction, gbd_time_t now)
 {
-  const gbd_suspicion_t *suspicion
-      = &gbd_pool_peek (director->pool, direction->server)->load.suspicion;
+  const gbd_pool_server_t *server
+      = gbd_pool_peek (director->pool, direction->server);
+  const gbd_suspicion_t *suspicion = &server->load.suspicion;
   gbd_probe_result_t probe = gbd_suspicion_get_probe (suspicion, now);
-  if (probe != GBD_PROBE_REFUSED && probe != GBD_PROBE_SILENT)
+  bool has_ended = probe == GBD_PROBE_REFUSED;
+  gbd_time_t known_at = suspicion->probed_at;
+  if (server->superseded_at != GBD_TIME_NEVER
+      && gbd_suspicion_is_suspected (suspicion))
+    {
+      has_ended = true;
+      known_at = server->superseded_at;
+    }
+  if (!has_ended && probe != GBD_PROBE_SILENT)
     return false;
   const gbd_watched_flow_t *flow
       = gbd_flow_watch_find (director->watch, direction->hash);
   if (!flow || flow->phase != GBD_FLOW_OPEN
-      || flow->server != direction->server
-      || flow->answered_at >= suspicion->probed_at
+      || flow->server != direction->server || flow->answered_at >= known_at
       || (int32_t)(packet->acknowledgment - flow->acknowledgment) > 0)
     return false;
-  if (probe == GBD_PROBE_REFUSED)
+  if (has_ended)
     return true;
   /* It may run what it has got.  And the silence may be this instance's. */
   const gbd_route_t *route
       = gbd_routes_find (director->routes, &packet->flow.service);
   return route && route->is_repeatable
-         && suspicion->unanswered >= GBD_DIRECTOR_SILENT
+         && gbd_suspicion_count_silence (suspicion, now)
+                >= GBD_DIRECTOR_SILENT_LISTED
          && gbd_flow_watch_get_answered_at (director->watch)
                 >= suspicion->probed_at;
 }
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -13,7 +13,8 @@
   CLASS_WELL,        /* not suspected, or its trial is due */
   CLASS_SUSPECTED,   /* waits for its trial */
   CLASS_AVOIDED,     /* did not answer this flow */
-  CLASS_LAST_RESORT, /* its entry went a short while ago */
+  CLASS_LAST_RESORT, /* its entry went a short while ago, or another one has
+                        its address */
   CLASS_NONE         /* takes no new flows */
 } class_t;
 
@@ -59,6 +60,8 @@
     return now - server->gone_at < GBD_PLACEMENT_LAST_RESORT
                ? CLASS_LAST_RESORT
                : CLASS_NONE;
+  if (server->superseded_at != GBD_TIME_NEVER)
+    return CLASS_LAST_RESORT;
   if (handle == placement->avoid)
     return CLASS_AVOIDED;
   return gbd_suspicion_admits (&server->load.suspicion, now) ? CLASS_WELL
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -24,6 +24,9 @@
 static void add_to_index (gbd_pool_t *pool, gbd_pool_handle_t handle);
 static uint32_t hash_place (const gbd_pool_t *pool,
                             gbd_fingerprint_t fingerprint);
+static void supersede (gbd_pool_t *pool, gbd_pool_server_t *server,
+                       gbd_time_t now);
+static void restore (gbd_pool_t *pool, const gbd_pool_server_t *server);
 static void drop_entry (gbd_pool_t *pool, gbd_pool_server_t *server,
                         gbd_time_t now);
 
@@ -50,7 +53,6 @@
 gbd_status_t
 gbd_pool_put (gbd_pool_t *pool, const gbd_pool_entry_t *entry, gbd_time_t now)
 {
-  (void)now;
   gbd_fingerprint_t fingerprint = gbd_cookie_fingerprint (entry->backend.id);
   gbd_pool_handle_t handle = find_id (pool, entry->backend.id);
   bool is_new = handle == GBD_POOL_NONE;
@@ -80,6 +82,8 @@
   server->is_listed = true;
   server->gone_at = GBD_TIME_NEVER;
   server->removal_due = GBD_TIME_NEVER;
+  server->superseded_at = GBD_TIME_NEVER;
+  supersede (pool, server, now);
   if (!is_new)
     return GBD_OK;
   if (has_freed || pool->index_room != pool->room * INDEX_LOAD)
@@ -305,9 +309,44 @@
   return (uint32_t)gbd_rendezvous (fingerprint, 0) & (pool->index_room - 1);
 }
 
+/* Of two listed ones at one address, the earlier has ended. */
+static void
+supersede (gbd_pool_t *pool, gbd_pool_server_t *server, gbd_time_t now)
+{
+  const gbd_address_t *address = &server->entry.backend.address;
+  int64_t born_ms = server->entry.born_ms;
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      gbd_pool_server_t *other = &pool->servers[i];
+      int64_t other_ms = other->entry.born_ms;
+      if (!other->is_used || !other->is_listed || other == server || !born_ms
+          || !other_ms
+          || !gbd_address_is_equal (&other->entry.backend.address, address))
+        continue;
+      gbd_pool_server_t *earlier = other_ms < born_ms ? other : server;
+      if (other_ms != born_ms && earlier->superseded_at == GBD_TIME_NEVER)
+        earlier->superseded_at = now;
+    }
+}
+
+/* The one that had taken over an address has left it. */
+static void
+restore (gbd_pool_t *pool, const gbd_pool_server_t *server)
+{
+  for (uint32_t i = 0; i < pool->room; i++)
+    {
+      gbd_pool_server_t *other = &pool->servers[i];
+      if (other->is_used
+          && gbd_address_is_equal (&other->entry.backend.address,
+                                   &server->entry.backend.address))
+        other->superseded_at = GBD_TIME_NEVER;
+    }
+}
+
 static void
 drop_entry (gbd_pool_t *pool, gbd_pool_server_t *server, gbd_time_t now)
 {
+  restore (pool, server);
   server->is_listed = false;
   server->removal_due = GBD_TIME_NEVER;
   server->gone_at = now;
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -58,6 +58,7 @@
   if (suspicion->unanswered == 0 || suspicion->answered_at >= began_at)
     return false;
   bool is_other = gbd_suspicion_get_probe (suspicion, now) != result;
+  suspicion->probes = is_other ? 1 : suspicion->probes + 1;
   suspicion->probe = (uint8_t)result;
   suspicion->probed_at = began_at;
   /* It is back: the next flow may try. */
@@ -75,6 +76,14 @@
   return (gbd_probe_result_t)suspicion->probe;
 }
 
+uint32_t
+gbd_suspicion_count_silence (const gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  bool is_silent
+      = gbd_suspicion_get_probe (suspicion, now) == GBD_PROBE_SILENT;
+  return suspicion->unanswered + (is_silent ? suspicion->probes : 0);
+}
+
 bool
 gbd_suspicion_admits (const gbd_suspicion_t *suspicion, gbd_time_t now)
 {
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -141,7 +141,8 @@
 {
   const char *label;
   gbd_probe_result_t probe;
-  int signs; /* without an answer */
+  int probes; /* that showed it */
+  int signs;  /* without an answer */
   bool is_repeatable;
   bool others_answer; /* flows of other backend servers, after the probe */
   bool is_answered;   /* this flow, after the probe */
@@ -150,19 +151,22 @@
 } down_row_t;
 
 static const down_row_t down_rows[] = {
-  { "ended", GBD_PROBE_REFUSED, 1, false, false, false, true, true },
-  { "ended, flow not seen before", GBD_PROBE_REFUSED, 1, true, true, false,
+  { "ended", GBD_PROBE_REFUSED, 1, 1, false, false, false, true, true },
+  { "ended, flow not seen before", GBD_PROBE_REFUSED, 1, 1, true, true, false,
     false, false },
-  { "ended and back", GBD_PROBE_REFUSED, 1, true, true, true, true, false },
-  { "slow", GBD_PROBE_ACCEPTED, 5, true, true, false, true, false },
-  { "not probed", GBD_PROBE_NONE, 5, true, true, false, true, false },
-  { "silent", GBD_PROBE_SILENT, 2, true, true, false, true, true },
-  { "silent, must not run twice", GBD_PROBE_SILENT, 2, false, true, false,
+  { "ended and back", GBD_PROBE_REFUSED, 1, 1, true, true, true, true, false },
+  { "slow", GBD_PROBE_ACCEPTED, 1, 5, true, true, false, true, false },
+  { "not probed", GBD_PROBE_NONE, 0, 5, true, true, false, true, false },
+  { "silent", GBD_PROBE_SILENT, 1, 2, true, true, false, true, true },
+  { "silent, must not run twice", GBD_PROBE_SILENT, 1, 2, false, true, false,
     true, false },
-  { "silent, one sign", GBD_PROBE_SILENT, 1, true, true, false, true, false },
-  { "all silent", GBD_PROBE_SILENT, 9, true, false, false, true, false },
-  { "silent, flow not seen before", GBD_PROBE_SILENT, 2, true, true, false,
+  { "silent, one sign", GBD_PROBE_SILENT, 1, 1, true, true, false, true,
+    false },
+  { "all silent", GBD_PROBE_SILENT, 1, 9, true, false, false, true, false },
+  { "silent, flow not seen before", GBD_PROBE_SILENT, 1, 2, true, true, false,
     false, false },
+  { "silent twice, one sign", GBD_PROBE_SILENT, 2, 1, true, true, false, true,
+    true },
 };
 
 static void
@@ -190,7 +194,7 @@
     gbd_suspicion_unanswered (suspicion, now, now);
   now += 300 * GBD_MILLISECOND;
   gbd_suspicion_probing (suspicion, now);
-  if (row->probe != GBD_PROBE_NONE)
+  for (int i = 0; i < row->probes; i++)
     gbd_suspicion_probed (suspicion, row->probe, now, now);
   now += 10 * GBD_MILLISECOND;
   for (uint16_t port = 100; row->others_answer && port < 110; port++)
@@ -230,6 +234,48 @@
     check_down_row (&down_rows[i]);
 }
 
+/* Load: backend servers fall silent; 2 s later others have taken over their
+   addresses, while the entries of the former still stand. */
+static void
+an_address_taken_over_ends_its_former_server (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_direction_t opening = open_flow (director, 1, START);
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
+  packet.cookie = opening.cookie;
+  packet.sequence = 7001;
+  packet.acknowledgment = 90001;
+  packet.payload_length = 100;
+  gbd_time_t now = START + GBD_SECOND;
+  pass (director, &packet, now);
+  now += 200 * GBD_MILLISECOND;
+  pass (director, &packet, now);
+
+  gbd_pool_entry_t former
+      = make_entry (id_of (director, &opening), "web", "a");
+  gbd_pool_entry_t newer = make_entry (9, "mail", "a");
+  newer.backend.address = former.backend.address;
+  newer.born_ms = former.born_ms + 1;
+  put_entry (director, &newer, now);
+  now += 10 * GBD_MILLISECOND;
+  gbd_direction_t direction = pass (director, &packet, now);
+  assert_int_equal (direction.kind, GBD_ACTION_RESET);
+  assert_int_equal (direction.rule, GBD_DIRECTION_SERVER_DOWN);
+  for (uint16_t port = 2; port < 300; port++)
+    assert_int_not_equal (open_flow (director, port, now).server,
+                          opening.server);
+
+  /* It was the other way round. */
+  gbd_pool_remove (gbd_director_get_pool (director), 9, now);
+  now += GBD_SUSPICION_FIRST_TRIAL;
+  uint32_t placed = 0;
+  for (uint16_t port = 300; port < 600; port++)
+    placed += open_flow (director, port, now).server == opening.server;
+  assert_true (placed > 0);
+  gbd_director_delete (director);
+}
+
 static void
 only_known_routes_are_refused (void **state)
 {
@@ -370,6 +416,7 @@
     cmocka_unit_test (flows_of_a_server_that_left_are_reset),
     cmocka_unit_test (flows_of_a_silent_server_are_reset_as_its_entry_goes),
     cmocka_unit_test (flows_of_a_server_that_is_down_are_reset),
+    cmocka_unit_test (an_address_taken_over_ends_its_former_server),
     cmocka_unit_test (only_known_routes_are_refused),
     cmocka_unit_test (a_service_without_servers_is_refused_at_once),
     cmocka_unit_test (older_routes_never_come_into_force),
