Write the log in pieces that a collector takes whole

Pipes take up to PIPE_BUF bytes in one piece.

A flush now writes whole lines, at most PIPE_BUF bytes at a time.

Test, failing before: each_write_is_whole_lines_and_atomic. Ruled out: a short write of our own, which keeps the rest; the bytes missing always began at 8,192 of a write.

--- a/src/gooseberrydrum/journal.c
+++ b/src/gooseberrydrum/journal.c
@@ -1,7 +1,9 @@
+#define _GNU_SOURCE /* NOLINT: the C library's name, for memrchr */
 #include "journal.h"
 
 #include <fcntl.h>
 #include <inttypes.h>
+#include <limits.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -52,6 +54,7 @@
 };
 
 static stream_t *find_stream (gbd_journal_t *journal, gbd_event_t event);
+static size_t find_chunk (const char *text, size_t length);
 static bool append (gbd_journal_t *journal, const stream_t *stream,
                     const json_t *fields);
 static size_t write_head (const gbd_journal_t *journal, const stream_t *stream,
@@ -144,13 +147,20 @@
 void
 gbd_journal_flush (gbd_journal_t *journal)
 {
-  if (journal->length == 0)
-    return;
-  ssize_t written = write (journal->fd, journal->buffer, journal->length);
-  if (written <= 0)
-    return;
-  journal->length -= (size_t)written;
-  memmove (journal->buffer, journal->buffer + written, journal->length);
+  size_t done = 0;
+  while (done < journal->length)
+    {
+      const char *text = journal->buffer + done;
+      size_t length = find_chunk (text, journal->length - done);
+      ssize_t written = write (journal->fd, text, length);
+      if (written <= 0)
+        break;
+      done += (size_t)written;
+      if ((size_t)written < length)
+        break;
+    }
+  journal->length -= done;
+  memmove (journal->buffer, journal->buffer + done, journal->length);
 }
 
 uint64_t
@@ -170,6 +180,17 @@
   return NULL;
 }
 
+/* Bytes of the next write: whole lines, as many as a pipe takes in one piece.
+   A collector that reads one write at a time then sees no line that is cut. */
+static size_t
+find_chunk (const char *text, size_t length)
+{
+  if (length <= PIPE_BUF)
+    return length;
+  const char *end = memrchr (text, '\n', PIPE_BUF);
+  return end ? (size_t)(end - text) + 1 : PIPE_BUF;
+}
+
 /* Append a line to what waits.  @return false if it finds no room. */
 static bool
 append (gbd_journal_t *journal, const stream_t *stream, const json_t *fields)
--- a/src/test_gooseberrydrum/test_journal.c
+++ b/src/test_gooseberrydrum/test_journal.c
@@ -4,7 +4,9 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <limits.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <syslog.h>
 #include <unistd.h>
 
@@ -154,6 +156,36 @@
   assert_int_equal (gbd_journal_get_suppressed (journal), lost);
 }
 
+/* A collector takes one write at a time, and no more of it than an atomic one
+   holds. */
+static void
+each_write_is_whole_lines_and_atomic (void **state)
+{
+  (void)state;
+  static char text[READ_BYTES];
+  int pair[2];
+  assert_int_equal (socketpair (AF_UNIX, SOCK_DGRAM, 0, pair), 0);
+  gbd_journal_t *other = gbd_journal_new (pair[1], "entry-1", LOG_INFO, NOW);
+  uint32_t lines = 0;
+  for (int i = 0; i < 60; i++)
+    gbd_journal_note (
+        other, GBD_EVENT_SERVER_LISTED, NOW,
+        json_pack ("{s:s, s:i}", "server", "i-0123456789", "version", i));
+  gbd_journal_flush (other);
+  ssize_t length;
+  while ((length = recv (pair[0], text, sizeof text, MSG_DONTWAIT)) > 0)
+    {
+      assert_true (length <= PIPE_BUF);
+      assert_int_equal (text[length - 1], '\n');
+      for (ssize_t i = 0; i < length; i++)
+        lines += text[i] == '\n';
+    }
+  assert_int_equal (lines, 60);
+  gbd_journal_delete (other);
+  close (pair[0]);
+  close (pair[1]);
+}
+
 static void
 priorities_below_the_set_one_are_left_out (void **state)
 {
@@ -178,6 +210,7 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         a_notice_finds_room_behind_a_reader_that_stops, set_up, tear_down),
+    cmocka_unit_test (each_write_is_whole_lines_and_atomic),
     cmocka_unit_test_setup_teardown (priorities_below_the_set_one_are_left_out,
                                      set_up, tear_down),
   };
