Relays: no second listing after a start, no news of warming up

A relay that is asked for changes since before its own first list answers 410, and its reader read the whole list again there: 870 KB of 3,000 backend servers. And each heartbeat of a warming backend server was passed on to every reader.

A watch asks its user whether to list again when history is forgotten; a reader goes on at the next source, in the end the platform, which tells the few changes between, and lists at a relay only while the platform turns it away. A relay leaves out entries that say nothing but how much longer a backend server warms up; readers reckon that.

Tests, failing before: a_reader_older_than_its_relay_does_not_list_again, only_news_are_relayed; the_user_may_resume_elsewhere_when_history_is_forgotten.

--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -46,6 +46,9 @@
   bool has_key;
   bool was_ready;
   bool is_listing;     /**< a listing of backend servers is under way */
+  uint64_t listings;   /**< begun so far */
+  bool is_turned_away; /**< the platform failed since the last answer about
+                            backend servers */
   bool is_routes_lost; /**< the watch on routes fails */
   gbd_time_t started_at;
   gbd_time_t lost_at;       /**< while the platform is away */
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -14,6 +14,9 @@
 #define RELAY_TIMEOUT_MS 500
 /* Longest pause between two tries at the platform. */
 #define SERVERS_RETRY_MS 1000
+/* Within which two reckonings of when a backend server is warm agree: entries
+   are a heartbeat of about a second old. */
+#define WARMTH_DRIFT (1500 * GBD_MILLISECOND)
 /* Longer than a late tick on a slow machine. */
 #define PAUSED_TIME (700 * GBD_MILLISECOND)
 
@@ -29,7 +32,10 @@
 static void servers_confirmed (void *data, gbd_time_t asked_at);
 static void servers_failed (void *data, gbd_time_t now);
 static void servers_advised (void *data, uint32_t settling_ms, uint64_t hint);
+static bool servers_forgotten (void *data);
 static void set_routes_wait (gbd_cookie_serve_t *serve);
+static bool is_known (const gbd_cookie_serve_t *serve,
+                      const gbd_pool_entry_t *entry);
 static void remove_server (gbd_cookie_serve_t *serve, const char *name,
                            uint64_t version, const char *cause,
                            gbd_time_t now);
@@ -42,6 +48,7 @@
   .confirmed = servers_confirmed,
   .failed = servers_failed,
   .advised = servers_advised,
+  .forgotten = servers_forgotten,
 };
 
 bool
@@ -198,6 +205,7 @@
 {
   gbd_cookie_serve_t *serve = data;
   serve->is_listing = true;
+  serve->listings++;
   if (serve->relay)
     gbd_relay_reset (serve->relay);
   gbd_pool_begin_listing (gbd_director_get_pool (serve->director));
@@ -211,21 +219,24 @@
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   gbd_pool_entry_t entry;
   const char *wrong = NULL;
-  if (serve->relay)
+  gbd_status_t status = GBD_ERROR_NOT_FOUND;
+  if (value)
+    status = serve->dialect->read_server (name, value, now, &entry, &wrong);
+  if (serve->relay && !(status == GBD_OK && is_known (serve, &entry)))
     gbd_relay_change (serve->relay, name, version, value);
   if (!value)
     {
       remove_server (serve, name, version, "deleted", now);
       return;
     }
-  if (serve->dialect->read_server (name, value, now, &entry, &wrong) != GBD_OK)
+  if (status != GBD_OK)
     {
       gbd_cookie_log_bad_object (serve, serve->dialect->servers_kind, name,
                                  version, wrong, now);
       remove_server (serve, name, version, wrong, now);
       return;
     }
-  gbd_status_t status = gbd_pool_put (pool, &entry, now);
+  status = gbd_pool_put (pool, &entry, now);
   if (status != GBD_OK)
     {
       gbd_cookie_log_bad_object (serve, serve->dialect->servers_kind, name,
@@ -241,6 +252,32 @@
                                "cold", entry.warm_at != 0));
 }
 
+/* Whether an entry says no more than the readers know: how long a backend
+   server is slow passes by itself. */
+static bool
+is_known (const gbd_cookie_serve_t *serve, const gbd_pool_entry_t *entry)
+{
+  const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
+  gbd_pool_handle_t handle
+      = gbd_pool_find (pool, gbd_cookie_fingerprint (entry->backend.id));
+  if (serve->is_listing || handle == GBD_POOL_NONE)
+    return false;
+  const gbd_pool_server_t *server = gbd_pool_peek (pool, handle);
+  const gbd_pool_entry_t *known = &server->entry;
+  gbd_time_t drift = known->warm_at > entry->warm_at
+                         ? known->warm_at - entry->warm_at
+                         : entry->warm_at - known->warm_at;
+  return server->is_listed && server->removal_due == GBD_TIME_NEVER
+         && known->backend.id == entry->backend.id
+         && known->backend.zone == entry->backend.zone
+         && known->backend.state == entry->backend.state
+         && gbd_address_is_equal (&known->backend.address,
+                                  &entry->backend.address)
+         && known->service == entry->service && known->slots == entry->slots
+         && known->born_ms == entry->born_ms
+         && (drift < WARMTH_DRIFT || entry->warm_at == 0);
+}
+
 static void
 remove_server (gbd_cookie_serve_t *serve, const char *name, uint64_t version,
                const char *cause, gbd_time_t now)
@@ -270,6 +307,7 @@
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   bool was_away = gbd_pool_is_away (pool);
   gbd_sources_answered (&serve->sources);
+  serve->is_turned_away = false;
   serve->servers_at = now;
   gbd_pool_set_away (pool, false, now);
   if (serve->is_listing)
@@ -303,6 +341,8 @@
   if (serve->relay)
     gbd_relay_lose (serve->relay);
   bool was_at_relay = !is_in_touch (serve);
+  if (!was_at_relay)
+    serve->is_turned_away = true;
   bool has_next = gbd_sources_failed (&serve->sources, now);
   set_routes_wait (serve);
   /* No relay says any longer whether the routes are behind.  A watch that
@@ -327,6 +367,17 @@
   gbd_cookie_routes_advised (serve, hint, now);
 }
 
+/* A relay that has started later than this instance does not know what was
+   deleted before.  The platform tells the few changes between the two; the
+   relay's whole list is read only when the platform turns this instance
+   away. */
+static bool
+servers_forgotten (void *data)
+{
+  const gbd_cookie_serve_t *serve = data;
+  return is_in_touch (serve) || serve->is_turned_away;
+}
+
 /* Whoever reads at a relay hears there that its own watch on the routes has
    gone silent or is served by a copy that lags; the others must not wait for
    it for long. */
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -81,6 +81,11 @@
    *  @param settling_ms for how much longer missing entries may come back
    *  @param hint        as gbd_relay_set_hint; 0 from others */
   void (*advised) (void *data, uint32_t settling_ms, uint64_t hint);
+  /** The changes since the last answer are no longer known there; may be
+   *  NULL.
+   *  @return whether to list all again; false fails the watch, which another
+   *  client may then resume. */
+  bool (*forgotten) (void *data);
 } gbd_platform_watch_callbacks_t;
 
 typedef struct gbd_platform_watch gbd_platform_watch_t;
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -236,7 +236,11 @@
   if (result->status == GBD_ERROR_STALE)
     {
       /* The platform no longer knows the changes since then. */
-      list_again (watch);
+      if (!watch->callbacks.forgotten
+          || watch->callbacks.forgotten (watch->data))
+        list_again (watch);
+      else
+        pause_watch (watch);
       return;
     }
   json_t *items
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -55,6 +55,7 @@
   bool is_current; /* in touch with the platform */
   bool is_listing;
   uint64_t answers;
+  uint64_t changes;
   gbd_time_t now; /* as last passed in */
 };
 
@@ -158,6 +159,7 @@
       = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
   object->version = version;
   object->is_fresh = true;
+  relay->changes++;
   g_hash_table_replace (relay->objects, g_strdup (name), object);
 }
 
@@ -266,6 +268,12 @@
   return relay->answers;
 }
 
+uint64_t
+gbd_relay_get_changes (const gbd_relay_t *relay)
+{
+  return relay->changes;
+}
+
 static int
 handle (struct lws *wsi, enum lws_callback_reasons reason, void *user,
         void *in, size_t length)
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -60,5 +60,7 @@
                              unsigned *status);
 
 uint64_t gbd_relay_get_answers (const gbd_relay_t *relay);
+/** Changes passed in so far. */
+uint64_t gbd_relay_get_changes (const gbd_relay_t *relay);
 
 #endif
--- a/src/gooseberrydrum/serve_platform.c
+++ b/src/gooseberrydrum/serve_platform.c
@@ -45,11 +45,18 @@
 
 static const gbd_platform_watch_callbacks_t watch_callbacks[GBD_WATCH_COUNT]
     = {
-        { ignore_reset, accepted_changed, ignore_confirmed, NULL, NULL },
-        { gbd_serve_endpoints_reset, gbd_serve_endpoint_changed,
-          gbd_serve_endpoints_confirmed, NULL, NULL },
-        { instances_reset, instance_changed, instances_confirmed, NULL, NULL },
-        { ignore_reset, table_changed, tables_confirmed, NULL, NULL },
+        { .reset = ignore_reset,
+          .changed = accepted_changed,
+          .confirmed = ignore_confirmed },
+        { .reset = gbd_serve_endpoints_reset,
+          .changed = gbd_serve_endpoint_changed,
+          .confirmed = gbd_serve_endpoints_confirmed },
+        { .reset = instances_reset,
+          .changed = instance_changed,
+          .confirmed = instances_confirmed },
+        { .reset = ignore_reset,
+          .changed = table_changed,
+          .confirmed = tables_confirmed },
       };
 
 static const char *const watch_kinds[GBD_WATCH_COUNT]
--- a/src/standins/world_form.c
+++ b/src/standins/world_form.c
@@ -28,10 +28,11 @@
 static json_t *
 describe_server (const world_server_text_t *server)
 {
-  return json_pack ("{s:s, s:s, s:s, s:s, s:i}", "service", server->service,
-                    "address", server->address, "zone", server->zone, "state",
+  return json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i}", "service",
+                    server->service, "address", server->address, "zone",
+                    server->zone, "state",
                     server->is_ready ? "ready" : "draining", "slots",
-                    (int)server->slots);
+                    (int)server->slots, "warm_up_ms", (int)server->warm_up_ms);
 }
 
 static json_t *
--- a/src/standins/world_form.h
+++ b/src/standins/world_form.h
@@ -15,8 +15,9 @@
   const char *address; /**< IP number and port */
   const char *zone;
   uint32_t slots;
-  uint64_t writes; /**< of its entry, counted from 1 */
-  bool is_ready;   /**< else it drains */
+  uint32_t warm_up_ms; /**< for how much longer it is slow */
+  uint64_t writes;     /**< of its entry, counted from 1 */
+  bool is_ready;       /**< else it drains */
 } world_server_text_t;
 
 typedef struct
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -46,7 +46,8 @@
 }
 
 static void
-write_server (group_t *group, uint64_t number, bool is_ready)
+write_warming_server (group_t *group, uint64_t number, bool is_ready,
+                      uint32_t warm_up_ms)
 {
   char name[GBD_NAME_MAX + 1];
   const world_form_t *form = &world_form_objects;
@@ -54,6 +55,7 @@
                                .address = "10.0.0.1:80",
                                .zone = "a",
                                .slots = 2,
+                               .warm_up_ms = warm_up_ms,
                                .is_ready = is_ready };
   form->name_server (number, name, sizeof name);
   platform_store_write (group->fixture.store, form->servers_kind, name,
@@ -61,6 +63,12 @@
   platform_server_tick (group->fixture.server, group->fixture.now);
 }
 
+static void
+write_server (group_t *group, uint64_t number, bool is_ready)
+{
+  write_warming_server (group, number, is_ready, 0);
+}
+
 static void
 write_routes (group_t *group, uint64_t version)
 {
@@ -226,6 +234,19 @@
   return handle == GBD_POOL_NONE ? NULL : gbd_pool_peek (pool, handle);
 }
 
+/* The copy for reads that may lag is made, and then lags. */
+static void
+let_copies_lag (group_t *group)
+{
+  platform_request_t request = {
+    .verb = PLATFORM_GET, .kind = "servers", .name = "none", .may_lag = true
+  };
+  platform_reply_t reply;
+  fixture_switch (&group->fixture, "{\"lag_ms\":3600000}");
+  platform_store_handle (group->fixture.store, &request, group->fixture.now,
+                         &reply);
+}
+
 /* The list that a start reads may be seconds old; what has changed since must
    be known at once, and the list must cost the platform little. */
 static void
@@ -234,13 +255,7 @@
   (void)state;
   group_t group;
   open_group (&group);
-  fixture_switch (&group.fixture, "{\"lag_ms\":3600000}");
-  platform_request_t request = {
-    .verb = PLATFORM_GET, .kind = "servers", .name = "none", .may_lag = true
-  };
-  platform_reply_t reply;
-  platform_store_handle (group.fixture.store, &request, group.fixture.now,
-                         &reply);
+  let_copies_lag (&group);
   write_server (&group, 1, false);
   write_server (&group, SERVERS + 1, true);
   run_until_ready (&group, start_without_relays (&group));
@@ -301,12 +316,78 @@
   close_group (&group);
 }
 
+/* All instances start together, a relay a moment after its reader: what it
+   missed by then it cannot tell, but the platform can, in a few bytes. */
+static void
+a_reader_older_than_its_relay_does_not_list_again (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  let_copies_lag (&group);
+  write_server (&group, 1, false);
+  write_server (&group, SERVERS + 1, true);
+  gbd_address_t address = choose_address ();
+  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
+  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
+  run_until_ready (&group, relay);
+  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
+  run_until_ready (&group, reader);
+  run_for (&group, 5 * GBD_SECOND);
+  assert_int_equal (reader->listings, 1);
+  assert_ptr_not_equal (reader->clients[reader->sources.current],
+                        reader->servers_platform);
+  assert_int_equal (
+      gbd_pool_get_count (gbd_director_peek_pool (reader->director)),
+      SERVERS + 1);
+  close_group (&group);
+}
+
+/* Load: a new backend server writes each second how much longer it is slow.
+   All instances can reckon that by themselves. */
+static void
+only_news_are_relayed (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  gbd_address_t address = choose_address ();
+  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
+  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
+  run_until_ready (&group, relay);
+  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
+  run_until_ready (&group, reader);
+  run_for (&group, 3 * GBD_SECOND);
+  write_warming_server (&group, SERVERS + 1, true, 4000);
+  run_for (&group, GBD_SECOND);
+  uint64_t changes = gbd_relay_get_changes (relay->relay);
+  for (uint32_t left = 3000; left > 0; left -= 1000)
+    {
+      write_warming_server (&group, SERVERS + 1, true, left);
+      run_for (&group, GBD_SECOND);
+    }
+  assert_int_equal (gbd_relay_get_changes (relay->relay), changes);
+  const gbd_pool_server_t *server = find_server (&group, SERVERS + 1);
+  assert_in_range (group.fixture.now - server->entry.warm_at, 0, GBD_SECOND);
+  write_server (&group, SERVERS + 1, false);
+  run_for (&group, GBD_SECOND);
+  assert_int_equal (gbd_relay_get_changes (relay->relay), changes + 1);
+  const gbd_pool_t *pool = gbd_director_peek_pool (reader->director);
+  gbd_pool_handle_t handle
+      = gbd_pool_find (pool, gbd_cookie_fingerprint (SERVERS + 1));
+  assert_int_equal (gbd_pool_peek (pool, handle)->entry.backend.state,
+                    GBD_BACKEND_DRAINING);
+  close_group (&group);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
       = { cmocka_unit_test (an_outage_costs_few_calls_for_routes),
           cmocka_unit_test (a_start_reads_a_list_that_lags_and_catches_up),
-          cmocka_unit_test (routes_come_in_time_though_their_copy_lags) };
+          cmocka_unit_test (routes_come_in_time_though_their_copy_lags),
+          cmocka_unit_test (a_reader_older_than_its_relay_does_not_list_again),
+          cmocka_unit_test (only_news_are_relayed) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -307,6 +307,8 @@
   int changes;
   int confirmations;
   gbd_time_t asked_at;
+  bool resumes_elsewhere; /* what the user says of forgotten history */
+  int failures;
 } view_t;
 
 static void
@@ -338,8 +340,24 @@
   view->asked_at = asked_at;
 }
 
-static const gbd_platform_watch_callbacks_t view_callbacks
-    = { note_reset, note_change, note_confirmation };
+static const gbd_platform_watch_callbacks_t view_callbacks = {
+  .reset = note_reset, .changed = note_change, .confirmed = note_confirmation
+};
+
+static bool
+judge_forgotten (void *data)
+{
+  const view_t *view = data;
+  return !view->resumes_elsewhere;
+}
+
+static void
+note_failure (void *data, gbd_time_t now)
+{
+  (void)now;
+  view_t *view = data;
+  view->failures++;
+}
 
 static void
 run_until_confirmed (fixture_t *fixture, const view_t *view)
@@ -618,6 +636,36 @@
   fixture_close (&fixture);
 }
 
+static void
+the_user_may_resume_elsewhere_when_history_is_forgotten (void **state)
+{
+  (void)state;
+  gbd_platform_watch_callbacks_t callbacks = view_callbacks;
+  callbacks.failed = note_failure;
+  callbacks.forgotten = judge_forgotten;
+  fixture_t fixture;
+  view_t view = { .view = json_object (), .resumes_elsewhere = true };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  fixture_write (&fixture, KIND, "a", "1");
+  gbd_platform_watch_new (platform, KIND, "", fixture.now, &callbacks, &view);
+  run_until_confirmed (&fixture, &view);
+  fixture_switch (&fixture, "{\"cut_watches\":true}");
+  fixture_step (&fixture);
+  fixture_write (&fixture, KIND, "b", "1");
+  fixture_switch (&fixture, "{\"cut_watches\":false,\"forget_history\":true}");
+  view.failures = 0;
+  while (view.failures < 3)
+    fixture_step (&fixture);
+  assert_int_equal (view.resets, 1);
+  view.resumes_elsewhere = false;
+  run_until_confirmed (&fixture, &view);
+  assert_int_equal (view.resets, 2);
+  assert_non_null (json_object_get (view.view, "b"));
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
 static int
 use_objects (void **state)
 {
@@ -654,6 +702,7 @@
     cmocka_unit_test (watch_lists_again_when_the_platform_forgot),
     cmocka_unit_test (watch_ends_with_the_state_of_the_platform),
     cmocka_unit_test (a_watch_from_before_forgotten_history_lists_again),
+    cmocka_unit_test (the_user_may_resume_elsewhere_when_history_is_forgotten),
   };
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   return failed + cmocka_run_group_tests (objects_tests, use_objects, NULL);
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -109,7 +109,11 @@
 }
 
 static const gbd_platform_watch_callbacks_t callbacks
-    = { note_reset, note_change, note_confirmed, note_failed, note_advice };
+    = { .reset = note_reset,
+        .changed = note_change,
+        .confirmed = note_confirmed,
+        .failed = note_failed,
+        .advised = note_advice };
 
 static void
 run_until (const uint32_t *counter, uint32_t count)
