Relays: a new listing tells readers only what changed

Objects of a version that is known keep when they were told.

Test, failing before: a_new_listing_tells_readers_only_what_changed.

--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -154,6 +154,13 @@
 gbd_relay_change (gbd_relay_t *relay, const char *name, uint64_t version,
                   const json_t *value)
 {
+  object_t *known = g_hash_table_lookup (relay->objects, name);
+  if (known && known->value && value && known->version == version)
+    {
+      /* A listing names it again; its readers have it. */
+      known->is_fresh = true;
+      return;
+    }
   object_t *object = g_new0 (object_t, 1);
   object->value
       = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -266,6 +266,26 @@
   free (text);
 }
 
+/* Load: the platform has dropped its history, and the relay lists again. */
+static void
+a_new_listing_tells_readers_only_what_changed (void **state)
+{
+  (void)state;
+  unsigned status;
+  uint64_t since = 10;
+  change ("a", 5, "one");
+  change ("b", 6, "two");
+  gbd_relay_confirm (relay, 10, 0, now);
+  gbd_relay_reset (relay);
+  change ("a", 5, "one");
+  change ("b", 27, "three");
+  gbd_relay_confirm (relay, 30, 0, now);
+  char *text = gbd_relay_make_answer (relay, &since, &status);
+  assert_null (strstr (text, "\"a\""));
+  assert_non_null (strstr (text, "\"name\":\"b\",\"version\":27"));
+  free (text);
+}
+
 int
 main (void)
 {
@@ -279,6 +299,8 @@
         a_waiting_reader_hears_at_once_of_newer_routes, set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         answers_depend_on_the_version_of_the_reader, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        a_new_listing_tells_readers_only_what_changed, set_up, tear_down),
     cmocka_unit_test_setup_teardown (a_new_listing_deletes_what_it_lacks,
                                      set_up, tear_down),
   };
