Add a tool for experiments, with report and plots

scripts/experiment (make experiment) runs variants of the balancers as soaks under the same faults and seeds and writes a table and two plots. Requests that must not run twice now have a route of their own, as routes say which may be repeated.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 SEED ?= 1
 SECONDS ?= 20
 
-.PHONY: all deps build check demo soak failures bench capacity format lint clean sanitize man
+.PHONY: all deps build check demo soak experiment failures bench capacity format lint clean sanitize man
 
 all: build
 
@@ -34,6 +34,10 @@
 soak: build
 	@scripts/soak $(BUILD) $(SEED) $(SECONDS)
 
+experiment: build
+	@scripts/experiment $(BUILD) $(BUILD)/experiment \
+	  "probes 6 --probe-servers" "no-probes 6"
+
 failures: build
 	@scripts/failures $(BUILD)
 
--- a/src/standins/main_world.c
+++ b/src/standins/main_world.c
@@ -23,6 +23,8 @@
   char *platform;
   char *pids;
   char *form;
+  char *only;
+  char *series;
   int instances;
   int seconds;
   int seed;
@@ -53,11 +55,14 @@
   if (parse_options (&options, argc, argv) && start (&world, &options))
     {
       run (&world);
+      world_series_close (&world);
       result = report (&world, &options);
     }
   g_free (options.platform);
   g_free (options.pids);
   g_free (options.form);
+  g_free (options.only);
+  g_free (options.series);
   return result;
 }
 
@@ -79,6 +84,10 @@
       "how long faults come", "N" },
     { "seed", 0, 0, G_OPTION_ARG_INT, &options->seed, "of all that varies",
       "N" },
+    { "only", 0, 0, G_OPTION_ARG_STRING, &options->only,
+      "names of the faults that come, with commas between", "NAMES" },
+    { "series", 0, 0, G_OPTION_ARG_FILENAME, &options->series,
+      "write what callers saw in each second", "FILE" },
     { "calm", 0, 0, G_OPTION_ARG_NONE, &options->is_calm, "no faults", NULL },
     { "planned", 0, 0, G_OPTION_ARG_NONE, &options->is_planned,
       "planned work alone; then no request may fail", NULL },
@@ -122,10 +131,15 @@
   world->started_at = now;
   world->has_faults = !options->is_calm;
   world->is_planned = options->is_planned;
+  world->only = options->only ? g_strsplit (options->only, ",", 0) : NULL;
   world->next_fault_at = now + QUIET_START;
   world->faults_end_at = now + QUIET_START + options->seconds * GBD_SECOND;
   world->ends_at = world->faults_end_at + QUIET_END;
-  const char *failed = "addresses cannot be bound; choose another --port";
+  const char *failed = "give names of faults and a file that can be written";
+  if ((world->only && !world_faults_are_known (world->only))
+      || !world_series_open (world, options->series))
+    goto fail;
+  failed = "addresses cannot be bound; choose another --port";
   if (gbd_address_parse (options->platform, &world->platform) != GBD_OK
       || !world_callers_start (world)
       || !world_fabric_start (world, options->pids)
@@ -185,6 +199,7 @@
   world_servers_tick (world, now);
   world_proxies_tick (world, now);
   world_callers_tick (world, now);
+  world_series_tick (world, now);
 }
 
 static int
--- a/src/standins/world.h
+++ b/src/standins/world.h
@@ -14,6 +14,7 @@
 #define STANDINS_WORLD_H
 
 #include <poll.h>
+#include <stdio.h>
 
 #include <glib.h>
 #include <jansson.h>
@@ -27,6 +28,7 @@
 #define WORLD_CALLERS 8
 #define WORLD_FLOWS 96 /**< callers' flows at one time */
 #define WORLD_ROUTES 3
+#define WORLD_UNSAFE_ROUTE 1 /**< its requests must not run twice */
 #define WORLD_POLLED_MAX 2048
 
 /** Bounds of the promises, as the platform's sites state them. */
@@ -156,6 +158,16 @@
 } world_breach_t;
 extern const char *const world_breach_strings[WORLD_BREACH_COUNT];
 
+/** What callers saw in each second, for measurements. */
+typedef struct
+{
+  FILE *file; /**< NULL: none is written */
+  uint32_t second;
+  uint32_t failed;
+  GArray *times;   /**< of uint32_t, ms from a request's first try */
+  GString *faults; /**< that began in this second */
+} world_series_t;
+
 struct world
 {
   uint16_t port;
@@ -167,6 +179,8 @@
   gbd_time_t ends_at;
   bool has_faults;
   bool is_planned; /**< only planned work, no faults */
+  char **only;     /**< names of the faults that come; NULL: all */
+  world_series_t series;
   uint32_t instance_count;
   world_instance_t instances[WORLD_INSTANCES_MAX];
   world_proxy_t proxies[WORLD_INSTANCES_MAX];
@@ -247,7 +261,18 @@
                       world_proxy_mode_t mode, gbd_time_t until);
 void world_proxies_tick (world_t *world, gbd_time_t now);
 
+/* world_series.c */
+/** @param path NULL for none */
+bool world_series_open (world_t *world, const char *path);
+void world_series_close (world_t *world);
+void world_series_note_request (world_t *world, bool is_served,
+                                gbd_time_t time);
+void world_series_note_fault (world_t *world, const char *name);
+void world_series_tick (world_t *world, gbd_time_t now);
+
 /* world_faults.c */
+/** Whether every name is that of a fault. */
+bool world_faults_are_known (char *const *names);
 void world_faults_tick (world_t *world, gbd_time_t now);
 
 #endif
--- a/src/standins/world_callers.c
+++ b/src/standins/world_callers.c
@@ -52,7 +52,7 @@
       flow->caller = i % WORLD_CALLERS;
       flow->route = i % 8 == 7 ? 2 : i % 2;
       flow->is_long = i % 3 != 0;
-      flow->is_unsafe = i % 3 == 0;
+      flow->is_unsafe = flow->route == WORLD_UNSAFE_ROUTE;
       flow->server = NO_SERVER;
     }
   return true;
@@ -269,6 +269,7 @@
   bool is_late
       = flow->first_asked_at - world->faults_end_at > WORLD_RECOVERY_TIME
         && flow->route < 2;
+  world_series_note_request (world, is_served, now - flow->first_asked_at);
   world->asked++;
   world->served += is_served;
   world->failed += !is_served;
--- a/src/standins/world_faults.c
+++ b/src/standins/world_faults.c
@@ -1,6 +1,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "standins/http.h"
 #include "standins/world.h"
@@ -93,9 +94,24 @@
   fprintf (stderr, "%.3f fault: %s\n",
            (double)(now - world->started_at) / GBD_SECOND,
            faults[chosen].name);
+  world_series_note_fault (world, faults[chosen].name);
   faults[chosen].begin (world, now, until);
 }
 
+bool
+world_faults_are_known (char *const *names)
+{
+  for (int i = 0; names[i]; i++)
+    {
+      bool is_known = false;
+      for (size_t j = 0; j < FAULT_COUNT; j++)
+        is_known = is_known || strcmp (names[i], faults[j].name) == 0;
+      if (!is_known)
+        return false;
+    }
+  return names[0];
+}
+
 static size_t
 choose_fault (world_t *world)
 {
@@ -112,7 +128,12 @@
 static uint32_t
 weigh (const world_t *world, const fault_t *fault)
 {
-  return world->is_planned && !fault->is_planned ? 0 : fault->weight;
+  if (world->is_planned && !fault->is_planned)
+    return 0;
+  if (world->only
+      && !g_strv_contains ((const gchar *const *)world->only, fault->name))
+    return 0;
+  return fault->weight;
 }
 
 static void
--- a/src/standins/world_form.c
+++ b/src/standins/world_form.c
@@ -45,10 +45,10 @@
       char address[GBD_ADDRESS_TEXT_MAX];
       g_snprintf (address, sizeof address, "%s:%u", routes[i].ip,
                   (unsigned)routes[i].port);
-      json_array_append_new (list,
-                             json_pack ("{s:s, s:[{s:s, s:i}]}", "address",
-                                        address, "services", "name",
-                                        routes[i].service, "weight", 1));
+      json_array_append_new (
+          list, json_pack ("{s:s, s:b, s:[{s:s, s:i}]}", "address", address,
+                           "repeatable", routes[i].is_repeatable, "services",
+                           "name", routes[i].service, "weight", 1));
     }
   return json_pack ("{s:I, s:o}", "version", (json_int_t)version, "routes",
                     list);
--- a/src/standins/world_form.h
+++ b/src/standins/world_form.h
@@ -25,6 +25,7 @@
   const char *ip;
   uint16_t port;
   const char *service;
+  bool is_repeatable;
 } world_route_text_t;
 
 typedef struct
--- a/src/standins/world_servers.c
+++ b/src/standins/world_servers.c
@@ -112,7 +112,8 @@
       routes[count++]
           = (world_route_text_t){ .ip = "198.18.0.1",
                                   .port = (uint16_t)(1000 + i),
-                                  .service = service_names[service] };
+                                  .service = service_names[service],
+                                  .is_repeatable = i != WORLD_UNSAFE_ROUTE };
     }
   const world_form_t *form = world->form;
   json_t *value
