Readers that are ahead of a relay stay there; refreshes keep the pauses

And while the store turned 25 instances away, the relays' hint refreshed their routes' watch every 1.2 s, which set its pauses back: 2 calls a second each.

A relay answers a reader that is ahead with the reader's version and no changes: it knows all that the relay does, until the next turn of the relay's watch. A refresh asks once and leaves the pauses as they are.

Failed try: no refresh at all for a watch that fails.

--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -119,8 +119,9 @@
                                    uint32_t pause_ms);
 
 /** Ask again at once, whatever pause is under way: the answer that is awaited
- *  may never come, or the platform is known to answer others.  A call that
- *  does not wait for changes is left alone: its time-out is short. */
+ *  may never come, or the platform is known to answer others.  Should that
+ *  fail, the pauses go on as they were.  A call that does not wait for changes
+ *  is left alone: its time-out is short. */
 void gbd_platform_watch_refresh (gbd_platform_watch_t *watch);
 
 /** Version up to which everything was reported. */
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -116,16 +116,12 @@
 gbd_platform_watch_refresh (gbd_platform_watch_t *watch)
 {
   if (watch->http_call && watch->is_retry)
-    {
-      gbd_backoff_reset (&watch->backoff);
-      return;
-    }
+    return;
   if (watch->http_call)
     gbd_http_cancel (watch->http_call);
   watch->http_call = NULL;
   watch->is_retry = true;
   watch->retry_at = watch->platform->now;
-  gbd_backoff_reset (&watch->backoff);
   gbd_breaker_report (&watch->platform->breaker, true, watch->platform->now);
 }
 
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -237,19 +237,19 @@
                        unsigned *status)
 {
   *status = HTTP_STATUS_SERVICE_UNAVAILABLE;
-  if (!relay->is_current || (since && *since > relay->version))
+  if (!relay->is_current)
     return strdup ("{}");
   *status = HTTP_STATUS_GONE;
   if (since && *since < relay->floor)
     return strdup ("{}");
   *status = HTTP_STATUS_OK;
   GString *text = g_string_new (NULL);
-  g_string_printf (text,
-                   "{\"version\":%" G_GUINT64_FORMAT
-                   ",\"settling_ms\":%u,\"hint\":%" G_GUINT64_FORMAT
-                   ",\"%s\":[",
-                   relay->version, relay->settling_ms, relay->hint,
-                   since ? "changes" : "items");
+  g_string_printf (
+      text,
+      "{\"version\":%" G_GUINT64_FORMAT
+      ",\"settling_ms\":%u,\"hint\":%" G_GUINT64_FORMAT ",\"%s\":[",
+      since ? MAX (*since, relay->version) : relay->version,
+      relay->settling_ms, relay->hint, since ? "changes" : "items");
   size_t empty = text->len;
   GHashTableIter each;
   gpointer name;
@@ -329,8 +329,10 @@
   if (!read_argument (wsi, "since=", &reader->since))
     return answer (relay, reader, NULL);
   read_argument (wsi, "wait_ms=", &wait_ms);
+  /* A reader that is ahead has come from another source, and knows all that
+     this relay does until the next turn of its own watch. */
   bool has_news
-      = !relay->is_current || reader->since != relay->version || wait_ms == 0;
+      = !relay->is_current || reader->since < relay->version || wait_ms == 0;
   if (has_news)
     return answer (relay, reader, &reader->since);
   wait_ms = MIN (wait_ms, WAIT_MS_MAX);
@@ -380,7 +382,7 @@
   for (guint i = relay->waiting->len; i-- > 0;)
     {
       reader_t *reader = g_ptr_array_index (relay->waiting, i);
-      if (!is_forced && reader->since == relay->version)
+      if (!is_forced && reader->since >= relay->version)
         continue;
       stop_waiting (relay, reader);
       if (answer (relay, reader, &reader->since) != 0)
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -6,9 +6,10 @@
  *    GET /v1/KIND?since=VERSION&wait_ms=MS changes; waits for one
  *
  *  Versions are those of the platform, so a reader goes from one relay to
- *  another, or to the platform, and back.  An answer is given only while this
- *  instance itself is in touch with the platform; else status 503, or 410 for
- *  a version whose later deletions are no longer known.
+ *  another, or to the platform, and back; one that is ahead keeps its version.
+ *  An answer is given only while this instance itself is in touch with the
+ *  platform; else status 503, or 410 for a version whose later deletions are
+ * no longer known.
  */
 #ifndef PROGRAM_RELAY_H
 #define PROGRAM_RELAY_H
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -343,6 +343,44 @@
   close_group (&group);
 }
 
+/* The platform turns one instance away for 20 s; a relay tells it all the
+   while that it is behind. */
+static void
+an_instance_turned_away_asks_seldom (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  gbd_address_t address = choose_address ();
+  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
+  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
+  run_until_ready (&group, relay);
+  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
+  run_until_ready (&group, reader);
+  /* Its first call that waits is answered by no copy. */
+  write_routes (&group, 2);
+  run_for (&group, 3 * GBD_SECOND);
+  /* The copy does not tell, and answers take longer than the reader waits. */
+  fixture_switch (&group.fixture, "{\"lag_ms\":3600000,\"slow_ms\":50}");
+  step (&group);
+  reader->platform->settings.call_timeout_ms = 1;
+  write_routes (&group, 3);
+  gbd_platform_stats_t before;
+  gbd_platform_stats_t after;
+  gbd_platform_get_stats (reader->platform, &before);
+  run_for (&group, 20 * GBD_SECOND);
+  gbd_platform_get_stats (reader->platform, &after);
+  print_message ("%d calls\n", (int)(after.calls - before.calls));
+  assert_int_equal (routes_version (reader), 2);
+  /* Seven while the pause doubles, and one for each time that it has been
+     behind for 1.2 s: it must have the routes soon once it is served again. */
+  assert_true (after.calls - before.calls <= 7 + 20 * 10 / 12);
+  reader->platform->settings.call_timeout_ms = 1000;
+  run_for (&group, CONFIG_BOUND);
+  assert_int_equal (routes_version (reader), 3);
+  close_group (&group);
+}
+
 /* Load: a new backend server writes each second how much longer it is slow.
    All instances can reckon that by themselves. */
 static void
@@ -388,6 +426,7 @@
           cmocka_unit_test (a_start_reads_a_list_that_lags_and_catches_up),
           cmocka_unit_test (routes_come_in_time_though_their_copy_lags),
           cmocka_unit_test (a_reader_older_than_its_relay_does_not_list_again),
+          cmocka_unit_test (an_instance_turned_away_asks_seldom),
           cmocka_unit_test (only_news_are_relayed) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
