--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -99,6 +99,18 @@
                          const gbd_packet_t *packet, gbd_time_t now,
                          gbd_direction_t *direction);
 
+/** A flow that has passed here and is not forgotten, or NULL. */
+const gbd_watched_flow_t *
+gbd_director_find_flow (const gbd_director_t *director,
+                        const gbd_flow_t *flow);
+
+/** Decide about the next packet that an open flow sends, as
+ *  gbd_director_route. */
+void gbd_director_route_next (const gbd_director_t *director,
+                              const gbd_flow_t *flow,
+                              const gbd_watched_flow_t *watched,
+                              gbd_time_t now, gbd_direction_t *direction);
+
 /** Record a decision that was carried out.
  *  @return what the packet showed; of a moved flow, is_silent_now is about
  *  the former backend server. */
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -376,15 +376,22 @@
   gbd_cookie_serve_t *serve = data;
   const gbd_routes_t *routes = gbd_director_get_routes (serve->director);
   const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
-  return json_pack ("{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:i, s:i}", "name",
-                    serve->settings->name, "zone", serve->settings->zone,
-                    "policy", serve->settings->policy, "ready",
-                    is_ready (serve), "stopping", serve->is_stopping,
-                    "platform_away", gbd_pool_is_away (pool), "routes_version",
-                    routes ? (json_int_t)gbd_routes_get_version (routes)
-                           : (json_int_t)0,
-                    "routes", routes ? (int)gbd_routes_get_count (routes) : 0,
-                    "backend_servers", (int)gbd_pool_get_count (pool));
+  gbd_time_t now = serve->clock (NULL);
+  return json_pack (
+      "{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:i, s:I, s:i, s:I, s:s}", "name",
+      serve->settings->name, "zone", serve->settings->zone, "policy",
+      serve->settings->policy, "ready", is_ready (serve), "stopping",
+      serve->is_stopping, "platform_away", gbd_pool_is_away (pool),
+      "routes_version",
+      routes ? (json_int_t)gbd_routes_get_version (routes) : (json_int_t)0,
+      "routes", routes ? (int)gbd_routes_get_count (routes) : 0,
+      "routes_age_ms",
+      (json_int_t)((now - serve->routes_at) / GBD_MILLISECOND),
+      "backend_servers", (int)gbd_pool_get_count (pool), "list_age_ms",
+      (json_int_t)((now - serve->servers_at) / GBD_MILLISECOND), "list_from",
+      serve->clients[serve->sources.current] == serve->servers_platform
+          ? "platform"
+          : "relay");
 }
 
 static json_t *
@@ -397,8 +404,9 @@
   return dump;
 }
 
-/* What an opening packet of the flow would meet now; a later packet goes
-   where its cookie says, which the flow's addresses do not tell. */
+/* What an opening packet of the flow would meet now.  A later packet goes
+   where its cookie says, which the flow's addresses do not tell; but this
+   instance knows the flows that pass it. */
 static json_t *
 make_explanation (void *data, const gbd_flow_t *flow)
 {
@@ -410,6 +418,20 @@
   json_t *fields = make_fields (serve, &packet, &direction, now);
   json_object_set_new (fields, "action",
                        json_string (action_strings[direction.kind]));
+  const gbd_watched_flow_t *watched
+      = gbd_director_find_flow (serve->director, flow);
+  if (!watched || watched->phase != GBD_FLOW_OPEN)
+    return fields;
+  packet.kind = GBD_PACKET_MIDDLE;
+  gbd_director_route_next (serve->director, flow, watched, now, &direction);
+  json_t *open = make_fields (serve, &packet, &direction, now);
+  json_object_set_new (open, "action",
+                       json_string (action_strings[direction.kind]));
+  json_object_set_new (open, "answered_ms_ago",
+                       json_integer ((json_int_t)((now - watched->answered_at)
+                                                  / GBD_MILLISECOND)));
+  json_object_set_new (open, "waits", json_boolean (watched->is_waiting));
+  json_object_set_new (fields, "open_here", open);
   return fields;
 }
 
@@ -429,7 +451,7 @@
       gbd_address_format (&server->entry.backend.address, address);
       json_array_append_new (
           servers,
-          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:I, s:I}",
+          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:I, s:I, s:s}",
                      "name", server->entry.name, "address", address, "state",
                      state_strings[server->entry.backend.state], "listed",
                      server->is_listed, "cold", now < server->entry.warm_at,
@@ -437,7 +459,9 @@
                      (int)server->load.open, "suspected",
                      (int)server->load.suspicion.unanswered, "placed",
                      (json_int_t)server->load.placed, "unanswered",
-                     (json_int_t)server->load.unanswered));
+                     (json_int_t)server->load.unanswered, "probe",
+                     gbd_probe_strings[gbd_suspicion_get_probe (
+                         &server->load.suspicion, now)]));
     }
   return servers;
 }
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -127,6 +127,31 @@
     route_later (director, packet, now, direction);
 }
 
+const gbd_watched_flow_t *
+gbd_director_find_flow (const gbd_director_t *director, const gbd_flow_t *flow)
+{
+  return gbd_flow_watch_find (director->watch,
+                              gbd_flow_hash (flow, director->key));
+}
+
+void
+gbd_director_route_next (const gbd_director_t *director,
+                         const gbd_flow_t *flow,
+                         const gbd_watched_flow_t *watched, gbd_time_t now,
+                         gbd_direction_t *direction)
+{
+  gbd_fingerprint_t fingerprint
+      = gbd_pool_peek (director->pool, watched->server)->fingerprint;
+  gbd_packet_t packet = {
+    .kind = GBD_PACKET_MIDDLE,
+    .flow = *flow,
+    .sequence = watched->sequence,
+    .acknowledgment = watched->acknowledgment,
+    .cookie = gbd_cookie_make (director->key, flow, fingerprint),
+  };
+  gbd_director_route (director, &packet, now, direction);
+}
+
 gbd_flow_signs_t
 gbd_director_commit (gbd_director_t *director, const gbd_packet_t *packet,
                      const gbd_direction_t *direction, gbd_time_t now)
--- a/src/test_gooseberrydrum/test_cookie_report.c
+++ b/src/test_gooseberrydrum/test_cookie_report.c
@@ -49,10 +49,62 @@
   close (ends[1]);
 }
 
+static gbd_time_t
+read_clock (void *data)
+{
+  (void)data;
+  return START + GBD_SECOND;
+}
+
+static const char *
+text_at (const json_t *object, const char *key)
+{
+  return json_string_value (json_object_get (object, key));
+}
+
+/* A flow with a cookie: where its next packet goes, and whether its backend
+   server has answered it. */
+static void
+explain_tells_of_a_flow_that_is_open_here (void **state)
+{
+  (void)state;
+  gbd_cookie_serve_t serve
+      = { .director = make_ready_director (), .clock = read_clock };
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 40001);
+  json_t *before = gbd_cookie_admin_callbacks.explain (&serve, &packet.flow);
+  assert_null (json_object_get (before, "open_here"));
+  json_decref (before);
+
+  gbd_direction_t opening = open_flow (serve.director, 40001, START);
+  json_t *answer = gbd_cookie_admin_callbacks.explain (&serve, &packet.flow);
+  json_t *open = json_object_get (answer, "open_here");
+  assert_non_null (open);
+  assert_string_equal (text_at (open, "rule"), "cookie");
+  assert_string_equal (text_at (open, "action"), "backend server");
+  const gbd_pool_server_t *server = gbd_pool_peek (
+      gbd_director_peek_pool (serve.director), opening.server);
+  assert_string_equal (text_at (open, "server"), server->entry.name);
+  assert_int_equal (
+      json_integer_value (json_object_get (open, "answered_ms_ago")), 990);
+  json_decref (answer);
+
+  /* Its backend server has left. */
+  gbd_pool_t *pool = gbd_director_get_pool (serve.director);
+  gbd_pool_remove (pool, server->entry.backend.id,
+                   START - GBD_DIRECTOR_RESET_LOST);
+  answer = gbd_cookie_admin_callbacks.explain (&serve, &packet.flow);
+  open = json_object_get (answer, "open_here");
+  assert_string_equal (text_at (open, "rule"), "server_gone");
+  assert_string_equal (text_at (open, "action"), "reset");
+  json_decref (answer);
+  gbd_director_delete (serve.director);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[]
-      = { cmocka_unit_test (a_new_flow_has_its_inputs_and_their_ages) };
+      = { cmocka_unit_test (a_new_flow_has_its_inputs_and_their_ages),
+          cmocka_unit_test (explain_tells_of_a_flow_that_is_open_here) };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
