--- a/src/test_gooseberrydrum/test_prober.c
+++ b/src/test_gooseberrydrum/test_prober.c
@@ -103,30 +103,46 @@
   tear_down ();
 }
 
-/* A full queue of connections answers nothing, as does a machine without
-   power. */
-static void
-one_that_is_gone_is_silent (void **state)
+/* A listener whose queue of connections is full answers nothing, as does a
+   machine without power. */
+#define FILLERS 4
+static int fillers[FILLERS];
+
+static int
+listen_in_silence (gbd_address_t *address)
 {
-  (void)state;
-  gbd_address_t address;
   struct sockaddr_storage name;
-  int fd = listen_at (&address, 0);
-  socklen_t length = gbd_udp_to_sockaddr (&address, &name);
-  int fillers[4];
-  for (int i = 0; i < 4; i++)
+  int fd = listen_at (address, 0);
+  socklen_t length = gbd_udp_to_sockaddr (address, &name);
+  for (int i = 0; i < FILLERS; i++)
     {
       fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (fillers[i], (struct sockaddr *)&name, length);
+      assert_int_equal (connect (fillers[i], (struct sockaddr *)&name, length),
+                        -1);
     }
+  return fd;
+}
+
+static void
+close_fillers (void)
+{
+  for (int i = 0; i < FILLERS; i++)
+    close (fillers[i]);
+}
+
+static void
+one_that_is_gone_is_silent (void **state)
+{
+  (void)state;
+  gbd_address_t address;
+  int fd = listen_in_silence (&address);
   set_up (&address);
   assert_int_equal (probe_for (GBD_SUSPICION_PROBE_WAIT - TICK),
                     GBD_PROBE_NONE);
   assert_int_equal (probe_for (GBD_SUSPICION_PROBE_WAIT + TICK),
                     GBD_PROBE_SILENT);
   tear_down ();
-  for (int i = 0; i < 4; i++)
-    close (fillers[i]);
+  close_fillers ();
   close (fd);
 }
 
@@ -136,15 +152,7 @@
 {
   (void)state;
   gbd_address_t address;
-  struct sockaddr_storage name;
-  int fd = listen_at (&address, 0);
-  socklen_t length = gbd_udp_to_sockaddr (&address, &name);
-  int fillers[4];
-  for (int i = 0; i < 4; i++)
-    {
-      fillers[i] = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      connect (fillers[i], (struct sockaddr *)&name, length);
-    }
+  int fd = listen_in_silence (&address);
   set_up (&address);
   gbd_prober_tick (prober, START);
   gbd_prober_tick (prober, START + 3 * GBD_SECOND);
@@ -153,8 +161,7 @@
   gbd_prober_get_stats (prober, &stats);
   assert_int_equal (stats.results[GBD_PROBE_NONE], 1);
   tear_down ();
-  for (int i = 0; i < 4; i++)
-    close (fillers[i]);
+  close_fillers ();
   close (fd);
 }
 
