--- a/src/test_gooseberrydrum/test_admin.c
+++ b/src/test_gooseberrydrum/test_admin.c
@@ -14,6 +14,7 @@
 
 #include <openssl/ssl.h>
 
+#include "free_address.h"
 #include "gooseberrydrum/admin.h"
 #include "tls_identities.h"
 
@@ -77,22 +78,6 @@
 static const gbd_admin_callbacks_t callbacks
     = { get_counters, get_status, get_dump, get_explanation, get_ready };
 
-static void
-choose_address (void)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t length = sizeof address;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
-  getsockname (fd, (struct sockaddr *)&address, &length);
-  close (fd);
-  memset (&listen_address, 0, sizeof listen_address);
-  listen_address.family = 4;
-  listen_address.port = ntohs (address.sin_port);
-  memcpy (listen_address.ip, "\x7f\0\0\1", 4);
-}
-
 static void
 start (const char *token)
 {
@@ -102,7 +87,7 @@
                      | LWS_SERVER_OPTION_DO_SSL_GLOBAL_INIT };
   const char *error = NULL;
   lws_set_log_level (0, NULL);
-  choose_address ();
+  listen_address = choose_address ();
   settings.listen = listen_address;
   settings.token = token;
   context = lws_create_context (&info);
@@ -439,7 +424,7 @@
   /* Nor does the server start in the clear without them. */
   gbd_admin_settings_t broken = settings;
   const char *error = NULL;
-  choose_address ();
+  listen_address = choose_address ();
   broken.listen = listen_address;
   write_key (key, first.key);
   assert_null (gbd_admin_new (context, &broken, &callbacks, NULL, &error));
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -34,6 +34,7 @@
   fixture_t fixture;
   instance_t instances[2];
   uint32_t count;
+  gbd_address_t relay; /* of the first, once start_relay() is called */
 } group_t;
 
 static fixture_t *clocked;
@@ -172,6 +173,26 @@
     }
 }
 
+/* The first instance, which relays to those that follow. */
+static gbd_cookie_serve_t *
+start_relay (group_t *group)
+{
+  group->relay = choose_address ();
+  gbd_address_list_t relays = { .addresses = { group->relay }, .count = 1 };
+  gbd_cookie_serve_t *serve = start_instance (group, &relays, &group->relay);
+  run_until_ready (group, serve);
+  return serve;
+}
+
+static gbd_cookie_serve_t *
+start_reader (group_t *group)
+{
+  gbd_address_list_t relays = { .addresses = { group->relay }, .count = 1 };
+  gbd_cookie_serve_t *serve = start_instance (group, &relays, NULL);
+  run_until_ready (group, serve);
+  return serve;
+}
+
 static int
 count_all (group_t *group, const char *kind)
 {
@@ -284,12 +305,8 @@
   (void)state;
   group_t group;
   open_group (&group);
-  gbd_address_t address = choose_address ();
-  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
-  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
-  run_until_ready (&group, relay);
-  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
-  run_until_ready (&group, reader);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  gbd_cookie_serve_t *reader = start_reader (&group);
   run_for (&group, 5 * GBD_SECOND);
   for (int is_lagging = 0; is_lagging < 2; is_lagging++)
     {
@@ -327,12 +344,8 @@
   let_copies_lag (&group);
   write_server (&group, 1, false);
   write_server (&group, SERVERS + 1, true);
-  gbd_address_t address = choose_address ();
-  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
-  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
-  run_until_ready (&group, relay);
-  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
-  run_until_ready (&group, reader);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  gbd_cookie_serve_t *reader = start_reader (&group);
   run_for (&group, 5 * GBD_SECOND);
   assert_int_equal (reader->listings, 1);
   assert_ptr_not_equal (reader->clients[reader->sources.current],
@@ -351,12 +364,8 @@
   (void)state;
   group_t group;
   open_group (&group);
-  gbd_address_t address = choose_address ();
-  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
-  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
-  run_until_ready (&group, relay);
-  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
-  run_until_ready (&group, reader);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  gbd_cookie_serve_t *reader = start_reader (&group);
   /* Its first call that waits is answered by no copy. */
   write_routes (&group, 2);
   run_for (&group, 3 * GBD_SECOND);
@@ -389,12 +398,8 @@
   (void)state;
   group_t group;
   open_group (&group);
-  gbd_address_t address = choose_address ();
-  gbd_address_list_t relays = { .addresses = { address }, .count = 1 };
-  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &address);
-  run_until_ready (&group, relay);
-  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
-  run_until_ready (&group, reader);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  gbd_cookie_serve_t *reader = start_reader (&group);
   run_for (&group, 3 * GBD_SECOND);
   write_warming_server (&group, SERVERS + 1, true, 4000);
   run_for (&group, GBD_SECOND);
--- a/src/test_gooseberrydrum/test_operator_commands.c
+++ b/src/test_gooseberrydrum/test_operator_commands.c
@@ -19,6 +19,7 @@
 #include "gooseberrydrum/admin_command.h"
 #include "gooseberrydrum/predict_command.h"
 #include "gooseberrydrum/table.h"
+#include "free_address.h"
 #include "platform_fixture.h"
 
 #define TOKEN "0123456789abcdef"
@@ -66,22 +67,6 @@
 static const gbd_admin_callbacks_t callbacks
     = { get_counters, get_status, get_status, get_explanation };
 
-static gbd_address_t
-choose_address (void)
-{
-  struct sockaddr_in address = { .sin_family = AF_INET };
-  socklen_t length = sizeof address;
-  gbd_address_t result;
-  address.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  assert_int_equal (bind (fd, (struct sockaddr *)&address, sizeof address), 0);
-  getsockname (fd, (struct sockaddr *)&address, &length);
-  close (fd);
-  gbd_address_parse ("127.0.0.1:1", &result);
-  result.port = ntohs (address.sin_port);
-  return result;
-}
-
 static gbd_time_t
 turn (void *data)
 {
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -2,6 +2,18 @@
 
 #define STEP (20 * GBD_MILLISECOND)
 
+/* The first data on a flow that open_flow() has opened. */
+static gbd_packet_t
+make_data (const gbd_direction_t *opening, uint16_t caller_port)
+{
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, caller_port);
+  packet.cookie = opening->cookie;
+  packet.sequence = 7001;
+  packet.acknowledgment = 90001;
+  packet.payload_length = 100;
+  return packet;
+}
+
 static void
 fresh_process_drops_and_never_resets (void **state)
 {
@@ -115,11 +127,7 @@
   gbd_director_t *director = make_ready_director ();
   gbd_pool_t *pool = gbd_director_get_pool (director);
   gbd_direction_t opening = open_flow (director, 1, START);
-  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
-  packet.cookie = opening.cookie;
-  packet.sequence = 7001;
-  packet.acknowledgment = 90001;
-  packet.payload_length = 100;
+  gbd_packet_t packet = make_data (&opening, 1);
   gbd_time_t now = START + GBD_SECOND;
   pass (director, &packet, now);
   pass (director, &packet, now + 200 * GBD_MILLISECOND);
@@ -182,11 +190,7 @@
   gbd_routes_add (routes, &route);
   gbd_director_set_routes (director, routes);
   gbd_direction_t opening = open_flow (director, 1, START);
-  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
-  packet.cookie = opening.cookie;
-  packet.sequence = 7001;
-  packet.acknowledgment = 90001;
-  packet.payload_length = 100;
+  gbd_packet_t packet = make_data (&opening, 1);
   gbd_time_t now = START + GBD_SECOND;
   gbd_suspicion_t *suspicion
       = &gbd_pool_get (pool, opening.server)->load.suspicion;
@@ -242,11 +246,7 @@
   (void)state;
   gbd_director_t *director = make_ready_director ();
   gbd_direction_t opening = open_flow (director, 1, START);
-  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
-  packet.cookie = opening.cookie;
-  packet.sequence = 7001;
-  packet.acknowledgment = 90001;
-  packet.payload_length = 100;
+  gbd_packet_t packet = make_data (&opening, 1);
   gbd_time_t now = START + GBD_SECOND;
   pass (director, &packet, now);
   now += 200 * GBD_MILLISECOND;
