Share what was written twice: requests, the source of the list, the loop

A read of the whole change. "answered_ms_ago" and the action of an explanation were written twice in the report. Both kinds of instance ran the same loop: gbd_loop_run. The store's own form had a writer that did nothing, and world_server_crash an argument that it did not use.

--- a/src/gooseberrydrum/cmd_serve.c
+++ b/src/gooseberrydrum/cmd_serve.c
@@ -108,11 +108,8 @@
     }
 
   gbd_log (GBD_EVENT_STARTED, settings->name, "0.1.0");
-  while (!serve.is_done)
-    {
-      if (lws_service (serve.context, 0) < 0)
-        goto done;
-    }
+  if (!gbd_loop_run (serve.context, &serve.is_done))
+    goto done;
   gbd_log (GBD_EVENT_STOPPED, "planned");
   exit_status = GBD_EXIT_OK;
 
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -12,6 +12,8 @@
 static json_t *make_fields (const gbd_cookie_serve_t *serve,
                             const gbd_packet_t *packet,
                             const gbd_direction_t *direction, gbd_time_t now);
+static json_int_t answered_ms_ago (const gbd_suspicion_t *suspicion,
+                                   gbd_time_t now);
 static void add_probe (json_t *fields, const gbd_suspicion_t *suspicion,
                        gbd_time_t now);
 static void log_silence (gbd_cookie_serve_t *serve, const gbd_packet_t *packet,
@@ -36,6 +38,9 @@
 static json_t *make_status (void *data);
 static json_t *make_dump (void *data);
 static json_t *make_explanation (void *data, const gbd_flow_t *flow);
+static json_t *make_answer (const gbd_cookie_serve_t *serve,
+                            const gbd_packet_t *packet,
+                            const gbd_direction_t *direction, gbd_time_t now);
 static json_t *make_servers (const gbd_cookie_serve_t *serve, gbd_time_t now);
 static bool is_ready (void *data);
 
@@ -95,14 +100,12 @@
     return;
   gbd_journal_write (
       serve->journal, GBD_EVENT_SERVER_PROBED,
-      json_pack (
-          "{s:s, s:s, s:I, s:i, s:I}", "server", server->entry.name, "result",
-          gbd_probe_strings[gbd_suspicion_get_probe (suspicion, now)],
-          "probe_ms", (json_int_t)((now - began_at) / GBD_MILLISECOND),
-          "unanswered", (int)suspicion->unanswered, "answered_ms_ago",
-          suspicion->answered_at
-              ? (json_int_t)((now - suspicion->answered_at) / GBD_MILLISECOND)
-              : (json_int_t)-1));
+      json_pack ("{s:s, s:s, s:I, s:i, s:I}", "server", server->entry.name,
+                 "result",
+                 gbd_probe_strings[gbd_suspicion_get_probe (suspicion, now)],
+                 "probe_ms", (json_int_t)((now - began_at) / GBD_MILLISECOND),
+                 "unanswered", (int)suspicion->unanswered, "answered_ms_ago",
+                 answered_ms_ago (suspicion, now)));
 }
 
 void
@@ -170,6 +173,15 @@
   return fields;
 }
 
+/* -1 if it has never answered here. */
+static json_int_t
+answered_ms_ago (const gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  return suspicion->answered_at
+             ? (json_int_t)((now - suspicion->answered_at) / GBD_MILLISECOND)
+             : -1;
+}
+
 /* What a flow was given up for. */
 static void
 add_probe (json_t *fields, const gbd_suspicion_t *suspicion, gbd_time_t now)
@@ -194,7 +206,6 @@
                                  : direction->server;
   const gbd_pool_server_t *server
       = gbd_pool_peek (gbd_director_peek_pool (serve->director), handle);
-  gbd_time_t answered_at = server->load.suspicion.answered_at;
   char flow[FLOW_TEXT_MAX];
   format_flow (packet, flow);
   gbd_journal_write (
@@ -204,9 +215,7 @@
           "flow", flow, "repeated",
           packet->kind == GBD_PACKET_OPENING ? "opening" : "data",
           "unanswered_ms", (json_int_t)(signs->silent_time / GBD_MILLISECOND),
-          "answered_ms_ago",
-          answered_at ? (json_int_t)((now - answered_at) / GBD_MILLISECOND)
-                      : (json_int_t)-1,
+          "answered_ms_ago", answered_ms_ago (&server->load.suspicion, now),
           "waiting", (int)server->load.waiting));
 }
 
@@ -389,9 +398,7 @@
       (json_int_t)((now - serve->routes_at) / GBD_MILLISECOND),
       "backend_servers", (int)gbd_pool_get_count (pool), "list_age_ms",
       (json_int_t)((now - serve->servers_at) / GBD_MILLISECOND), "list_from",
-      serve->clients[serve->sources.current] == serve->servers_platform
-          ? "platform"
-          : "relay");
+      gbd_cookie_servers_are_direct (serve) ? "platform" : "relay");
 }
 
 static json_t *
@@ -415,18 +422,14 @@
   gbd_packet_t packet = { .kind = GBD_PACKET_OPENING, .flow = *flow };
   gbd_direction_t direction;
   gbd_director_route (serve->director, &packet, now, &direction);
-  json_t *fields = make_fields (serve, &packet, &direction, now);
-  json_object_set_new (fields, "action",
-                       json_string (action_strings[direction.kind]));
+  json_t *fields = make_answer (serve, &packet, &direction, now);
   const gbd_watched_flow_t *watched
       = gbd_director_find_flow (serve->director, flow);
   if (!watched || watched->phase != GBD_FLOW_OPEN)
     return fields;
   packet.kind = GBD_PACKET_MIDDLE;
   gbd_director_route_next (serve->director, flow, watched, now, &direction);
-  json_t *open = make_fields (serve, &packet, &direction, now);
-  json_object_set_new (open, "action",
-                       json_string (action_strings[direction.kind]));
+  json_t *open = make_answer (serve, &packet, &direction, now);
   json_object_set_new (open, "answered_ms_ago",
                        json_integer ((json_int_t)((now - watched->answered_at)
                                                   / GBD_MILLISECOND)));
@@ -435,6 +438,17 @@
   return fields;
 }
 
+/* A decision as explain tells it. */
+static json_t *
+make_answer (const gbd_cookie_serve_t *serve, const gbd_packet_t *packet,
+             const gbd_direction_t *direction, gbd_time_t now)
+{
+  json_t *fields = make_fields (serve, packet, direction, now);
+  json_object_set_new (fields, "action",
+                       json_string (action_strings[direction->kind]));
+  return fields;
+}
+
 static json_t *
 make_servers (const gbd_cookie_serve_t *serve, gbd_time_t now)
 {
--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -70,11 +70,8 @@
           json_pack ("{s:s}", "cause", "descriptors cannot be polled"));
       goto done;
     }
-  while (!serve.is_done)
-    {
-      if (lws_service (serve.context, 0) < 0)
-        goto done;
-    }
+  if (!gbd_loop_run (serve.context, &serve.is_done))
+    goto done;
   gbd_journal_note (serve.journal, GBD_EVENT_STOPPED, serve.clock (NULL),
                     json_pack ("{s:s}", "cause", "planned"));
   exit_status = GBD_EXIT_OK;
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -97,6 +97,8 @@
 bool gbd_cookie_servers_start (gbd_cookie_serve_t *serve, const char **error);
 void gbd_cookie_servers_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
 void gbd_cookie_servers_stop (gbd_cookie_serve_t *serve);
+/** Whether the list is read at the platform itself, not at a relay. */
+bool gbd_cookie_servers_are_direct (const gbd_cookie_serve_t *serve);
 
 /** Log an object of the platform that does not decode. */
 void gbd_cookie_log_bad_object (gbd_cookie_serve_t *serve, const char *kind,
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -25,7 +25,6 @@
                              gbd_address_t *relays, bool *is_relay);
 static void sort_relays (const gbd_cookie_serve_t *serve,
                          gbd_address_t *relays, uint32_t count);
-static bool is_in_touch (const gbd_cookie_serve_t *serve);
 static void servers_reset (void *data);
 static void server_changed (void *data, const char *name, uint64_t version,
                             json_t *value);
@@ -127,6 +126,12 @@
     gbd_platform_delete (serve->clients[i]);
 }
 
+bool
+gbd_cookie_servers_are_direct (const gbd_cookie_serve_t *serve)
+{
+  return serve->clients[serve->sources.current] == serve->servers_platform;
+}
+
 void
 gbd_cookie_log_bad_object (gbd_cookie_serve_t *serve, const char *kind,
                            const char *name, uint64_t version,
@@ -193,13 +198,6 @@
     }
 }
 
-/* Whether what this instance reads comes from the platform itself. */
-static bool
-is_in_touch (const gbd_cookie_serve_t *serve)
-{
-  return serve->clients[serve->sources.current] == serve->servers_platform;
-}
-
 static void
 servers_reset (void *data)
 {
@@ -318,7 +316,7 @@
       log_source (serve, GBD_EVENT_PLATFORM_FOUND, now);
       gbd_platform_watch_refresh (serve->routes_watch);
     }
-  if (serve->relay && is_in_touch (serve))
+  if (serve->relay && gbd_cookie_servers_are_direct (serve))
     gbd_relay_confirm (
         serve->relay, gbd_platform_watch_get_version (serve->servers_watch),
         (uint32_t)(gbd_pool_get_settling_time (pool, now) / GBD_MILLISECOND),
@@ -335,19 +333,20 @@
   gbd_cookie_serve_t *serve = data;
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   log_source (serve,
-              is_in_touch (serve) ? GBD_EVENT_PLATFORM_LOST
-                                  : GBD_EVENT_RELAY_LOST,
+              gbd_cookie_servers_are_direct (serve) ? GBD_EVENT_PLATFORM_LOST
+                                                    : GBD_EVENT_RELAY_LOST,
               now);
   if (serve->relay)
     gbd_relay_lose (serve->relay);
-  bool was_at_relay = !is_in_touch (serve);
+  bool was_at_relay = !gbd_cookie_servers_are_direct (serve);
   if (!was_at_relay)
     serve->is_turned_away = true;
   bool has_next = gbd_sources_failed (&serve->sources, now);
   set_routes_wait (serve);
   /* No relay says any longer whether the routes are behind.  A watch that
      fails knows by itself, and its pauses keep load off the platform. */
-  if (was_at_relay && is_in_touch (serve) && !serve->is_routes_lost)
+  if (was_at_relay && gbd_cookie_servers_are_direct (serve)
+      && !serve->is_routes_lost)
     gbd_platform_watch_refresh (serve->routes_watch);
   gbd_platform_watch_move (serve->servers_watch,
                            serve->clients[serve->sources.current], has_next);
@@ -375,7 +374,7 @@
 servers_forgotten (void *data)
 {
   const gbd_cookie_serve_t *serve = data;
-  return is_in_touch (serve) || serve->is_turned_away;
+  return gbd_cookie_servers_are_direct (serve) || serve->is_turned_away;
 }
 
 /* Whoever reads at a relay hears there that its own watch on the routes has
@@ -384,12 +383,14 @@
 static void
 set_routes_wait (gbd_cookie_serve_t *serve)
 {
-  uint32_t wait_ms = is_in_touch (serve) ? 0 : ROUTES_WAIT_MS;
+  uint32_t wait_ms
+      = gbd_cookie_servers_are_direct (serve) ? 0 : ROUTES_WAIT_MS;
   if (serve->relay)
     wait_ms = RELAY_ROUTES_MS;
   gbd_platform_watch_set_wait (serve->routes_watch, wait_ms);
   gbd_platform_watch_set_lag (serve->routes_watch,
-                              !serve->relay && !is_in_touch (serve));
+                              !serve->relay
+                                  && !gbd_cookie_servers_are_direct (serve));
 }
 
 static void
@@ -397,9 +398,9 @@
 {
   if (!gbd_journal_admits (serve->journal, event, now))
     return;
-  json_t *fields
-      = json_pack ("{s:s, s:s}", "watch", serve->dialect->servers_kind,
-                   "source", is_in_touch (serve) ? "platform" : "relay");
+  json_t *fields = json_pack (
+      "{s:s, s:s}", "watch", serve->dialect->servers_kind, "source",
+      gbd_cookie_servers_are_direct (serve) ? "platform" : "relay");
   if (event == GBD_EVENT_PLATFORM_FOUND)
     json_object_set_new (
         fields, "away_ms",
--- a/src/gooseberrydrum/loop.c
+++ b/src/gooseberrydrum/loop.c
@@ -30,6 +30,17 @@
   return true;
 }
 
+bool
+gbd_loop_run (struct lws_context *context, const bool *is_done)
+{
+  while (!*is_done)
+    {
+      if (lws_service (context, 0) < 0)
+        return false;
+    }
+  return true;
+}
+
 int
 gbd_loop_open_signals (void)
 {
--- a/src/gooseberrydrum/loop.h
+++ b/src/gooseberrydrum/loop.h
@@ -25,6 +25,9 @@
 bool gbd_loop_adopt (struct lws_context *context,
                      gbd_descriptor_t *descriptors, size_t count);
 
+/** Serve until a flag is set.  @return false if the loop fails. */
+bool gbd_loop_run (struct lws_context *context, const bool *is_done);
+
 /** Block SIGTERM, SIGINT, SIGHUP and SIGUSR1 and receive them by a
  *  descriptor; ignore SIGPIPE.
  *  @return the descriptor, or -1. */
--- a/src/gooseberrydrum/platform_dialect.c
+++ b/src/gooseberrydrum/platform_dialect.c
@@ -39,16 +39,19 @@
   .read_routes = read_routes,
 };
 
-char *
-gbd_platform_make_path (const char *prefix, const char *kind, const char *name)
+void
+gbd_platform_set_request (gbd_platform_request_t *request, const char *method,
+                          const char *prefix, const char *kind,
+                          const char *name, char *query)
 {
   char *kind_text = g_uri_escape_string (kind, NULL, FALSE);
   char *name_text = name ? g_uri_escape_string (name, NULL, FALSE) : NULL;
-  char *path = name ? g_strconcat (prefix, kind_text, "/", name_text, NULL)
-                    : g_strconcat (prefix, kind_text, NULL);
+  request->method = method;
+  request->path = g_strconcat (prefix, kind_text, name ? "/" : "",
+                               name ? name_text : "", query, NULL);
   g_free (kind_text);
   g_free (name_text);
-  return path;
+  g_free (query);
 }
 
 static void
@@ -58,8 +61,7 @@
   /* The own API lists everything in one answer, and has no copies. */
   (void)after;
   (void)may_lag;
-  request->method = "GET";
-  request->path = gbd_platform_make_path (PREFIX, kind, NULL);
+  gbd_platform_set_request (request, "GET", PREFIX, kind, NULL, NULL);
 }
 
 static void
@@ -67,11 +69,10 @@
             gbd_platform_request_t *request)
 {
   (void)may_lag;
-  char *path = gbd_platform_make_path (PREFIX, kind, NULL);
-  request->method = "GET";
-  request->path = g_strdup_printf ("%s?since=" VERSION_FORMAT "&wait_ms=%u",
-                                   path, version, wait_ms);
-  g_free (path);
+  gbd_platform_set_request (request, "GET", PREFIX, kind, NULL,
+                            g_strdup_printf ("?since=" VERSION_FORMAT
+                                             "&wait_ms=%u",
+                                             version, wait_ms));
 }
 
 static void
@@ -79,31 +80,26 @@
           gbd_platform_request_t *request)
 {
   (void)may_lag;
-  request->method = "GET";
-  request->path = gbd_platform_make_path (PREFIX, kind, name);
+  gbd_platform_set_request (request, "GET", PREFIX, kind, name, NULL);
 }
 
 static void
 make_put (const char *kind, const char *name, uint64_t version, json_t *value,
           gbd_platform_request_t *request)
 {
-  char *path = gbd_platform_make_path (PREFIX, kind, name);
-  request->method = "PUT";
-  request->path
-      = g_strdup_printf ("%s?version=" VERSION_FORMAT, path, version);
+  gbd_platform_set_request (
+      request, "PUT", PREFIX, kind, name,
+      g_strdup_printf ("?version=" VERSION_FORMAT, version));
   request->body = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
-  g_free (path);
 }
 
 static void
 make_remove (const char *kind, const char *name, uint64_t version,
              gbd_platform_request_t *request)
 {
-  char *path = gbd_platform_make_path (PREFIX, kind, name);
-  request->method = "DELETE";
-  request->path
-      = g_strdup_printf ("%s?version=" VERSION_FORMAT, path, version);
-  g_free (path);
+  gbd_platform_set_request (
+      request, "DELETE", PREFIX, kind, name,
+      g_strdup_printf ("?version=" VERSION_FORMAT, version));
 }
 
 static json_t *
--- a/src/gooseberrydrum/platform_dialect.h
+++ b/src/gooseberrydrum/platform_dialect.h
@@ -60,8 +60,14 @@
 /** The product's own API: /v1/KIND[/NAME]. */
 extern const gbd_platform_dialect_t gbd_platform_dialect_own;
 
-/** "/PREFIX/KIND" or "/PREFIX/KIND/NAME", escaped. */
-char *gbd_platform_make_path (const char *prefix, const char *kind,
-                              const char *name);
+/** Set method and path of a request: "/PREFIX/KIND" or "/PREFIX/KIND/NAME",
+ *  escaped, then a query.
+ *  @param name  or NULL
+ *  @param query with its question mark, allocated by GLib and taken over; or
+ *               NULL */
+void gbd_platform_set_request (gbd_platform_request_t *request,
+                               const char *method, const char *prefix,
+                               const char *kind, const char *name,
+                               char *query);
 
 #endif
--- a/src/standins/platform_form.c
+++ b/src/standins/platform_form.c
@@ -9,11 +9,9 @@
 
 static bool read_own (const platform_message_t *message,
                       platform_request_t *request, char **text);
-static void write_own (const platform_request_t *request, uint32_t page_items,
-                       platform_reply_t *reply);
 
 const platform_form_t platform_form_own
-    = { .prefix = "/v1/", .read = read_own, .write = write_own };
+    = { .prefix = "/v1/", .read = read_own };
 
 bool
 platform_form_read_target (const char *path, platform_request_t *request)
@@ -75,13 +73,3 @@
                                                                : PLATFORM_LIST;
   return true;
 }
-
-/* The store's replies are in this form; it lists everything in one. */
-static void
-write_own (const platform_request_t *request, uint32_t page_items,
-           platform_reply_t *reply)
-{
-  (void)request;
-  (void)page_items;
-  (void)reply;
-}
--- a/src/standins/platform_form.h
+++ b/src/standins/platform_form.h
@@ -36,7 +36,8 @@
   bool (*read) (const platform_message_t *message, platform_request_t *request,
                 char **text);
   /** Turn the store's reply into this form.
-   *  @param page_items most items of a page of a listing */
+   *  @param page_items most items of a page of a listing
+   *  NULL: replies have the store's form. */
   void (*write) (const platform_request_t *request, uint32_t page_items,
                  platform_reply_t *reply);
 } platform_form_t;
--- a/src/standins/platform_server.c
+++ b/src/standins/platform_server.c
@@ -327,7 +327,7 @@
     return 0;
 
   struct lws *wsi = call->wsi;
-  if (call->form)
+  if (call->form && call->form->write)
     call->form->write (&call->request, call->server->page_items, &call->reply);
   char *text = call->reply.body ? json_dumps (call->reply.body, JSON_COMPACT)
                                 : g_strdup ("{}");
--- a/src/standins/world.h
+++ b/src/standins/world.h
@@ -243,8 +243,7 @@
 bool world_server_add (world_t *world, uint32_t service, gbd_time_t now);
 bool world_server_write (world_t *world, world_server_t *server);
 /** End it without a word; its entry lapses later. */
-void world_server_crash (world_t *world, world_server_t *server,
-                         gbd_time_t now);
+void world_server_crash (world_server_t *server, gbd_time_t now);
 void world_servers_poll (world_t *world);
 void world_servers_tick (world_t *world, gbd_time_t now);
 bool world_routes_write (world_t *world, gbd_time_t now);
--- a/src/standins/world_faults.c
+++ b/src/standins/world_faults.c
@@ -236,7 +236,7 @@
   world_server_t *server = choose_server (world);
   if (!server)
     return;
-  world_server_crash (world, server, now);
+  world_server_crash (server, now);
 }
 
 static void
--- a/src/standins/world_servers.c
+++ b/src/standins/world_servers.c
@@ -130,9 +130,8 @@
 }
 
 void
-world_server_crash (world_t *world, world_server_t *server, gbd_time_t now)
+world_server_crash (world_server_t *server, gbd_time_t now)
 {
-  (void)world;
   server->state = SERVER_CRASHED;
   server->due = now + LAPSE_TIME;
   close (server->listen_fd);
