Find servers at one address by an index

Each entry put into the pool was compared with all others for an address that it takes over, and each one dropped likewise: 24 of the 30 ms that a first list of 3,000 entries took, before the first packet of a process with 0.12 of a core.

A second index, by address, beside that by fingerprint; both are built and filled by the same functions.

--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -11,8 +11,10 @@
   gbd_pool_server_t *servers;
   uint32_t room;
   uint32_t listed;
-  gbd_pool_handle_t *index; /* open addressing by fingerprint */
-  uint32_t index_room;      /* a power of two */
+  gbd_pool_handle_t *index;      /* open addressing by fingerprint */
+  gbd_pool_handle_t *by_address; /* the same by address; in one piece with the
+                                    index */
+  uint32_t index_room;           /* of each, a power of two */
   bool is_known;
   bool is_away;
   gbd_time_t settled_at; /* removals before this wait until then */
@@ -22,8 +24,15 @@
 static gbd_pool_handle_t take_handle (gbd_pool_t *pool);
 static bool build_index (gbd_pool_t *pool);
 static void add_to_index (gbd_pool_t *pool, gbd_pool_handle_t handle);
+static void add_to_places (const gbd_pool_t *pool, gbd_pool_handle_t *places,
+                           uint32_t place, gbd_pool_handle_t handle);
 static uint32_t hash_place (const gbd_pool_t *pool,
                             gbd_fingerprint_t fingerprint);
+static uint32_t hash_address (const gbd_pool_t *pool,
+                              const gbd_address_t *address);
+static gbd_pool_server_t *next_at_address (gbd_pool_t *pool,
+                                           const gbd_pool_server_t *server,
+                                           uint32_t *place);
 static void supersede (gbd_pool_t *pool, gbd_pool_server_t *server,
                        gbd_time_t now);
 static void restore (gbd_pool_t *pool, const gbd_pool_server_t *server);
@@ -74,6 +83,9 @@
   /* A new start knows nothing of former flows, and its silence is over. */
   if (server->is_used && server->entry.born_ms != entry->born_ms)
     memset (&server->load.suspicion, 0, sizeof server->load.suspicion);
+  bool has_moved = !is_new
+                   && !gbd_address_is_equal (&server->entry.backend.address,
+                                             &entry->backend.address);
   if (!server->is_listed)
     pool->listed++;
   server->entry = *entry;
@@ -84,9 +96,9 @@
   server->removal_due = GBD_TIME_NEVER;
   server->superseded_at = GBD_TIME_NEVER;
   supersede (pool, server, now);
-  if (!is_new)
+  if (!is_new && !has_moved)
     return GBD_OK;
-  if (has_freed || pool->index_room != pool->room * INDEX_LOAD)
+  if (has_freed || has_moved || pool->index_room != pool->room * INDEX_LOAD)
     return build_index (pool) ? GBD_OK : GBD_ERROR_MEMORY;
   add_to_index (pool, handle);
   return GBD_OK;
@@ -279,13 +291,15 @@
   uint32_t room = pool->room * INDEX_LOAD;
   if (room != pool->index_room)
     {
-      gbd_pool_handle_t *index = realloc (pool->index, room * sizeof *index);
+      gbd_pool_handle_t *index
+          = realloc (pool->index, (size_t)2 * room * sizeof *index);
       if (!index)
         return false;
       pool->index = index;
+      pool->by_address = index + room;
       pool->index_room = room;
     }
-  memset (pool->index, 0xff, room * sizeof *pool->index);
+  memset (pool->index, 0xff, (size_t)2 * room * sizeof *pool->index);
   for (uint32_t i = 0; i < pool->room; i++)
     {
       if (pool->servers[i].is_used)
@@ -297,10 +311,20 @@
 static void
 add_to_index (gbd_pool_t *pool, gbd_pool_handle_t handle)
 {
-  uint32_t place = hash_place (pool, pool->servers[handle].fingerprint);
-  while (pool->index[place] != GBD_POOL_NONE)
+  const gbd_pool_server_t *server = &pool->servers[handle];
+  add_to_places (pool, pool->index, hash_place (pool, server->fingerprint),
+                 handle);
+  add_to_places (pool, pool->by_address,
+                 hash_address (pool, &server->entry.backend.address), handle);
+}
+
+static void
+add_to_places (const gbd_pool_t *pool, gbd_pool_handle_t *places,
+               uint32_t place, gbd_pool_handle_t handle)
+{
+  while (places[place] != GBD_POOL_NONE)
     place = (place + 1) & (pool->index_room - 1);
-  pool->index[place] = handle;
+  places[place] = handle;
 }
 
 static uint32_t
@@ -309,19 +333,44 @@
   return (uint32_t)gbd_rendezvous (fingerprint, 0) & (pool->index_room - 1);
 }
 
+static uint32_t
+hash_address (const gbd_pool_t *pool, const gbd_address_t *address)
+{
+  uint64_t parts[sizeof address->ip / sizeof (uint64_t)];
+  memcpy (parts, address->ip, sizeof parts);
+  return (uint32_t)gbd_rendezvous (parts[0], parts[1] ^ address->port)
+         & (pool->index_room - 1);
+}
+
+/* Another server at the address of this one.
+   @param place hash_address() at first, then where the search goes on */
+static gbd_pool_server_t *
+next_at_address (gbd_pool_t *pool, const gbd_pool_server_t *server,
+                 uint32_t *place)
+{
+  while (pool->index_room && pool->by_address[*place] != GBD_POOL_NONE)
+    {
+      gbd_pool_server_t *other = &pool->servers[pool->by_address[*place]];
+      *place = (*place + 1) & (pool->index_room - 1);
+      if (other != server && other->is_used
+          && gbd_address_is_equal (&other->entry.backend.address,
+                                   &server->entry.backend.address))
+        return other;
+    }
+  return NULL;
+}
+
 /* Of two listed ones at one address, the earlier has ended. */
 static void
 supersede (gbd_pool_t *pool, gbd_pool_server_t *server, gbd_time_t now)
 {
-  const gbd_address_t *address = &server->entry.backend.address;
   int64_t born_ms = server->entry.born_ms;
-  for (uint32_t i = 0; i < pool->room; i++)
+  uint32_t place = hash_address (pool, &server->entry.backend.address);
+  gbd_pool_server_t *other;
+  while ((other = next_at_address (pool, server, &place)))
     {
-      gbd_pool_server_t *other = &pool->servers[i];
       int64_t other_ms = other->entry.born_ms;
-      if (!other->is_used || !other->is_listed || other == server || !born_ms
-          || !other_ms
-          || !gbd_address_is_equal (&other->entry.backend.address, address))
+      if (!other->is_listed || !born_ms || !other_ms)
         continue;
       gbd_pool_server_t *earlier = other_ms < born_ms ? other : server;
       if (other_ms != born_ms && earlier->superseded_at == GBD_TIME_NEVER)
@@ -333,20 +382,17 @@
 static void
 restore (gbd_pool_t *pool, const gbd_pool_server_t *server)
 {
-  for (uint32_t i = 0; i < pool->room; i++)
-    {
-      gbd_pool_server_t *other = &pool->servers[i];
-      if (other->is_used
-          && gbd_address_is_equal (&other->entry.backend.address,
-                                   &server->entry.backend.address))
-        other->superseded_at = GBD_TIME_NEVER;
-    }
+  uint32_t place = hash_address (pool, &server->entry.backend.address);
+  gbd_pool_server_t *other;
+  while ((other = next_at_address (pool, server, &place)))
+    other->superseded_at = GBD_TIME_NEVER;
 }
 
 static void
 drop_entry (gbd_pool_t *pool, gbd_pool_server_t *server, gbd_time_t now)
 {
   restore (pool, server);
+  server->superseded_at = GBD_TIME_NEVER;
   server->is_listed = false;
   server->removal_due = GBD_TIME_NEVER;
   server->gone_at = now;
--- a/src/test_libgooseberrydrum/test_pool.c
+++ b/src/test_libgooseberrydrum/test_pool.c
@@ -127,6 +127,29 @@
   gbd_pool_delete (pool);
 }
 
+/* Load: addresses of backend servers that have ended are taken over. */
+static void
+servers_at_one_address_are_known_wherever_they_came_from (void **state)
+{
+  (void)state;
+  gbd_pool_t *pool = make_pool ();
+  gbd_pool_entry_t later = make_entry (2, "web", "a");
+  later.born_ms = 2;
+  gbd_pool_put (pool, &later, START);
+  assert_true (server_of (pool, 1)->superseded_at == GBD_TIME_NEVER);
+  /* Moves, to the address of the first and on to that of the third. */
+  later.backend.address = make_entry (1, "web", "a").backend.address;
+  gbd_pool_put (pool, &later, START + 1);
+  assert_int_equal (server_of (pool, 1)->superseded_at, START + 1);
+  assert_true (server_of (pool, 2)->superseded_at == GBD_TIME_NEVER);
+  later.backend.address = make_entry (3, "web", "a").backend.address;
+  gbd_pool_put (pool, &later, START + 2);
+  assert_int_equal (server_of (pool, 3)->superseded_at, START + 2);
+  gbd_pool_remove (pool, 2, START + 3);
+  assert_true (server_of (pool, 3)->superseded_at == GBD_TIME_NEVER);
+  gbd_pool_delete (pool);
+}
+
 static void
 hundreds_of_servers_are_found (void **state)
 {
@@ -153,6 +176,8 @@
     cmocka_unit_test (a_gone_server_is_found_until_its_flows_have_ended),
     cmocka_unit_test (a_new_start_under_the_same_identifier_is_trusted),
     cmocka_unit_test (no_two_servers_share_a_fingerprint),
+    cmocka_unit_test (
+        servers_at_one_address_are_known_wherever_they_came_from),
     cmocka_unit_test (hundreds_of_servers_are_found),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
