--- a/src/test_libgooseberrydrum/director_fixture.h
+++ b/src/test_libgooseberrydrum/director_fixture.h
@@ -138,4 +138,16 @@
   return opening;
 }
 
+/* The first data on a flow that open_flow() has opened. */
+static inline gbd_packet_t
+make_data (const gbd_direction_t *opening, uint16_t caller_port)
+{
+  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, caller_port);
+  packet.cookie = opening->cookie;
+  packet.sequence = 7001;
+  packet.acknowledgment = 90001;
+  packet.payload_length = 100;
+  return packet;
+}
+
 #endif
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -2,18 +2,6 @@
 
 #define STEP (20 * GBD_MILLISECOND)
 
-/* The first data on a flow that open_flow() has opened. */
-static gbd_packet_t
-make_data (const gbd_direction_t *opening, uint16_t caller_port)
-{
-  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, caller_port);
-  packet.cookie = opening->cookie;
-  packet.sequence = 7001;
-  packet.acknowledgment = 90001;
-  packet.payload_length = 100;
-  return packet;
-}
-
 static void
 fresh_process_drops_and_never_resets (void **state)
 {
--- a/src/test_libgooseberrydrum/test_flow_watch.c
+++ b/src/test_libgooseberrydrum/test_flow_watch.c
@@ -50,11 +50,7 @@
   gbd_director_t *director = make_ready_director ();
   gbd_direction_t opening = open_flow (director, 1, START);
   const gbd_pool_load_t *load = load_of (director, opening.server);
-  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
-  packet.cookie = opening.cookie;
-  packet.sequence = 7001;
-  packet.acknowledgment = 90001;
-  packet.payload_length = 100;
+  gbd_packet_t packet = make_data (&opening, 1);
   pass (director, &packet, START + GBD_SECOND);
   assert_false (gbd_suspicion_is_suspected (&load->suspicion));
   pass (director, &packet, START + GBD_SECOND + 200 * MS);
@@ -71,10 +67,7 @@
   gbd_director_t *director = make_ready_director ();
   gbd_direction_t opening = open_flow (director, 1, START);
   const gbd_pool_load_t *load = load_of (director, opening.server);
-  gbd_packet_t packet = make_packet (GBD_PACKET_MIDDLE, 1);
-  packet.cookie = opening.cookie;
-  packet.sequence = 7001;
-  packet.acknowledgment = 90001;
+  gbd_packet_t packet = make_data (&opening, 1);
   packet.payload_length = 1200;
   pass (director, &packet, START + GBD_SECOND);
   pass (director, &packet, START + GBD_SECOND + 5 * MS);
