--- a/src/test_gooseberrydrum/test_adapter.c
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -268,6 +268,46 @@
   json_decref (value);
 }
 
+typedef struct
+{
+  const char *kind;
+  bool is_idempotent;
+} route_kind_case_t;
+
+static const route_kind_case_t route_kind_cases[] = {
+  { "idempotent", true },
+  { "download", true },
+  { "non_idempotent", false },
+  { "upload", false },
+  { "unknown", false },
+};
+
+/* Guards against waiting for a backend server that does not respond although
+   the caller may repeat its request: downloads are idempotent too. */
+static void
+route_kinds_tell_which_requests_may_be_repeated (void **state)
+{
+  (void)state;
+  gbd_address_t address;
+  gbd_address_parse ("198.18.0.1:443", &address);
+  for (size_t i = 0;
+       i < sizeof route_kind_cases / sizeof route_kind_cases[0]; i++)
+    {
+      const route_kind_case_t *row = &route_kind_cases[i];
+      const char *problem = NULL;
+      json_t *value
+          = json_pack ("{s:i, s:[{s:s, s:s, s:s, s:s}]}", "version", 7,
+                       "routes", "host", "198.18.0.1", "path_prefix", "/443/",
+                       "route_type", row->kind, "backend", "web");
+      gbd_routes_t *routes = platform_api->read_routes (value, &problem);
+      print_message ("%s\n", row->kind);
+      assert_int_equal (gbd_routes_find (routes, &address)->is_idempotent,
+                        row->is_idempotent);
+      gbd_routes_delete (routes);
+      json_decref (value);
+    }
+}
+
 typedef struct
 {
   const char *label;
@@ -369,6 +409,7 @@
     cmocka_unit_test (invalid_entries_are_rejected),
     cmocka_unit_test (entry_fields_are_decoded),
     cmocka_unit_test (invalid_routes_are_rejected_with_a_reason),
+    cmocka_unit_test (route_kinds_tell_which_requests_may_be_repeated),
     cmocka_unit_test (responses_are_translated_to_the_native_api),
     cmocka_unit_test (requests_are_built_as_documented),
   };
