--- a/include/gooseberrydrum/retry.h
+++ b/include/gooseberrydrum/retry.h
@@ -12,6 +12,9 @@
 
 GBD_BEGIN_DECLS
 
+/** @return the next number of a random generator (SplitMix64). */
+uint64_t gbd_random_next (uint64_t *state);
+
 /** Token bucket: starts full and refills at a constant rate. */
 typedef struct
 {
--- a/src/gooseberrydrum/admin_response.c
+++ b/src/gooseberrydrum/admin_response.c
@@ -6,12 +6,13 @@
 #define HEADERS_LENGTH_MAX 1024            /* bytes */
 #define WRITE_LENGTH_MAX ((size_t)1 << 14) /* bytes */
 
-static bool set_body (gbd_admin_response_t *response, const char *content);
+static bool set_body (gbd_admin_response_t *response, const void *content,
+                      size_t length);
 
 void
 gbd_admin_response_set_text (gbd_admin_response_t *response, char *text)
 {
-  if (!text || !set_body (response, text))
+  if (!text || !set_body (response, text, strlen (text)))
     gbd_admin_response_fail (response, HTTP_STATUS_INTERNAL_SERVER_ERROR,
                              "out of memory", "raise the memory limit");
   else
@@ -31,6 +32,20 @@
   response->content_type = "application/json";
 }
 
+void
+gbd_admin_response_set_bytes (gbd_admin_response_t *response,
+                              const void *bytes, size_t length)
+{
+  if (!set_body (response, bytes, length))
+    {
+      gbd_admin_response_fail (response, HTTP_STATUS_INTERNAL_SERVER_ERROR,
+                               "out of memory", "raise the memory limit");
+      return;
+    }
+  response->status = HTTP_STATUS_OK;
+  response->content_type = "application/msgpack";
+}
+
 void
 gbd_admin_response_fail (gbd_admin_response_t *response, unsigned status,
                          const char *error, const char *remedy)
@@ -39,7 +54,7 @@
   char *text = object ? json_dumps (object, 0) : NULL;
   json_decref (object);
   /* If memory for the body is exhausted, only the status is sent. */
-  if (!text || !set_body (response, text))
+  if (!text || !set_body (response, text, strlen (text)))
     response->length = 0;
   free (text);
   response->status = status;
@@ -109,13 +124,12 @@
 }
 
 static bool
-set_body (gbd_admin_response_t *response, const char *content)
+set_body (gbd_admin_response_t *response, const void *content, size_t length)
 {
-  size_t length = strlen (content);
-  char *body = malloc (LWS_PRE + length + 1);
+  char *body = malloc (LWS_PRE + length);
   if (!body)
     return false;
-  memcpy (body + LWS_PRE, content, length + 1);
+  memcpy (body + LWS_PRE, content, length);
   free (response->body);
   response->body = body;
   response->length = length;
--- a/src/gooseberrydrum/admin_response.h
+++ b/src/gooseberrydrum/admin_response.h
@@ -22,6 +22,10 @@
 void gbd_admin_response_set_json (gbd_admin_response_t *response,
                                   json_t *object);
 
+/** Set binary content, which is copied. */
+void gbd_admin_response_set_bytes (gbd_admin_response_t *response,
+                                   const void *bytes, size_t length);
+
 /** Set an error response. */
 void gbd_admin_response_fail (gbd_admin_response_t *response, unsigned status,
                               const char *error, const char *remedy);
--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -15,6 +15,9 @@
 #include "platform/adapter.h"
 
 #define TICK_US (100 * LWS_US_PER_MS)
+/* While the instance starts, time-outs are shorter. */
+#define START_TICK_US (20 * LWS_US_PER_MS)
+#define START_TIME (5 * GBD_SECOND)
 #define SOCKET_BUFFER (256 * 1024) /* bytes; 0.2 s at 10 Mbit/s */
 #define TRACKED_FLOWS 2048
 /* Time between checks of the settings file. */
@@ -348,8 +351,10 @@
   check_settings_file (serve, now);
   check_shutdown (serve, now);
   gbd_event_log_flush (serve->event_log);
+  bool is_starting = !serve->was_ready && now - serve->started_at < START_TIME;
   if (serve->is_done)
     lws_cancel_service (serve->context);
   else
-    lws_sul_schedule (serve->context, 0, &serve->timer, tick, TICK_US);
+    lws_sul_schedule (serve->context, 0, &serve->timer, tick,
+                      is_starting ? START_TICK_US : TICK_US);
 }
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -8,6 +8,7 @@
 #include "admin.h"
 #include "cookie_datapath.h"
 #include "event_log.h"
+#include "gooseberrydrum/retry.h"
 #include "gooseberrydrum/sources.h"
 #include "platform_client.h"
 #include "prober.h"
@@ -30,28 +31,40 @@
   gbd_prober_t *prober;     /**< NULL if probes are disabled */
   gbd_platform_t *platform; /**< client for the routes and the group's key */
   gbd_platform_t *servers_platform; /**< client for the backend servers */
-  /** API of the relays: the native API, but with the function `read_server` of
-   *  `platform_api`, because relays pass on the server objects unchanged. */
-  gbd_platform_api_t relay_api;
   gbd_relay_t *relay;    /**< NULL if this instance is not a relay */
   gbd_sources_t sources; /**< sources of the list of backend servers */
   gbd_platform_t *clients[GBD_SOURCES_MAX]; /**< one client for each source */
   gbd_time_t last_tick_at;
   const gbd_platform_api_t *platform_api;
   gbd_platform_watch_t *servers_watch;
+  /** Requests the first list from a relay while servers_watch requests it from
+   *  the platform; the first response is used.  NULL at other times. */
+  gbd_platform_watch_t *start_watch;
+  uint32_t start_source;      /**< relay that start_watch uses */
+  bool is_start_list_ignored; /**< the platform has responded before the
+                                 relay's outdated list */
   gbd_platform_watch_t *routes_watch;
   gbd_admin_t *admin;
   gbd_admin_t *ready_server;
   gbd_admin_t *metrics_server;
   uint64_t random_value; /**< seed of the jitter, and proposed key if the
                               platform has none */
-  bool is_key_requested; /**< a request for the key is in progress */
+  bool is_key_requested; /**< a request for the key is in progress at the
+                              platform */
   bool has_key;
+  gbd_backoff_t key_backoff;
+  gbd_time_t key_retry_at; /**< earliest time of the next request for the key
+                                from the platform */
+  bool is_document_requested; /**< a request for key or routes of a relay is in
+                                   progress */
+  uint32_t document_source;   /**< source of the next such request */
+  gbd_backoff_t document_backoff;
+  gbd_time_t document_due; /**< earliest time of that request */
   bool was_ready;
   bool is_listing;          /**< a listing of backend servers is in progress */
+  bool is_list_outdated;    /**< the relay that sent the last list could not
+                                 reach the platform */
   uint64_t listing_count;   /**< listings of backend servers started */
-  bool is_platform_failing; /**< the platform failed after the last response
-                                 about backend servers */
   bool is_routes_watch_failing; /**< the last request of the watch on routes
                                      failed */
   gbd_time_t started_at;
@@ -112,6 +125,10 @@
 void gbd_cookie_servers_stop (gbd_cookie_serve_t *serve);
 /** Whether the current source of the list is the platform, not a relay. */
 bool gbd_cookie_servers_use_platform (const gbd_cookie_serve_t *serve);
+/** Whether this instance is one of the configured relays. */
+bool gbd_cookie_servers_is_relay (const gbd_cookie_serve_t *serve);
+/** Whether there are relays besides this instance. */
+bool gbd_cookie_servers_have_relays (const gbd_cookie_serve_t *serve);
 
 /** Log an object of the platform that is invalid. */
 void gbd_cookie_log_bad_object (gbd_cookie_serve_t *serve, const char *kind,
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "relay_api.h"
+
 /* Wait of a relay's long poll for backend servers.  A relay must detect within
    about a second that it has lost the platform, because its readers rely on
    the relay. */
@@ -16,6 +18,13 @@
    does not respond within READER_SERVERS_WATCH_WAIT_MS + RELAY_TIMEOUT_MS. */
 #define READER_SERVERS_WATCH_WAIT_MS 1000
 #define RELAY_TIMEOUT_MS 500
+/* An instance whose process is running accepts a connection within a round
+   trip, at most 24 ms between regions, however busy it is.  Measured from the
+   first tick after the request. */
+#define RELAY_CONNECT_TIMEOUT_MS 40
+/* A relay that has started together with its readers reads the list first, and
+   then sends it to all of them. */
+#define RELAY_LIST_TIMEOUT_MS 2000
 /* Longest pause between two requests to the platform while they fail. */
 #define SERVERS_MAX_BACKOFF_MS 1000
 /* Largest difference between two estimates of the end of a warm-up that are
@@ -28,18 +37,29 @@
 
 static void refresh_watches (gbd_cookie_serve_t *serve);
 static uint32_t find_relays (const gbd_cookie_serve_t *serve,
-                             gbd_address_t *relays, bool *is_relay);
+                             gbd_address_t *relays);
 static void sort_relays (const gbd_cookie_serve_t *serve,
                          gbd_address_t *relays, uint32_t count);
 static void servers_reset (void *data);
 static void server_changed (void *data, const char *name, uint64_t version,
                             json_t *value);
 static void servers_confirmed (void *data, gbd_time_t requested_at);
+static void accept_outdated_list (gbd_cookie_serve_t *serve,
+                                  const gbd_platform_watch_t *watch,
+                                  gbd_time_t now);
+static void servers_rejected (void *data, const json_t *body);
 static void servers_failed (void *data, gbd_time_t now);
 static void servers_relay_metadata (void *data, uint32_t removal_grace_ms,
-                                    uint64_t hint);
-static bool servers_compacted (void *data);
-static void set_routes_watch_wait (gbd_cookie_serve_t *serve);
+                                    uint64_t hint, bool is_connected);
+static void start_list_reset (void *data);
+static void start_list_changed (void *data, const char *name, uint64_t version,
+                                json_t *value);
+static void start_list_confirmed (void *data, gbd_time_t requested_at);
+static void start_list_failed (void *data, gbd_time_t now);
+static void start_list_metadata (void *data, uint32_t removal_grace_ms,
+                                 uint64_t hint, bool is_connected);
+static void set_routes_watch_wait (gbd_cookie_serve_t *serve,
+                                   gbd_time_t now);
 static bool is_unchanged (const gbd_cookie_serve_t *serve,
                           const gbd_pool_entry_t *entry);
 static void remove_server (gbd_cookie_serve_t *serve, const char *name,
@@ -48,13 +68,21 @@
 static void log_source (gbd_cookie_serve_t *serve, gbd_event_t event,
                         gbd_time_t now);
 
+static const gbd_platform_watch_callbacks_t start_callbacks = {
+  .reset = start_list_reset,
+  .changed = start_list_changed,
+  .confirmed = start_list_confirmed,
+  .failed = start_list_failed,
+  .relay_metadata = start_list_metadata,
+};
+
 static const gbd_platform_watch_callbacks_t servers_callbacks = {
   .reset = servers_reset,
   .changed = server_changed,
   .confirmed = servers_confirmed,
+  .rejected = servers_rejected,
   .failed = servers_failed,
   .relay_metadata = servers_relay_metadata,
-  .compacted = servers_compacted,
 };
 
 bool
@@ -62,20 +90,20 @@
 {
   gbd_time_t now = serve->started_at;
   gbd_address_t relays[GBD_ADDRESS_LIST_MAX];
-  bool is_relay;
-  uint32_t relay_count = find_relays (serve, relays, &is_relay);
+  bool is_relay = gbd_cookie_servers_is_relay (serve);
+  uint32_t relay_count = find_relays (serve, relays);
   uint32_t platform_index = is_relay ? 0 : relay_count;
-  serve->relay_api = gbd_platform_api_native;
-  serve->relay_api.read_server = serve->platform_api->read_server;
   gbd_platform_settings_t settings = {
-    .platform_api = &serve->relay_api,
+    .platform_api = &gbd_platform_api_relay,
     .call_timeout_ms = RELAY_TIMEOUT_MS,
+    .connect_timeout_ms = RELAY_CONNECT_TIMEOUT_MS,
+    .list_timeout_ms = RELAY_LIST_TIMEOUT_MS,
+    .attempts = 1,
     .watch_wait_ms = READER_SERVERS_WATCH_WAIT_MS,
     .random_seed = serve->random_value,
   };
-  /* The platform is read first, because all instances, including the relays,
-     may have been stopped together. */
-  gbd_sources_init (&serve->sources, relay_count + 1, platform_index);
+  gbd_sources_init (&serve->sources, relay_count + 1, platform_index,
+                    serve->settings->first_start, serve->random_value, now);
   /* The first list of a relay must not be a stale read, because it is served
      to readers.  Another instance uses a stale list only until its next
      request, which follows at once. */
@@ -103,16 +131,19 @@
         return false;
     }
   serve->servers_watch = gbd_platform_watch_new (
-      serve->servers_platform, serve->platform_api->servers_kind, "", now,
-      &servers_callbacks, serve);
+      serve->clients[serve->sources.current],
+      serve->platform_api->servers_kind, "", now, &servers_callbacks, serve);
+  if (relay_count > 0 && !serve->settings->first_start)
+    {
+      serve->start_source = is_relay ? 1 : 0;
+      serve->start_watch = gbd_platform_watch_new (
+          serve->clients[serve->start_source],
+          serve->platform_api->servers_kind, "", now, &start_callbacks, serve);
+    }
   if (is_relay)
     gbd_platform_watch_set_wait (serve->servers_watch,
                                  RELAY_SERVERS_WATCH_WAIT_MS);
-  set_routes_watch_wait (serve);
-  /* After the first list, this instance reads from a relay. */
-  if (relay_count > 0 && !is_relay)
-    gbd_platform_watch_set_wait (serve->routes_watch,
-                                 READER_ROUTES_WATCH_WAIT_MS);
+  set_routes_watch_wait (serve, now);
   return true;
 }
 
@@ -131,6 +162,7 @@
 void
 gbd_cookie_servers_stop (gbd_cookie_serve_t *serve)
 {
+  gbd_platform_watch_delete (serve->start_watch);
   gbd_platform_watch_delete (serve->servers_watch);
   gbd_relay_delete (serve->relay);
   for (uint32_t i = 0; i < serve->sources.count; i++)
@@ -143,6 +175,25 @@
   return serve->clients[serve->sources.current] == serve->servers_platform;
 }
 
+bool
+gbd_cookie_servers_is_relay (const gbd_cookie_serve_t *serve)
+{
+  const gbd_settings_t *settings = serve->settings;
+  for (uint32_t i = 0; i < settings->relays.count; i++)
+    {
+      if (gbd_address_is_equal (&settings->relays.addresses[i],
+                                &settings->relay_listen))
+        return true;
+    }
+  return false;
+}
+
+bool
+gbd_cookie_servers_have_relays (const gbd_cookie_serve_t *serve)
+{
+  return serve->sources.count > 1;
+}
+
 void
 gbd_cookie_log_bad_object (gbd_cookie_serve_t *serve, const char *kind,
                            const char *name, uint64_t version,
@@ -165,22 +216,18 @@
   gbd_platform_watch_refresh (serve->routes_watch);
 }
 
-/* Lists the relays other than this instance.
-   @param is_relay set to whether this instance is a relay
+/* Lists the relays other than this instance, in the order in which it uses
+   them.
    @return number of relays in the list. */
 static uint32_t
-find_relays (const gbd_cookie_serve_t *serve, gbd_address_t *relays,
-             bool *is_relay)
+find_relays (const gbd_cookie_serve_t *serve, gbd_address_t *relays)
 {
   const gbd_settings_t *settings = serve->settings;
   uint32_t count = 0;
-  *is_relay = false;
   for (uint32_t i = 0; i < settings->relays.count; i++)
     {
       const gbd_address_t *address = &settings->relays.addresses[i];
-      if (gbd_address_is_equal (address, &settings->relay_listen))
-        *is_relay = true;
-      else
+      if (!gbd_address_is_equal (address, &settings->relay_listen))
         relays[count++] = *address;
     }
   sort_relays (serve, relays, count);
@@ -231,11 +278,17 @@
   gbd_pool_entry_t entry;
   const char *problem = NULL;
   gbd_status_t status = GBD_ERROR_NOT_FOUND;
+  const gbd_platform_api_t *api
+      = json_is_array (value) ? &gbd_platform_api_relay : serve->platform_api;
   if (value)
-    status = serve->platform_api->read_server (name, value, now, &entry,
-                                               &problem);
+    status = api->read_server (name, value, now, &entry, &problem);
   if (serve->relay && !(status == GBD_OK && is_unchanged (serve, &entry)))
-    gbd_relay_apply (serve->relay, name, version, value);
+    {
+      json_t *description
+          = status == GBD_OK ? gbd_relay_describe_server (&entry, now) : NULL;
+      gbd_relay_apply (serve->relay, name, version, description);
+      json_decref (description);
+    }
   if (!value)
     {
       remove_server (serve, name, version, "deleted", now);
@@ -320,8 +373,14 @@
   gbd_time_t now = serve->clock (NULL);
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   bool was_unreachable = gbd_pool_is_platform_unreachable (pool);
-  gbd_sources_record_success (&serve->sources);
-  serve->is_platform_failing = false;
+  gbd_platform_watch_delete (serve->start_watch);
+  serve->start_watch = NULL;
+  gbd_sources_record_success (&serve->sources, now);
+  if (serve->is_list_outdated)
+    {
+      accept_outdated_list (serve, serve->servers_watch, now);
+      return;
+    }
   serve->servers_confirmed_at = now;
   gbd_pool_set_platform_unreachable (pool, false, now);
   if (serve->is_listing)
@@ -330,7 +389,10 @@
   if (was_unreachable)
     {
       log_source (serve, GBD_EVENT_PLATFORM_FOUND, now);
-      gbd_platform_watch_refresh (serve->routes_watch);
+      /* A reader of a relay learns from its hint whether there are newer
+         routes. */
+      if (gbd_cookie_servers_use_platform (serve))
+        gbd_platform_watch_refresh (serve->routes_watch);
     }
   if (serve->relay && gbd_cookie_servers_use_platform (serve))
     gbd_relay_publish (
@@ -340,7 +402,39 @@
   if (gbd_sources_fail_back (&serve->sources, now))
     gbd_platform_watch_move (serve->servers_watch,
                              serve->clients[serve->sources.current], true);
-  set_routes_watch_wait (serve);
+  set_routes_watch_wait (serve, now);
+}
+
+/* The relay cannot reach the platform.  Its list is used until the next
+   response; nothing is removed or reset because of it. */
+static void
+accept_outdated_list (gbd_cookie_serve_t *serve,
+                      const gbd_platform_watch_t *watch, gbd_time_t now)
+{
+  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
+  if (!gbd_pool_is_platform_unreachable (pool))
+    serve->unreachable_since = now;
+  gbd_pool_set_platform_unreachable (pool, true, now);
+  gbd_pool_end_listing (pool, now);
+  serve->is_listing = false;
+  if (serve->relay)
+    gbd_relay_publish_outdated (serve->relay,
+                                gbd_platform_watch_get_version (watch), now);
+  gbd_event_log_emit (
+      serve->event_log, GBD_EVENT_LIST_OUTDATED, now,
+      json_pack ("{s:i}", "servers", (int)gbd_pool_get_count (pool)));
+}
+
+static void
+servers_rejected (void *data, const json_t *body)
+{
+  gbd_cookie_serve_t *serve = data;
+  json_t *readers = json_object_get (body, "readers");
+  if (gbd_cookie_servers_use_platform (serve) || !json_is_integer (readers))
+    return;
+  gbd_sources_record_rejection (
+      &serve->sources, (uint32_t)json_integer_value (readers),
+      json_is_true (json_object_get (body, "newer")), serve->clock (NULL));
 }
 
 static void
@@ -348,6 +442,8 @@
 {
   gbd_cookie_serve_t *serve = data;
   gbd_pool_t *pool = gbd_director_get_pool (serve->director);
+  if (!serve->servers_watch)
+    return; /* its first request has failed at once */
   log_source (serve,
               gbd_cookie_servers_use_platform (serve) ? GBD_EVENT_PLATFORM_LOST
                                                       : GBD_EVENT_RELAY_LOST,
@@ -355,10 +451,8 @@
   if (serve->relay)
     gbd_relay_disconnect (serve->relay);
   bool was_at_relay = !gbd_cookie_servers_use_platform (serve);
-  if (!was_at_relay)
-    serve->is_platform_failing = true;
   bool has_next = gbd_sources_fail_over (&serve->sources, now);
-  set_routes_watch_wait (serve);
+  set_routes_watch_wait (serve, now);
   /* Without a relay, no hint reports that the routes are stale.  A watch that
      is failing retries by itself, with pauses that limit the load on the
      platform. */
@@ -367,47 +461,109 @@
     gbd_platform_watch_refresh (serve->routes_watch);
   gbd_platform_watch_move (serve->servers_watch,
                            serve->clients[serve->sources.current], has_next);
-  if (has_next || gbd_pool_is_platform_unreachable (pool))
+  if (has_next || gbd_pool_is_platform_unreachable (pool)
+      || gbd_sources_are_relays_starting (&serve->sources, now))
     return;
   gbd_pool_set_platform_unreachable (pool, true, now);
   serve->unreachable_since = now;
 }
 
 static void
-servers_relay_metadata (void *data, uint32_t removal_grace_ms, uint64_t hint)
+servers_relay_metadata (void *data, uint32_t removal_grace_ms, uint64_t hint,
+                        bool is_connected)
 {
   gbd_cookie_serve_t *serve = data;
   gbd_time_t now = serve->clock (NULL);
+  serve->is_list_outdated = !is_connected;
   gbd_pool_extend_removal_grace (gbd_director_get_pool (serve->director),
                                  now + removal_grace_ms * GBD_MILLISECOND);
   gbd_cookie_routes_check_version (serve, hint, now);
 }
 
-/* A relay that started later than this instance does not know earlier
-   deletions.  The platform can report the few changes since then, so the full
-   list of the relay is read only if the platform rejects this instance. */
-static bool
-servers_compacted (void *data)
+/* An outdated list must not replace entries that the platform has sent. */
+static void
+start_list_metadata (void *data, uint32_t removal_grace_ms, uint64_t hint,
+                     bool is_connected)
+{
+  gbd_cookie_serve_t *serve = data;
+  serve->is_start_list_ignored = !is_connected && serve->is_listing;
+  if (!serve->is_start_list_ignored)
+    servers_relay_metadata (data, removal_grace_ms, hint, is_connected);
+}
+
+static void
+start_list_reset (void *data)
 {
   const gbd_cookie_serve_t *serve = data;
-  return gbd_cookie_servers_use_platform (serve) || serve->is_platform_failing;
+  if (!serve->is_start_list_ignored)
+    servers_reset (data);
+}
+
+static void
+start_list_changed (void *data, const char *name, uint64_t version,
+                    json_t *value)
+{
+  const gbd_cookie_serve_t *serve = data;
+  if (!serve->is_start_list_ignored)
+    server_changed (data, name, version, value);
+}
+
+static void
+start_list_confirmed (void *data, gbd_time_t requested_at)
+{
+  gbd_cookie_serve_t *serve = data;
+  if (serve->is_list_outdated || serve->is_start_list_ignored)
+    {
+      /* The request to the platform goes on. */
+      if (!serve->is_start_list_ignored)
+        accept_outdated_list (serve, serve->start_watch, serve->clock (NULL));
+      serve->is_list_outdated = false;
+      gbd_platform_watch_delete (serve->start_watch);
+      serve->start_watch = NULL;
+      return;
+    }
+  gbd_platform_watch_delete (serve->servers_watch);
+  serve->servers_watch = serve->start_watch;
+  serve->start_watch = NULL;
+  gbd_platform_watch_set_callbacks (serve->servers_watch, &servers_callbacks);
+  serve->sources.current = serve->start_source;
+  servers_confirmed (data, requested_at);
+}
+
+static void
+start_list_failed (void *data, gbd_time_t now)
+{
+  (void)now;
+  gbd_cookie_serve_t *serve = data;
+  if (!serve->start_watch)
+    return; /* its first request has failed at once */
+  uint32_t count = serve->sources.count;
+  uint32_t next = (serve->start_source + 1) % count;
+  if (next == serve->sources.platform)
+    next = (next + 1) % count;
+  bool is_round_over = next <= serve->start_source;
+  serve->start_source = next;
+  gbd_platform_watch_move (serve->start_watch, serve->clients[next],
+                           !is_round_over);
 }
 
 /* A reader of a relay learns from its hint if its own watch on the routes is
    unresponsive or served by a stale replica, so this watch may have a long
-   wait.  Other instances use a short wait. */
+   wait.  At a start the relay is expected to respond soon.  Other instances
+   use a short wait. */
 static void
-set_routes_watch_wait (gbd_cookie_serve_t *serve)
+set_routes_watch_wait (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
-  uint32_t wait_ms = gbd_cookie_servers_use_platform (serve)
-                         ? 0
-                         : READER_ROUTES_WATCH_WAIT_MS;
+  const gbd_sources_t *sources = &serve->sources;
+  bool is_reader = !serve->relay && gbd_cookie_servers_have_relays (serve)
+                   && (!gbd_cookie_servers_use_platform (serve)
+                       || !sources->has_responded
+                       || gbd_sources_are_relays_starting (sources, now));
+  uint32_t wait_ms = is_reader ? READER_ROUTES_WATCH_WAIT_MS : 0;
   if (serve->relay)
     wait_ms = RELAY_ROUTES_WATCH_WAIT_MS;
   gbd_platform_watch_set_wait (serve->routes_watch, wait_ms);
-  gbd_platform_watch_set_allow_stale (
-      serve->routes_watch,
-      !serve->relay && !gbd_cookie_servers_use_platform (serve));
+  gbd_platform_watch_set_allow_stale (serve->routes_watch, is_reader);
 }
 
 static void
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include <glib.h>
+
 #include "platform/adapter.h"
 
 /* A connection may stop delivering without a reset.  A watch on it is
@@ -24,6 +26,15 @@
 #define CALL_TIMEOUT_MS 1000
 /* A working watch on routes lags behind a relay by at most its batch delay. */
 #define STALE_ROUTES_TIMEOUT ((ROUTES_BATCH_DELAY_MS + 200) * GBD_MILLISECOND)
+/* Time after a start in which only relays create the key.  If every instance
+   of a new group created it, all but one of these writes would be in vain. */
+#define KEY_CREATION_DELAY (2 * GBD_SECOND)
+#define KEY_BACKOFF_FIRST (50 * GBD_MILLISECOND)
+#define KEY_BACKOFF_LONGEST GBD_SECOND
+/* An instance that lacks the key or the routes requests them from the relays,
+   one after the other, if the platform has not sent them by then. */
+#define RELAY_DOCUMENT_DELAY (200 * GBD_MILLISECOND)
+#define RELAY_DOCUMENT_BACKOFF_FIRST (100 * GBD_MILLISECOND)
 #define KEY_KIND "gooseberrydrum"
 #define KEY_NAME "cookie-key"
 #define KEY_FIELD "key" /* 16 hexadecimal digits */
@@ -33,6 +44,13 @@
 static void request_key (gbd_cookie_serve_t *serve, gbd_time_t now);
 static void handle_key_response (void *data, gbd_status_t status,
                                  uint64_t version, json_t *value);
+static bool may_create_key (const gbd_cookie_serve_t *serve, gbd_time_t now);
+static void create_key (gbd_cookie_serve_t *serve, gbd_time_t now);
+static void handle_key (gbd_cookie_serve_t *serve, uint64_t version,
+                        json_t *value, gbd_time_t now);
+static void request_document (gbd_cookie_serve_t *serve, gbd_time_t now);
+static void handle_document (void *data, gbd_status_t status, uint64_t version,
+                             json_t *value);
 static void routes_changed (void *data, const char *name, uint64_t version,
                             json_t *value);
 static void routes_confirmed (void *data, gbd_time_t requested_at);
@@ -52,6 +70,7 @@
     .platform = serve->settings->platform,
     .platform_api = serve->platform_api,
     .call_timeout_ms = CALL_TIMEOUT_MS,
+    .attempts = 1,
     .watch_wait_ms = WATCH_WAIT_MS,
     .watch_pause_ms = SERVERS_BATCH_DELAY_MS,
     .max_backoff_ms = max_backoff_ms,
@@ -68,8 +87,11 @@
   serve->platform_api
       = is_native ? &gbd_platform_api_native : &gbd_platform_api_objects;
   gbd_time_t now = serve->started_at;
-  serve->platform
-      = gbd_cookie_store_open (serve, ROUTES_MAX_BACKOFF_MS, false);
+  /* A relay's hint tells its readers whether the routes of a stale read are
+     the latest.  Without relays the next request, which follows at once, is
+     not a stale read. */
+  serve->platform = gbd_cookie_store_open (
+      serve, ROUTES_MAX_BACKOFF_MS, !gbd_cookie_servers_is_relay (serve));
   *error = "cannot create the platform client; raise the memory limit";
   if (!serve->platform)
     return false;
@@ -77,16 +99,27 @@
       serve->platform, serve->platform_api->routes_kind, "", now,
       &routes_callbacks, serve);
   gbd_platform_watch_set_pause (serve->routes_watch, ROUTES_BATCH_DELAY_MS);
-  request_key (serve, now);
-  return gbd_cookie_servers_start (serve, error);
+  if (!gbd_cookie_servers_start (serve, error))
+    return false;
+  gbd_backoff_init (&serve->key_backoff, KEY_BACKOFF_FIRST,
+                    KEY_BACKOFF_LONGEST, serve->random_value);
+  gbd_backoff_init (&serve->document_backoff, RELAY_DOCUMENT_BACKOFF_FIRST,
+                    KEY_BACKOFF_LONGEST, serve->random_value);
+  /* At the first start there is no key yet, and the relays create it. */
+  serve->key_retry_at = now + KEY_CREATION_DELAY;
+  if (serve->relay || !serve->settings->first_start)
+    request_key (serve, now);
+  return true;
 }
 
 void
 gbd_cookie_store_tick (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
   gbd_platform_tick (serve->platform, now);
-  if (!serve->has_key && !serve->is_key_requested)
+  if (!serve->has_key && !serve->is_key_requested
+      && now >= serve->key_retry_at)
     request_key (serve, now);
+  request_document (serve, now);
   if (serve->routes_stale_since
       && now - serve->routes_stale_since > STALE_ROUTES_TIMEOUT)
     {
@@ -111,7 +144,7 @@
   serve->is_key_requested = true;
   /* A stale read is safe: the key never changes after it was created, and it
      is created only on the condition that none exists. */
-  gbd_platform_get (serve->platform, KEY_KIND, KEY_NAME, true, now,
+  gbd_platform_get (serve->servers_platform, KEY_KIND, KEY_NAME, true, now,
                     handle_key_response, serve);
 }
 
@@ -123,32 +156,98 @@
 {
   gbd_cookie_serve_t *serve = data;
   gbd_time_t now = serve->clock (NULL);
-  const char *text = json_string_value (json_object_get (value, KEY_FIELD));
   serve->is_key_requested = false;
-  if (status == GBD_ERROR_NOT_FOUND)
-    {
-      char proposal[KEY_TEXT_SIZE];
-      snprintf (proposal, sizeof proposal, "%016" PRIx64, serve->random_value);
-      json_t *object = json_pack ("{s:s}", KEY_FIELD, proposal);
-      serve->is_key_requested = true;
-      gbd_platform_put (serve->platform, KEY_KIND, KEY_NAME, 0, object, now,
-                        handle_key_response, serve);
-      json_decref (object);
-      return;
-    }
-  if ((status != GBD_OK && status != GBD_ERROR_CONFLICT) || !text)
+  if (serve->has_key)
+    return;
+  if (status == GBD_OK || status == GBD_ERROR_CONFLICT)
+    handle_key (serve, version, value, now);
+  else if (status == GBD_ERROR_NOT_FOUND && may_create_key (serve, now))
+    create_key (serve, now);
+  if (!serve->has_key)
+    serve->key_retry_at = now + gbd_backoff_next (&serve->key_backoff);
+}
+
+static void
+handle_key (gbd_cookie_serve_t *serve, uint64_t version, json_t *value,
+            gbd_time_t now)
+{
+  const char *text = json_string_value (json_object_get (value, KEY_FIELD));
+  if (!text)
     {
-      if (status == GBD_OK)
-        gbd_cookie_log_bad_object (serve, KEY_KIND, KEY_NAME, version,
-                                   "the field \"key\" is missing", now);
+      gbd_cookie_log_bad_object (serve, KEY_KIND, KEY_NAME, version,
+                                 "the field \"key\" is missing", now);
       return;
     }
   gbd_director_set_key (serve->director, strtoull (text, NULL, HEX_BASE));
   serve->has_key = true;
+  if (serve->relay)
+    gbd_relay_set_document (serve->relay, KEY_KIND, KEY_NAME, version, value);
   gbd_event_log_emit (serve->event_log, GBD_EVENT_KEY_KNOWN, now,
                       json_pack ("{s:I}", "version", (json_int_t)version));
 }
 
+static bool
+may_create_key (const gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  return serve->relay || !gbd_cookie_servers_have_relays (serve)
+         || now - serve->started_at >= KEY_CREATION_DELAY;
+}
+
+static void
+create_key (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  char proposal[KEY_TEXT_SIZE];
+  snprintf (proposal, sizeof proposal, "%016" PRIx64, serve->random_value);
+  json_t *object = json_pack ("{s:s}", KEY_FIELD, proposal);
+  serve->is_key_requested = true;
+  gbd_platform_put (serve->servers_platform, KEY_KIND, KEY_NAME, 0, object,
+                    now, handle_key_response, serve);
+  json_decref (object);
+}
+
+/* Requests the key, or else the routes, from the next relay if this instance
+   lacks them.  Routes may be outdated; the watch on the platform replaces
+   them. */
+static void
+request_document (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  bool has_routes = gbd_director_get_routes (serve->director)
+                    || gbd_platform_watch_is_responding (serve->routes_watch);
+  gbd_time_t delay = serve->settings->first_start ? 0 : RELAY_DOCUMENT_DELAY;
+  if ((serve->has_key && has_routes) || serve->is_document_requested
+      || now < serve->document_due || now - serve->started_at < delay
+      || !gbd_cookie_servers_have_relays (serve))
+    return;
+  serve->document_source = (serve->document_source + 1) % serve->sources.count;
+  if (serve->document_source == serve->sources.platform)
+    serve->document_source
+        = (serve->document_source + 1) % serve->sources.count;
+  serve->is_document_requested = true;
+  gbd_platform_get (
+      serve->clients[serve->document_source],
+      serve->has_key ? serve->platform_api->routes_kind : KEY_KIND,
+      serve->has_key ? serve->platform_api->routes_name : KEY_NAME, false, now,
+      handle_document, serve);
+}
+
+static void
+handle_document (void *data, gbd_status_t status, uint64_t version,
+                 json_t *value)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = serve->clock (NULL);
+  serve->is_document_requested = false;
+  if (status != GBD_OK || !value)
+    {
+      serve->document_due = now + gbd_backoff_next (&serve->document_backoff);
+      return;
+    }
+  if (json_object_get (value, KEY_FIELD) && !serve->has_key)
+    handle_key (serve, version, value, now);
+  else if (!json_object_get (value, KEY_FIELD))
+    routes_changed (serve, serve->platform_api->routes_name, version, value);
+}
+
 static void
 routes_changed (void *data, const char *name, uint64_t version, json_t *value)
 {
@@ -167,10 +266,14 @@
     }
   uint64_t route_version = gbd_routes_get_version (routes);
   uint32_t count = gbd_routes_get_count (routes);
-  serve->routes_object_version = version;
+  serve->routes_object_version = MAX (serve->routes_object_version, version);
   serve->routes_stale_since = 0;
-  if (serve->relay)
-    gbd_relay_set_hint (serve->relay, version);
+  if (serve->relay && version == serve->routes_object_version)
+    {
+      gbd_relay_set_document (serve->relay, serve->platform_api->routes_kind,
+                              name, version, value);
+      gbd_relay_set_hint (serve->relay, version);
+    }
   if (gbd_director_set_routes (serve->director, routes) != GBD_OK)
     return;
   serve->routes_read_at = now;
--- a/src/gooseberrydrum/platform_api.c
+++ b/src/gooseberrydrum/platform_api.c
@@ -31,6 +31,7 @@
   .get = make_get,
   .put = make_put,
   .remove = make_remove,
+  .parse = gbd_platform_parse_json,
   .translate = return_body,
   .servers_kind = "endpoints",
   .routes_kind = "routes",
@@ -39,6 +40,12 @@
   .read_routes = read_routes,
 };
 
+json_t *
+gbd_platform_parse_json (const char *body, size_t length)
+{
+  return json_loadb (body, length, 0, NULL);
+}
+
 void
 gbd_platform_set_request (gbd_platform_request_t *request, const char *method,
                           const char *prefix, const char *kind,
--- a/src/gooseberrydrum/platform_api.h
+++ b/src/gooseberrydrum/platform_api.h
@@ -44,10 +44,13 @@
   /** Build a conditional deletion. */
   void (*remove) (const char *kind, const char *name, uint64_t version,
                   gbd_platform_request_t *request);
+  /** Parse the body of a response.
+   *  @return owned by the caller; NULL if it is malformed. */
+  json_t *(*parse) (const char *body, size_t length);
   /** Convert the body of a response to the form of the native API: {version,
    *  value}, or {version, items | changes: [{name, version, value}], more},
    *  where a null value means that the object was deleted.
-   *  @param body owned by this function; NULL if it is not JSON
+   *  @param body result of parse(); owned by this function
    *  @return owned by the caller; NULL if the body has another form. */
   json_t *(*translate) (json_t *body);
 
@@ -65,6 +68,9 @@
   gbd_routes_t *(*read_routes) (const json_t *value, const char **problem);
 } gbd_platform_api_t;
 
+/** Parse a body that is JSON. */
+json_t *gbd_platform_parse_json (const char *body, size_t length);
+
 /** The native API: /v1/KIND[/NAME]. */
 extern const gbd_platform_api_t gbd_platform_api_native;
 
--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -6,7 +6,7 @@
 #define MAX_BACKOFF_MS 1000
 /* Longest wait of a long poll; below the limit of the platform, 30 s. */
 #define WATCH_WAIT_MS_MAX 25000
-#define ATTEMPTS_MAX 4
+#define ATTEMPTS 4
 #define VALUE_BYTES_MAX 1048576
 #define BREAKER_FAILURES 5
 #define BREAKER_INITIAL_PAUSE (250 * GBD_MILLISECOND)
@@ -29,6 +29,7 @@
   char *name;
   gbd_platform_request_t request;
   gbd_http_call_t *http_call;
+  gbd_time_t unconnected_since;
   gbd_time_t next_event_at; /* time-out or next attempt */
   gbd_backoff_t backoff;
   gbd_status_t status; /* valid in the state CALL_FINISHED */
@@ -88,6 +89,10 @@
     platform->settings.call_timeout_ms = CALL_TIMEOUT_MS;
   if (!platform->settings.platform_api)
     platform->settings.platform_api = &gbd_platform_api_native;
+  if (!platform->settings.attempts)
+    platform->settings.attempts = ATTEMPTS;
+  if (!platform->settings.list_timeout_ms)
+    platform->settings.list_timeout_ms = platform->settings.call_timeout_ms;
   if (!platform->settings.max_backoff_ms)
     platform->settings.max_backoff_ms = MAX_BACKOFF_MS;
   platform->settings.watch_wait_ms
@@ -229,6 +234,19 @@
   return NULL;
 }
 
+bool
+gbd_platform_is_connect_late (const gbd_platform_t *platform,
+                              const gbd_http_call_t *http_call,
+                              gbd_time_t *unconnected_since)
+{
+  gbd_time_t timeout = platform->settings.connect_timeout_ms * GBD_MILLISECOND;
+  if (!timeout || gbd_http_is_sent (http_call))
+    return false;
+  if (!*unconnected_since)
+    *unconnected_since = platform->now;
+  return platform->now - *unconnected_since >= timeout;
+}
+
 bool
 gbd_platform_spend_retry (gbd_platform_t *platform)
 {
@@ -318,6 +336,7 @@
       return;
     }
   call->state = CALL_RUNNING;
+  call->unconnected_since = 0;
   call->next_event_at
       = platform->now + platform->settings.call_timeout_ms * GBD_MILLISECOND;
 }
@@ -328,7 +347,8 @@
 {
   gbd_platform_t *platform = call->platform;
   call->http_call = NULL;
-  if (call->is_write || call->backoff.attempts + 1 >= ATTEMPTS_MAX
+  if (call->is_write
+      || call->backoff.attempts + 1 >= platform->settings.attempts
       || !gbd_platform_spend_retry (platform))
     {
       finish_later (call, status);
@@ -388,7 +408,11 @@
       report (call, call->status, 0, NULL);
       return;
     }
-  if (platform->now < call->next_event_at)
+  bool is_running = call->state == CALL_RUNNING;
+  if (platform->now < call->next_event_at
+      && !(is_running
+           && gbd_platform_is_connect_late (platform, call->http_call,
+                                            &call->unconnected_since)))
     return;
   if (call->state == CALL_BACKING_OFF)
     {
@@ -409,9 +433,10 @@
   const status_mapping_t *mapping = find_status_mapping (response->status);
   result->status = is_write ? mapping->write : mapping->read;
   result->is_failure = mapping->is_failure;
+  const gbd_platform_api_t *platform_api = platform->settings.platform_api;
   if (response->length > 0)
-    result->body = platform->settings.platform_api->translate (
-        json_loadb (response->body, response->length, 0, NULL));
+    result->body = platform_api->translate (
+        platform_api->parse (response->body, response->length));
   json_t *version = json_object_get (result->body, "version");
   bool has_version
       = json_is_integer (version) && json_integer_value (version) >= 0;
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -19,7 +19,12 @@
   gbd_address_t platform;
   const gbd_platform_api_t *platform_api; /**< NULL for the native API */
   uint32_t call_timeout_ms;               /**< 2000 if 0 */
-  uint32_t watch_wait_ms;                 /**< longest wait of a long poll */
+  uint32_t connect_timeout_ms; /**< abandon a call whose connection is not
+                                    established by then; 0: only by
+                                    call_timeout_ms */
+  uint32_t list_timeout_ms;    /**< of a listing; call_timeout_ms if 0 */
+  uint32_t attempts;           /**< at a read; 4 if 0 */
+  uint32_t watch_wait_ms;      /**< longest wait of a long poll */
   uint32_t watch_pause_ms; /**< pause after a response with changes, so that
                                 the next one carries more of them; 0: none */
   uint32_t max_backoff_ms; /**< longest back-off; 1000 if 0 */
@@ -88,6 +93,9 @@
    *  been reported.  May be NULL.
    *  @param requested_at when the request was sent */
   void (*confirmed) (void *data, gbd_time_t requested_at);
+  /** The server refused a request with a body; `failed` follows.  May be
+   *  NULL. */
+  void (*rejected) (void *data, const json_t *body);
   /** An attempt got no usable response.  Called for each failed attempt until
    *  the next `confirmed`.  May be NULL. */
   void (*failed) (void *data, gbd_time_t now);
@@ -96,9 +104,11 @@
    *  @param removal_grace_ms rest of the removal grace period, in which
    *  missing entries may reappear
    *  @param hint             as in gbd_relay_set_hint; 0 if the response is
-   *  not from a relay */
-  void (*relay_metadata) (void *data, uint32_t removal_grace_ms,
-                          uint64_t hint);
+   *  not from a relay
+   *  @param is_connected     false if the response is a listing of a relay
+   * that cannot reach the platform; it may be outdated */
+  void (*relay_metadata) (void *data, uint32_t removal_grace_ms, uint64_t hint,
+                          bool is_connected);
   /** The platform no longer stores the changes since the last response.  May
    *  be NULL.
    *  @return true to list everything again, which also happens without this
@@ -125,13 +135,19 @@
 void gbd_platform_watch_move (gbd_platform_watch_t *watch,
                               gbd_platform_t *platform, bool is_immediate);
 
+/** Replace the callbacks.  May be called from a callback of the watch. */
+void gbd_platform_watch_set_callbacks (
+    gbd_platform_watch_t *watch,
+    const gbd_platform_watch_callbacks_t *callbacks);
+
 /** Set the longest wait of a long poll, in place of the client's setting. */
 void gbd_platform_watch_set_wait (gbd_platform_watch_t *watch,
                                   uint32_t wait_ms);
 
-/** Allow stale reads for long polls.  Only for a user that detects by other
- *  means that the watch is behind and then calls gbd_platform_watch_refresh();
- *  the request of a refresh is never a stale read. */
+/** Allow stale reads for long polls and their retries.  Only for a user that
+ *  detects by other means that the watch is behind and then calls
+ *  gbd_platform_watch_refresh(); the request of a refresh is never a stale
+ *  read. */
 void gbd_platform_watch_set_allow_stale (gbd_platform_watch_t *watch,
                                          bool allow_stale);
 
@@ -143,11 +159,14 @@
 /** Abandon a long poll or a pause and send a request at the next tick, also
  *  while the circuit breaker is open.  Use it if the response may never
  *  arrive, or if the platform is known to respond to other clients.  If the
- *  request fails, the back-off continues from its last delay.  A retry in
- *  progress is not abandoned, as it is not a long poll and its time-out is
- *  short. */
+ *  request fails, the back-off continues from its last delay.  A retry or a
+ *  listing in progress is not abandoned, as it is not a long poll and its
+ *  time-out is short. */
 void gbd_platform_watch_refresh (gbd_platform_watch_t *watch);
 
+/** Whether a listing is complete, or the response to it has begun. */
+bool gbd_platform_watch_is_responding (const gbd_platform_watch_t *watch);
+
 /** @return the version up to which all changes have been reported. */
 uint64_t gbd_platform_watch_get_version (const gbd_platform_watch_t *watch);
 
--- a/src/gooseberrydrum/platform_http.c
+++ b/src/gooseberrydrum/platform_http.c
@@ -156,6 +156,18 @@
   return outcome;
 }
 
+bool
+gbd_http_is_sent (const gbd_http_call_t *call)
+{
+  return call->is_sent;
+}
+
+bool
+gbd_http_is_responding (const gbd_http_call_t *call)
+{
+  return call->status != 0;
+}
+
 uint32_t
 gbd_http_get_open_count (const gbd_http_t *http)
 {
--- a/src/gooseberrydrum/platform_private.h
+++ b/src/gooseberrydrum/platform_private.h
@@ -57,6 +57,14 @@
                                      char *body, gbd_http_done_t done,
                                      void *data);
 
+/** Whether a call has not connected within the connect time-out; call at each
+ *  tick.  The time is measured from the first tick of the call, because a call
+ *  may start long after the last tick.
+ *  @param unconnected_since 0 when the call starts */
+bool gbd_platform_is_connect_late (const gbd_platform_t *platform,
+                                   const gbd_http_call_t *http_call,
+                                   gbd_time_t *unconnected_since);
+
 /** Charge one retry to the retry budget and count it.
  *  @return false when the budget is used up. */
 bool gbd_platform_spend_retry (gbd_platform_t *platform);
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -18,9 +18,11 @@
   GHashTable *reported_versions; /* name -> version, as uint64_t */
   gbd_http_call_t *http_call;
   gbd_time_t requested_at;
+  gbd_time_t unconnected_since; /* for gbd_platform_is_connect_late() */
   gbd_time_t timeout_at;
   gbd_time_t retry_at;
-  bool is_retry;     /* the last attempt failed, or a refresh was requested */
+  bool is_retry;   /* the last attempt failed, or a refresh was requested */
+  bool is_refresh; /* a refresh was requested; no response has arrived since */
   uint32_t wait_ms;  /* 0: the client's setting */
   uint32_t pause_ms; /* 0: the client's setting */
   bool has_moved; /* the watch moved to another client; its first request there
@@ -38,6 +40,7 @@
                          const gbd_platform_result_t *result, json_t *items);
 static void report_items (gbd_platform_watch_t *watch, json_t *items);
 static void report_item (gbd_platform_watch_t *watch, json_t *item);
+static void end_retries (gbd_platform_watch_t *watch);
 static void init_backoff (gbd_platform_watch_t *watch, gbd_time_t first);
 static void back_off (gbd_platform_watch_t *watch);
 static void restart_listing (gbd_platform_watch_t *watch);
@@ -96,6 +99,14 @@
     restart_listing (watch);
 }
 
+void
+gbd_platform_watch_set_callbacks (
+    gbd_platform_watch_t *watch,
+    const gbd_platform_watch_callbacks_t *callbacks)
+{
+  watch->callbacks = *callbacks;
+}
+
 void
 gbd_platform_watch_set_wait (gbd_platform_watch_t *watch, uint32_t wait_ms)
 {
@@ -118,16 +129,24 @@
 void
 gbd_platform_watch_refresh (gbd_platform_watch_t *watch)
 {
-  if (watch->http_call && watch->is_retry)
+  if (watch->http_call && (watch->is_retry || !watch->is_listed))
     return;
   if (watch->http_call)
     gbd_http_cancel (watch->http_call);
   watch->http_call = NULL;
   watch->is_retry = true;
+  watch->is_refresh = true;
   watch->retry_at = watch->platform->now;
   gbd_breaker_report (&watch->platform->breaker, true, watch->platform->now);
 }
 
+bool
+gbd_platform_watch_is_responding (const gbd_platform_watch_t *watch)
+{
+  return watch->has_listed_before
+         || (watch->http_call && gbd_http_is_responding (watch->http_call));
+}
+
 uint64_t
 gbd_platform_watch_get_version (const gbd_platform_watch_t *watch)
 {
@@ -152,7 +171,9 @@
   gbd_platform_t *platform = watch->platform;
   if (watch->http_call)
     {
-      if (platform->now < watch->timeout_at)
+      if (platform->now < watch->timeout_at
+          && !gbd_platform_is_connect_late (platform, watch->http_call,
+                                            &watch->unconnected_since))
         return;
       gbd_platform_cancel_timed_out (platform, watch->http_call, false);
       watch->http_call = NULL;
@@ -182,7 +203,7 @@
   const gbd_platform_api_t *platform_api = platform->settings.platform_api;
   gbd_platform_request_t request = { 0 };
   watch->allow_stale = watch->is_listed
-                           ? is_long_poll && watch->allow_stale_polls
+                           ? watch->allow_stale_polls && !watch->is_refresh
                            : !watch->has_listed_before
                                  && platform->settings.allow_stale_first_list;
   if (watch->is_listed)
@@ -191,9 +212,12 @@
   else
     platform_api->list (watch->kind, watch->after, watch->allow_stale,
                         &request);
-  uint32_t timeout_ms = wait_ms + platform->settings.call_timeout_ms;
+  uint32_t timeout_ms = watch->is_listed
+                            ? wait_ms + platform->settings.call_timeout_ms
+                            : platform->settings.list_timeout_ms;
   watch->has_moved = false;
   watch->requested_at = platform->now;
+  watch->unconnected_since = 0;
   watch->timeout_at = platform->now + timeout_ms * GBD_MILLISECOND;
   gbd_retry_budget_earn (&platform->budget);
   watch->http_call = gbd_platform_start (
@@ -254,7 +278,10 @@
       && result->version < watch->version)
     {
       /* The replica does not have any unreported changes yet. */
+      end_retries (watch);
       watch->retry_at = pause_end;
+      if (watch->callbacks.confirmed)
+        watch->callbacks.confirmed (watch->data, watch->requested_at);
       return;
     }
   /* A version older than the reported one is a stale read that was not
@@ -262,22 +289,24 @@
   if (result->status != GBD_OK || !json_is_array (items)
       || result->version < watch->version)
     {
+      if (result->is_failure && result->body && watch->callbacks.rejected)
+        watch->callbacks.rejected (watch->data, result->body);
       back_off (watch);
       return;
     }
-  watch->is_retry = false;
+  end_retries (watch);
   watch->retry_at = 0;
   /* There is no pause after a stale listing, so that the changes it lacks
      arrive immediately. */
   if (json_array_size (items) > 0 && (watch->is_listed || !watch->allow_stale))
     watch->retry_at = pause_end;
-  gbd_backoff_reset (&watch->backoff);
   if (watch->callbacks.relay_metadata)
     watch->callbacks.relay_metadata (
         watch->data,
         (uint32_t)json_integer_value (
             json_object_get (result->body, "settling_ms")),
-        (uint64_t)json_integer_value (json_object_get (result->body, "hint")));
+        (uint64_t)json_integer_value (json_object_get (result->body, "hint")),
+        !json_is_false (json_object_get (result->body, "connected")));
   if (!watch->is_listed)
     report_page (watch, result, items);
   else
@@ -352,6 +381,14 @@
   watch->callbacks.changed (watch->data, name, version, value);
 }
 
+static void
+end_retries (gbd_platform_watch_t *watch)
+{
+  watch->is_retry = false;
+  watch->is_refresh = false;
+  gbd_backoff_reset (&watch->backoff);
+}
+
 static void
 init_backoff (gbd_platform_watch_t *watch, gbd_time_t first)
 {
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -4,11 +4,10 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include <glib.h>
-
 #include "admin_response.h"
+#include "relay_api.h"
+#include "relay_codec.h"
 
-#define PATH_PREFIX "/v1/"
 #define ARGUMENT_SIZE 32
 #define WAIT_MS_MAX 10000
 #define DECIMAL_BASE 10
@@ -17,7 +16,7 @@
 /** An object, or a retained deletion. */
 typedef struct
 {
-  char *value;                /* compact JSON; NULL: deleted */
+  GBytes *value;              /* as msgpack; NULL: deleted */
   uint64_t version;           /* of the object */
   uint64_t published_version; /* version of the relay's list at which the
                                  change was published; a reader that has an
@@ -27,11 +26,23 @@
   bool is_in_list;       /* reported since the current listing began */
 } object_t;
 
+/** Body of the latest response.  Many readers have the same version, so most
+    responses are the same. */
+typedef struct
+{
+  GByteArray *body;
+  unsigned status;
+  bool is_valid; /* nothing that it contains has changed */
+  bool has_since;
+  uint64_t since;
+} cached_response_t;
+
 /** Connection of a reader. */
 typedef struct
 {
   gbd_admin_response_t response;
   struct lws *wsi;
+  bool has_since; /* false: requests a listing */
   uint64_t since;
   gbd_time_t deadline;
   bool is_waiting;
@@ -50,30 +61,48 @@
   struct lws_vhost *vhost;
   const char *kind;
   GHashTable *objects;        /* name -> object_t */
+  GHashTable *documents;      /* "KIND/NAME" -> message, as GBytes */
   GPtrArray *waiting_readers; /* elements are reader_t */
   uint64_t version;
   uint64_t compacted_version; /* deletions up to this version were discarded */
   uint32_t removal_grace_ms;
   uint64_t hint;
   bool is_connected; /* the platform is reachable */
+  bool has_failed;   /* the platform was unreachable at least once */
   bool is_listing;
+  uint32_t reader_count;    /* waiting readers at the last publication */
+  gbd_time_t newer_since;   /* first and last request of a reader with a newer
+                               version since the platform became unreachable;
+                               0: none */
+  gbd_time_t newer_seen_at;
+  cached_response_t cached_response;
   uint64_t response_count;
   uint64_t change_count;
   gbd_time_t now; /* time of the last tick */
 };
 
+static void publish_objects (gbd_relay_t *relay, uint64_t version,
+                             gbd_time_t now);
 static int handle_callback (struct lws *wsi, enum lws_callback_reasons reason,
                             void *user, void *in, size_t length);
 static int handle_request (gbd_relay_t *relay, struct lws *wsi,
                            reader_t *reader, const char *path);
+static int handle_document_request (const gbd_relay_t *relay, struct lws *wsi,
+                                    reader_t *reader, const char *path);
+static int wait_for_changes (gbd_relay_t *relay, reader_t *reader,
+                             gbd_time_t time);
 static bool read_argument (struct lws *wsi, const char *name,
                            uint64_t *number);
-static int send_response (gbd_relay_t *relay, reader_t *reader,
-                          const uint64_t *since);
+static int send_response (gbd_relay_t *relay, reader_t *reader);
 static void stop_waiting (gbd_relay_t *relay, reader_t *reader);
 static void respond_to_waiting_readers (gbd_relay_t *relay, bool is_forced);
-static void append_object (GString *text, const char *name,
-                           const object_t *object);
+static unsigned find_status (const gbd_relay_t *relay, const uint64_t *since);
+static void pack_objects (const gbd_relay_t *relay, const uint64_t *since,
+                          msgpack_sbuffer *buffer);
+static void pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer);
+static bool is_included (const object_t *object, const uint64_t *since);
+static void pack_text (msgpack_packer *packer, const char *text);
+static GBytes *take_bytes (msgpack_sbuffer *buffer);
 static void expire_deletions (gbd_relay_t *relay, gbd_time_t now);
 static void free_object (gpointer data);
 static void free_vhost_user (struct lws_vhost *vhost, void *vhost_user);
@@ -93,6 +122,9 @@
   relay->kind = kind;
   relay->objects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_object);
+  relay->documents = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                            (GDestroyNotify)g_bytes_unref);
+  relay->cached_response.body = g_byte_array_new ();
   relay->waiting_readers = g_ptr_array_new ();
   relay->vhost_user = vhost_user;
   if (!vhost_user)
@@ -139,6 +171,8 @@
   if (relay->vhost)
     lws_vhost_destroy (relay->vhost);
   g_hash_table_destroy (relay->objects);
+  g_hash_table_destroy (relay->documents);
+  g_byte_array_unref (relay->cached_response.body);
   g_ptr_array_free (relay->waiting_readers, TRUE);
   g_free (relay);
 }
@@ -166,8 +200,16 @@
       return;
     }
   object_t *object = g_new0 (object_t, 1);
-  object->value
-      = value ? json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY) : NULL;
+  if (value)
+    {
+      msgpack_sbuffer buffer;
+      msgpack_packer packer;
+      msgpack_sbuffer_init (&buffer);
+      msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+      if (gbd_relay_pack (&packer, value))
+        object->value = take_bytes (&buffer);
+      msgpack_sbuffer_destroy (&buffer);
+    }
   object->version = version;
   object->is_in_list = true;
   relay->change_count++;
@@ -178,47 +220,62 @@
 gbd_relay_publish (gbd_relay_t *relay, uint64_t version,
                    uint32_t removal_grace_ms, gbd_time_t now)
 {
-  GHashTableIter iterator;
-  gpointer data;
-  bool is_first = relay->version == 0;
-  g_hash_table_iter_init (&iterator, relay->objects);
-  while (g_hash_table_iter_next (&iterator, NULL, &data))
-    {
-      object_t *object = data;
-      if (relay->is_listing && !object->is_in_list && object->value)
-        {
-          free (object->value);
-          object->value = NULL;
-          object->published_version = 0;
-        }
-      if (object->published_version)
-        continue;
-      object->published_version = version;
-      object->deleted_at = now;
-    }
-  relay->is_listing = false;
-  relay->version = version;
-  if (is_first)
-    relay->compacted_version = version;
+  publish_objects (relay, version, now);
   relay->removal_grace_ms = removal_grace_ms;
   relay->is_connected = true;
+  relay->newer_since = 0;
+  relay->reader_count = MAX (relay->reader_count, relay->waiting_readers->len);
   expire_deletions (relay, now);
   respond_to_waiting_readers (relay, false);
 }
 
+void
+gbd_relay_publish_outdated (gbd_relay_t *relay, uint64_t version,
+                            gbd_time_t now)
+{
+  publish_objects (relay, version, now);
+  relay->is_connected = false;
+  relay->has_failed = true;
+  respond_to_waiting_readers (relay, true);
+}
+
 void
 gbd_relay_set_hint (gbd_relay_t *relay, uint64_t hint)
 {
   if (hint == relay->hint)
     return;
   relay->hint = hint;
+  relay->cached_response.is_valid = false;
   respond_to_waiting_readers (relay, true);
 }
 
+void
+gbd_relay_set_document (gbd_relay_t *relay, const char *kind, const char *name,
+                        uint64_t version, const json_t *value)
+{
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  char *text = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
+  if (!text)
+    return;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, 4);
+  msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
+  msgpack_pack_int (&packer, GBD_RELAY_DOCUMENT);
+  msgpack_pack_uint64 (&packer, version);
+  pack_text (&packer, text);
+  free (text);
+  g_hash_table_replace (relay->documents, g_strconcat (kind, "/", name, NULL),
+                        take_bytes (&buffer));
+}
+
 void
 gbd_relay_disconnect (gbd_relay_t *relay)
 {
   relay->is_connected = false;
+  relay->has_failed = true;
+  relay->cached_response.is_valid = false;
   respond_to_waiting_readers (relay, true);
 }
 
@@ -232,48 +289,38 @@
       if (now < reader->deadline)
         continue;
       stop_waiting (relay, reader);
-      send_response (relay, reader, &reader->since);
+      send_response (relay, reader);
     }
 }
 
-char *
-gbd_relay_format_response (const gbd_relay_t *relay, const uint64_t *since,
-                           unsigned *status)
+const GByteArray *
+gbd_relay_build_response (gbd_relay_t *relay, const uint64_t *since,
+                          unsigned *status)
 {
-  *status = HTTP_STATUS_SERVICE_UNAVAILABLE;
-  if (!relay->is_connected)
-    return strdup ("{}");
-  *status = HTTP_STATUS_GONE;
-  if (since && *since < relay->compacted_version)
-    return strdup ("{}");
-  *status = HTTP_STATUS_OK;
-  GString *text = g_string_new (NULL);
-  g_string_printf (
-      text,
-      "{\"version\":%" G_GUINT64_FORMAT
-      ",\"settling_ms\":%u,\"hint\":%" G_GUINT64_FORMAT ",\"%s\":[",
-      since ? MAX (*since, relay->version) : relay->version,
-      relay->removal_grace_ms, relay->hint, since ? "changes" : "items");
-  size_t empty_length = text->len;
-  GHashTableIter iterator;
-  gpointer name;
-  gpointer data;
-  g_hash_table_iter_init (&iterator, relay->objects);
-  while (g_hash_table_iter_next (&iterator, &name, &data))
+  cached_response_t *cached = &relay->cached_response;
+  bool is_cached = cached->is_valid && cached->has_since == (since != NULL)
+                   && (!since || cached->since == *since);
+  if (!is_cached)
     {
-      const object_t *object = data;
-      bool is_included
-          = since ? object->published_version > *since
-                  : object->value != NULL && object->published_version;
-      if (is_included)
-        append_object (text, name, object);
+      msgpack_sbuffer buffer;
+      msgpack_sbuffer_init (&buffer);
+      cached->status = find_status (relay, since);
+      if (cached->status == HTTP_STATUS_OK)
+        pack_objects (relay, since, &buffer);
+      else
+        pack_rejection (relay, &buffer);
+      g_byte_array_set_size (cached->body, 0);
+      g_byte_array_append (cached->body, (const guint8 *)buffer.data,
+                           (guint)buffer.size);
+      msgpack_sbuffer_destroy (&buffer);
+      cached->has_since = since != NULL;
+      cached->since = since ? *since : 0;
+      /* Whether a reader with a newer version exists changes with time. */
+      cached->is_valid = cached->status == HTTP_STATUS_OK;
     }
-  if (text->len > empty_length)
-    g_string_truncate (text, text->len - 1);
-  g_string_append (text, "]}");
-  return g_string_free (text, FALSE);
+  *status = cached->status;
+  return cached->body;
 }
-
 uint64_t
 gbd_relay_get_response_count (const gbd_relay_t *relay)
 {
@@ -286,6 +333,36 @@
   return relay->change_count;
 }
 
+/* Makes the applied changes part of the list with a version of the platform.
+ */
+static void
+publish_objects (gbd_relay_t *relay, uint64_t version, gbd_time_t now)
+{
+  GHashTableIter iterator;
+  gpointer data;
+  bool is_first = relay->version == 0;
+  g_hash_table_iter_init (&iterator, relay->objects);
+  while (g_hash_table_iter_next (&iterator, NULL, &data))
+    {
+      object_t *object = data;
+      if (relay->is_listing && !object->is_in_list && object->value)
+        {
+          g_bytes_unref (object->value);
+          object->value = NULL;
+          object->published_version = 0;
+        }
+      if (object->published_version)
+        continue;
+      object->published_version = version;
+      object->deleted_at = now;
+    }
+  relay->is_listing = false;
+  relay->version = version;
+  if (is_first)
+    relay->compacted_version = version;
+  relay->cached_response.is_valid = false;
+}
+
 static int
 handle_callback (struct lws *wsi, enum lws_callback_reasons reason, void *user,
                  void *in, size_t length)
@@ -322,31 +399,63 @@
   gbd_admin_response_clear (&reader->response);
   stop_waiting (relay, reader);
   reader->wsi = wsi;
-  size_t prefix = strlen (PATH_PREFIX);
-  if (strncmp (path, PATH_PREFIX, prefix) != 0
+  size_t prefix = strlen (GBD_RELAY_PREFIX);
+  if (strncmp (path, GBD_RELAY_PREFIX, prefix) != 0
       || strcmp (path + prefix, relay->kind) != 0)
-    {
-      gbd_admin_response_fail (&reader->response, HTTP_STATUS_NOT_FOUND,
-                               "unknown kind", "request it from the platform");
-      return gbd_admin_response_start (&reader->response, wsi);
-    }
+    return handle_document_request (relay, wsi, reader, path);
   uint64_t wait_ms = 0;
-  if (!read_argument (wsi, "since=", &reader->since))
-    return send_response (relay, reader, NULL);
+  reader->has_since = read_argument (wsi, "since=", &reader->since);
+  if (!reader->has_since)
+    return relay->version || relay->has_failed
+               ? send_response (relay, reader)
+               : wait_for_changes (relay, reader, GBD_RELAY_LISTING_WAIT);
   read_argument (wsi, "wait_ms=", &wait_ms);
+  if (!relay->is_connected && reader->since > relay->version)
+    {
+      relay->newer_seen_at = relay->now;
+      if (!relay->newer_since)
+        relay->newer_since = relay->now;
+    }
   /* A reader with a higher version has read from another source.  It has
      everything that this relay has, so it waits until the relay publishes a
      higher version. */
   bool is_response_due
       = !relay->is_connected || reader->since < relay->version || wait_ms == 0;
   if (is_response_due)
-    return send_response (relay, reader, &reader->since);
+    return send_response (relay, reader);
   wait_ms = MIN (wait_ms, WAIT_MS_MAX);
-  reader->deadline = relay->now + (gbd_time_t)wait_ms * GBD_MILLISECOND;
+  return wait_for_changes (relay, reader,
+                           (gbd_time_t)wait_ms * GBD_MILLISECOND);
+}
+
+static int
+handle_document_request (const gbd_relay_t *relay, struct lws *wsi,
+                         reader_t *reader, const char *path)
+{
+  size_t prefix = strlen (GBD_RELAY_PREFIX);
+  GBytes *message = NULL;
+  if (strncmp (path, GBD_RELAY_PREFIX, prefix) == 0)
+    message = g_hash_table_lookup (relay->documents, path + prefix);
+  if (message)
+    {
+      gsize length;
+      const void *bytes = g_bytes_get_data (message, &length);
+      gbd_admin_response_set_bytes (&reader->response, bytes, length);
+    }
+  else
+    gbd_admin_response_fail (&reader->response, HTTP_STATUS_NOT_FOUND,
+                             "unknown object", "request it from the platform");
+  return gbd_admin_response_start (&reader->response, wsi);
+}
+
+static int
+wait_for_changes (gbd_relay_t *relay, reader_t *reader, gbd_time_t time)
+{
+  reader->deadline = relay->now + time;
   reader->is_waiting = true;
   g_ptr_array_add (relay->waiting_readers, reader);
   /* The library would close a connection on which nothing is sent. */
-  lws_set_timeout (wsi, NO_PENDING_TIMEOUT, 0);
+  lws_set_timeout (reader->wsi, NO_PENDING_TIMEOUT, 0);
   return 0;
 }
 
@@ -363,13 +472,13 @@
 }
 
 static int
-send_response (gbd_relay_t *relay, reader_t *reader, const uint64_t *since)
+send_response (gbd_relay_t *relay, reader_t *reader)
 {
   unsigned status;
-  char *text = gbd_relay_format_response (relay, since, &status);
-  gbd_admin_response_set_text (&reader->response, text);
+  const GByteArray *body = gbd_relay_build_response (
+      relay, reader->has_since ? &reader->since : NULL, &status);
+  gbd_admin_response_set_bytes (&reader->response, body->data, body->len);
   reader->response.status = status;
-  reader->response.content_type = "application/json";
   relay->response_count++;
   return gbd_admin_response_start (&reader->response, reader->wsi);
 }
@@ -388,26 +497,107 @@
   for (guint i = relay->waiting_readers->len; i-- > 0;)
     {
       reader_t *reader = g_ptr_array_index (relay->waiting_readers, i);
-      if (!is_forced && reader->since >= relay->version)
+      bool is_due = reader->has_since
+                        ? is_forced || reader->since < relay->version
+                        : relay->version || relay->has_failed;
+      if (!is_due)
         continue;
       stop_waiting (relay, reader);
-      if (send_response (relay, reader, &reader->since) != 0)
+      if (send_response (relay, reader) != 0)
         lws_set_timeout (reader->wsi, PENDING_TIMEOUT_USER_OK,
                          LWS_TO_KILL_ASYNC);
     }
 }
 
+static unsigned
+find_status (const gbd_relay_t *relay, const uint64_t *since)
+{
+  if (!since)
+    return relay->version ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE;
+  if (!relay->is_connected)
+    return HTTP_STATUS_SERVICE_UNAVAILABLE;
+  return *since < relay->compacted_version ? HTTP_STATUS_GONE : HTTP_STATUS_OK;
+}
+
 static void
-append_object (GString *text, const char *name, const object_t *object)
-{
-  json_t *quoted = json_string (name);
-  char *name_text = json_dumps (quoted, JSON_ENCODE_ANY);
-  g_string_append_printf (
-      text, "{\"name\":%s,\"version\":%" G_GUINT64_FORMAT ",\"value\":%s},",
-      name_text ? name_text : "\"\"", object->version,
-      object->value ? object->value : "null");
-  free (name_text);
-  json_decref (quoted);
+pack_objects (const gbd_relay_t *relay, const uint64_t *since,
+              msgpack_sbuffer *buffer)
+{
+  GHashTableIter iterator;
+  gpointer name;
+  gpointer data;
+  size_t count = 0;
+  g_hash_table_iter_init (&iterator, relay->objects);
+  while (g_hash_table_iter_next (&iterator, NULL, &data))
+    count += is_included (data, since);
+
+  msgpack_packer packer;
+  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, 7);
+  msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
+  msgpack_pack_int (&packer, since ? GBD_RELAY_CHANGES : GBD_RELAY_LISTING);
+  msgpack_pack_uint64 (&packer,
+                       since ? MAX (*since, relay->version) : relay->version);
+  msgpack_pack_uint32 (&packer, relay->removal_grace_ms);
+  msgpack_pack_uint64 (&packer, relay->hint);
+  gbd_relay_pack (&packer, relay->is_connected ? json_true () : json_false ());
+  msgpack_pack_array (&packer, count);
+  g_hash_table_iter_init (&iterator, relay->objects);
+  while (g_hash_table_iter_next (&iterator, &name, &data))
+    {
+      const object_t *object = data;
+      if (!is_included (object, since))
+        continue;
+      msgpack_pack_array (&packer, 3);
+      pack_text (&packer, name);
+      msgpack_pack_uint64 (&packer, object->version);
+      gsize length = 0;
+      const void *value
+          = object->value ? g_bytes_get_data (object->value, &length) : NULL;
+      if (value)
+        msgpack_sbuffer_write (buffer, value, length);
+      else
+        msgpack_pack_nil (&packer);
+    }
+}
+
+static void
+pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer)
+{
+  msgpack_packer packer;
+  bool has_newer_reader
+      = relay->newer_since
+        && relay->now - relay->newer_since >= GBD_RELAY_NEWER_READER_DELAY
+        && relay->now - relay->newer_seen_at < GBD_RELAY_NEWER_READER_VALIDITY;
+  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
+  msgpack_pack_array (&packer, 4);
+  msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
+  msgpack_pack_int (&packer, GBD_RELAY_REJECTION);
+  msgpack_pack_uint32 (&packer, relay->reader_count);
+  gbd_relay_pack (&packer, has_newer_reader ? json_true () : json_false ());
+}
+
+static bool
+is_included (const object_t *object, const uint64_t *since)
+{
+  return since ? object->published_version > *since
+               : object->value && object->published_version;
+}
+
+static void
+pack_text (msgpack_packer *packer, const char *text)
+{
+  msgpack_pack_str_with_body (packer, text, strlen (text));
+}
+
+/* Returns the content of a buffer, which is then empty. */
+static GBytes *
+take_bytes (msgpack_sbuffer *buffer)
+{
+  GBytes *bytes = g_bytes_new (buffer->data, buffer->size);
+  msgpack_sbuffer_destroy (buffer);
+  msgpack_sbuffer_init (buffer);
+  return bytes;
 }
 
 static void
@@ -432,7 +622,8 @@
 free_object (gpointer data)
 {
   object_t *object = data;
-  free (object->value);
+  if (object->value)
+    g_bytes_unref (object->value);
   g_free (object);
 }
 
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -1,20 +1,27 @@
 /** @file relay.h
- *  Serves the objects that this instance watches at the platform to other
- *  instances, in the format of the native API.  This reduces the load on the
- *  platform.
+ *  Serves what this instance reads from the platform to other instances, in
+ *  the messages of relay_codec.h.  This reduces the load on the platform, and
+ *  lets an instance start while the platform is unreachable.
  *
- *    GET /v1/KIND                          all objects
- *    GET /v1/KIND?since=VERSION&wait_ms=MS changes; long poll
+ *    GET /v2/KIND                          all objects
+ *    GET /v2/KIND?since=VERSION&wait_ms=MS changes; long poll
+ *    GET /v2/KIND/NAME                     one document
  *
  *  Versions are those of the platform, so a reader can switch between relays
  *  and the platform.  A reader whose version is higher than that of the relay
- *  keeps its version.  While the relay cannot reach the platform, the status
- *  is 503.  The status is 410 for a version older than the retained deletions.
+ *  keeps its version.  The status is 410 for a version older than the retained
+ *  deletions.
+ *
+ *  While the relay cannot reach the platform, changes get the status 503 with
+ *  a rejection that tells readers whether it is worth trying the platform
+ *  themselves, and a listing or a document may be outdated.  A listing that is
+ *  requested before the relay has one waits for it.
  */
 #ifndef PROGRAM_RELAY_H
 #define PROGRAM_RELAY_H
 
 #include <libwebsockets.h>
+#include <glib.h>
 #include <jansson.h>
 
 #include "gooseberrydrum/types.h"
@@ -25,6 +32,18 @@
 
 typedef struct gbd_relay gbd_relay_t;
 
+/** Longest wait of a request for a listing until the relay has one: the
+ *  slowest instances of the largest sites need about half of it to read 600
+ *  backend servers from the platform. */
+#define GBD_RELAY_LISTING_WAIT GBD_SECOND
+/** Readers with a newer version show that the platform serves some instances.
+ *  They are reported to the others if such requests last for
+ *  GBD_RELAY_NEWER_READER_DELAY, in which the relay reaches the platform again
+ *  after an outage of the platform, and for GBD_RELAY_NEWER_READER_VALIDITY
+ *  after the last one. */
+#define GBD_RELAY_NEWER_READER_DELAY (2 * GBD_SECOND)
+#define GBD_RELAY_NEWER_READER_VALIDITY (3 * GBD_SECOND)
+
 /** @param kind kind of the objects; not copied, must outlive the relay
  *  @param error set to a message that names the remedy if NULL is returned */
 gbd_relay_t *gbd_relay_new (struct lws_context *context,
@@ -35,7 +54,8 @@
 
 /** Record that the watch starts a full listing. */
 void gbd_relay_begin_listing (gbd_relay_t *relay);
-/** Apply a change of an object; a NULL value deletes it. */
+/** Apply a change of an object; a NULL value deletes it.
+ *  @param value of a type that gbd_relay_pack() accepts */
 void gbd_relay_apply (gbd_relay_t *relay, const char *name, uint64_t version,
                       const json_t *value);
 /** Make the applied changes visible to readers.  All changes up to `version`,
@@ -43,10 +63,19 @@
  *  @param removal_grace_ms remaining removal grace period of the entries */
 void gbd_relay_publish (gbd_relay_t *relay, uint64_t version,
                         uint32_t removal_grace_ms, gbd_time_t now);
+/** Make the applied objects, a list of another relay that may be outdated,
+ *  visible to readers while the platform is unreachable. */
+void gbd_relay_publish_outdated (gbd_relay_t *relay, uint64_t version,
+                                 gbd_time_t now);
 /** Set the hint: the version of other data, which readers watch at the
  *  platform themselves.  It is sent to waiting readers at once, so that a
  *  reader whose own watch is unresponsive learns that its data is stale. */
 void gbd_relay_set_hint (gbd_relay_t *relay, uint64_t hint);
+/** Set a document, which is independent of the objects.
+ *  @param value any JSON value */
+void gbd_relay_set_document (gbd_relay_t *relay, const char *kind,
+                             const char *name, uint64_t version,
+                             const json_t *value);
 /** Record that the platform is unreachable.  Waiting and new readers are
  *  rejected. */
 void gbd_relay_disconnect (gbd_relay_t *relay);
@@ -54,12 +83,13 @@
 /** Respond to readers whose wait has expired. */
 void gbd_relay_tick (gbd_relay_t *relay, gbd_time_t now);
 
-/** Format the body of a response.
+/** Build the body of a response.
  *  @param since version of the reader; NULL for a listing
  *  @param status set to 200, 410 or 503
- *  @return text allocated with malloc. */
-char *gbd_relay_format_response (const gbd_relay_t *relay,
-                                 const uint64_t *since, unsigned *status);
+ *  @return owned by the relay, valid until its next change. */
+const GByteArray *gbd_relay_build_response (gbd_relay_t *relay,
+                                            const uint64_t *since,
+                                            unsigned *status);
 
 uint64_t gbd_relay_get_response_count (const gbd_relay_t *relay);
 /** Changes applied so far. */
--- /dev/null
+++ b/src/gooseberrydrum/relay_codec.h
@@ -0,0 +1,41 @@
+/** @file relay_codec.h
+ *  Encoding of the messages between a relay and its readers: msgpack arrays.
+ *
+ *  A message is [schema, type, ...].  A decoder ignores entries beyond those
+ *  that it knows, so a later schema may append entries to any array.
+ *
+ *    [1, LISTING, version, removal_grace_ms, hint, is_connected, objects]
+ *    [1, CHANGES, version, removal_grace_ms, hint, is_connected, objects]
+ *    [1, DOCUMENT, version, text]         text: the JSON value of one object
+ *    [1, REJECTION, reader_count, has_newer_reader]
+ *
+ *  objects is an array of [name, version, value]; value is nil for a deletion.
+ */
+#ifndef PROGRAM_RELAY_CODEC_H
+#define PROGRAM_RELAY_CODEC_H
+
+#include <jansson.h>
+#include <msgpack.h>
+
+#define GBD_RELAY_SCHEMA 1
+
+typedef enum
+{
+  GBD_RELAY_LISTING,
+  GBD_RELAY_CHANGES,
+  GBD_RELAY_DOCUMENT,
+  GBD_RELAY_REJECTION
+} gbd_relay_message_type_t;
+
+/** Append a value.
+ *  @param value array, string, integer, boolean or null; NULL is null
+ *  @return false if it contains anything else; the output is then
+ *  incomplete. */
+bool gbd_relay_pack (msgpack_packer *packer, const json_t *value);
+
+/** Decode one value.
+ *  @return owned by the caller; NULL if the bytes are not exactly one value of
+ *  the kinds above, or exceed the limits on depth and number of values. */
+json_t *gbd_relay_unpack (const void *bytes, size_t length);
+
+#endif
--- a/src/gooseberrydrum/settings.h
+++ b/src/gooseberrydrum/settings.h
@@ -65,6 +65,7 @@
   gbd_path_text_t tls_authority;
   bool insecure_links;
   bool probe_servers;
+  bool first_start;
   uint32_t heartbeat_ms;
   uint32_t lease_timeout_ms;   /**< --touch-timeout-ms */
   uint32_t failure_timeout_ms; /**< --silence-timeout-ms */
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -56,6 +56,11 @@
     "backend servers and relay it to the others.  An instance is a relay if "
     "its relay-listen is in this list.  The other instances watch the "
     "platform only while no relay responds." },
+  { "first-start", &gbd_kind_flag, FIELD (first_start), "no", "", 0, 0, NULL,
+    false,
+    "Whether all instances of the group start for the first time and no "
+    "packets arrive yet.  The instances then wait for the relays instead of "
+    "reading from the platform." },
   { "platform-form", &gbd_kind_choice, FIELD (platform_form), "own", "", 0, 0,
     platform_form_choices, false,
     "Object API of the platform; objects is only for the policy cookie." },
--- a/src/libgooseberrydrum/retry.c
+++ b/src/libgooseberrydrum/retry.c
@@ -4,9 +4,19 @@
 
 #define LEVEL_PER_TOKEN ((uint64_t)1000000) /* level units of one token */
 
-static uint64_t next_random (uint64_t *state);
 static void open_breaker (gbd_breaker_t *breaker, gbd_time_t now);
 
+uint64_t
+gbd_random_next (uint64_t *state)
+{
+  /* The SplitMix64 generator. */
+  *state += 0x9e3779b97f4a7c15u;
+  uint64_t mixed = *state;
+  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9u;
+  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebu;
+  return mixed ^ (mixed >> 31);
+}
+
 void
 gbd_token_bucket_init (gbd_token_bucket_t *bucket, uint32_t rate_per_second,
                        uint32_t capacity, gbd_time_t now)
@@ -63,7 +73,7 @@
 
   gbd_time_t fixed = limit / 2;
   uint64_t span = (uint64_t)(limit - fixed) + 1;
-  return fixed + (gbd_time_t)(next_random (&backoff->random) % span);
+  return fixed + (gbd_time_t)(gbd_random_next (&backoff->random) % span);
 }
 
 void
@@ -156,17 +166,6 @@
   return breaker->state;
 }
 
-static uint64_t
-next_random (uint64_t *state)
-{
-  /* The SplitMix64 generator. */
-  *state += 0x9e3779b97f4a7c15u;
-  uint64_t mixed = *state;
-  mixed = (mixed ^ (mixed >> 30)) * 0xbf58476d1ce4e5b9u;
-  mixed = (mixed ^ (mixed >> 27)) * 0x94d049bb133111ebu;
-  return mixed ^ (mixed >> 31);
-}
-
 static void
 open_breaker (gbd_breaker_t *breaker, gbd_time_t now)
 {
