Test: create the key before the replicas are frozen

The commit before failed reader_that_predates_its_relay_lists_once_more: the key was written after the replicas had been frozen, so the reader waited 2 s for the relay's key and caught up with the platform meanwhile.

--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -366,10 +366,10 @@
   (void)state;
   group_t group;
   open_group (&group);
+  write_key (&group);
   freeze_replicas (&group);
   write_server (&group, 1, false);
   write_server (&group, SERVERS + 1, true);
-  write_key (&group);
   group.relay = choose_free_address ();
   gbd_cookie_serve_t *reader = start_reader (&group);
   int before = count_full_calls (&group, "servers");
