Tests: start while the platform is unreachable, first start

Readers start within 0.5 s from a relay that cannot reach the platform, also from one that was itself restarted; an outdated list does not replace that of the platform; a first start reads only the routes, as stale reads, and creates one key.

--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -61,10 +61,10 @@
   gbd_backoff_t document_backoff;
   gbd_time_t document_due; /**< earliest time of that request */
   bool was_ready;
-  bool is_listing;          /**< a listing of backend servers is in progress */
-  bool is_list_outdated;    /**< the relay that sent the last list could not
-                                 reach the platform */
-  uint64_t listing_count;   /**< listings of backend servers started */
+  bool is_listing;        /**< a listing of backend servers is in progress */
+  bool is_list_outdated;  /**< the relay that sent the last list could not
+                               reach the platform */
+  uint64_t listing_count; /**< listings of backend servers started */
   bool is_routes_watch_failing; /**< the last request of the watch on routes
                                      failed */
   gbd_time_t started_at;
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -58,8 +58,7 @@
 static void start_list_failed (void *data, gbd_time_t now);
 static void start_list_metadata (void *data, uint32_t removal_grace_ms,
                                  uint64_t hint, bool is_connected);
-static void set_routes_watch_wait (gbd_cookie_serve_t *serve,
-                                   gbd_time_t now);
+static void set_routes_watch_wait (gbd_cookie_serve_t *serve, gbd_time_t now);
 static bool is_unchanged (const gbd_cookie_serve_t *serve,
                           const gbd_pool_entry_t *entry);
 static void remove_server (gbd_cookie_serve_t *serve, const char *name,
@@ -555,10 +554,10 @@
 set_routes_watch_wait (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
   const gbd_sources_t *sources = &serve->sources;
-  bool is_reader = !serve->relay && gbd_cookie_servers_have_relays (serve)
-                   && (!gbd_cookie_servers_use_platform (serve)
-                       || !sources->has_responded
-                       || gbd_sources_are_relays_starting (sources, now));
+  bool is_reader
+      = !serve->relay && gbd_cookie_servers_have_relays (serve)
+        && (!gbd_cookie_servers_use_platform (serve) || !sources->has_responded
+            || gbd_sources_are_relays_starting (sources, now));
   uint32_t wait_ms = is_reader ? READER_ROUTES_WATCH_WAIT_MS : 0;
   if (serve->relay)
     wait_ms = RELAY_ROUTES_WATCH_WAIT_MS;
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -70,10 +70,10 @@
   bool is_connected; /* the platform is reachable */
   bool has_failed;   /* the platform was unreachable at least once */
   bool is_listing;
-  uint32_t reader_count;    /* waiting readers at the last publication */
-  gbd_time_t newer_since;   /* first and last request of a reader with a newer
-                               version since the platform became unreachable;
-                               0: none */
+  uint32_t reader_count;  /* waiting readers at the last publication */
+  gbd_time_t newer_since; /* first and last request of a reader with a newer
+                             version since the platform became unreachable;
+                             0: none */
   gbd_time_t newer_seen_at;
   cached_response_t cached_response;
   uint64_t response_count;
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -16,8 +16,11 @@
 
 #define PAGE_ITEMS 3
 #define SERVERS 7
+#define INSTANCES_MAX 3
 /* Iterations of the event loop in which a request over loopback completes. */
 #define LOOP_COUNT 8
+/* Target for a start while the platform is unreachable. */
+#define START_LIMIT (GBD_SECOND / 2)
 /* Limit for configuration changes on the smallest sites. */
 #define CONFIG_CHANGE_LIMIT (3 * GBD_SECOND)
 /* Ports 1 (tcpmux) and 2, on which no process listens. */
@@ -33,7 +36,7 @@
 typedef struct
 {
   fixture_t fixture;
-  instance_t instances[2];
+  instance_t instances[INSTANCES_MAX];
   uint32_t count;
   gbd_address_t relay; /* of the first instance, set by start_relay() */
 } group_t;
@@ -311,6 +314,131 @@
   return gbd_routes_get_version (gbd_director_get_routes (serve->director));
 }
 
+/* Starts an instance that reads from the first instance's relay.
+   @param relay_listen address of its own relay, or NULL */
+static gbd_cookie_serve_t *
+start_within_limit (group_t *group, const gbd_address_list_t *relays,
+                    const gbd_address_t *relay_listen)
+{
+  gbd_cookie_serve_t *serve = start_instance (group, relays, relay_listen);
+  gbd_time_t end = group->fixture.now + START_LIMIT;
+  while (!gbd_director_is_ready (serve->director) && group->fixture.now < end)
+    step (group);
+  assert_true (gbd_director_is_ready (serve->director));
+  assert_int_equal (
+      gbd_pool_get_count (gbd_director_peek_pool (serve->director)), SERVERS);
+  return serve;
+}
+
+/* Seen on a played day: the store was silent from 8 to 16 s, and processes
+   that were killed at 11 s served nothing until it returned, although others
+   held the key, the routes and the list. */
+static void
+reader_starts_while_the_platform_is_unreachable (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  write_key (&group);
+  start_relay (&group);
+  run_for (&group, GBD_SECOND);
+  fixture_set_switches (&group.fixture, "{\"down\":true}");
+  run_for (&group, 3 * GBD_SECOND);
+  gbd_address_list_t relays = { .addresses = { group.relay }, .count = 1 };
+  gbd_cookie_serve_t *reader = start_within_limit (&group, &relays, NULL);
+  const gbd_pool_t *pool = gbd_director_peek_pool (reader->director);
+  assert_true (gbd_pool_is_platform_unreachable (pool));
+  assert_int_equal (get_routes_version (reader), 1);
+  fixture_set_switches (&group.fixture, "{\"down\":false}");
+  write_server (&group, SERVERS + 1, true);
+  write_routes (&group, 2);
+  run_for (&group, 5 * GBD_SECOND);
+  assert_false (gbd_pool_is_platform_unreachable (pool));
+  assert_int_equal (gbd_pool_get_count (pool), SERVERS + 1);
+  assert_int_equal (get_routes_version (reader), 2);
+  close_group (&group);
+}
+
+/* The reader's only relay has itself been restarted in the outage, and got
+   everything from another relay. */
+static void
+restarted_relay_passes_on_an_outdated_list (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  write_key (&group);
+  start_relay (&group);
+  run_for (&group, GBD_SECOND);
+  fixture_set_switches (&group.fixture, "{\"down\":true}");
+  run_for (&group, 3 * GBD_SECOND);
+  gbd_address_t second = choose_free_address ();
+  gbd_address_list_t relays
+      = { .addresses = { group.relay, second }, .count = 2 };
+  start_within_limit (&group, &relays, &second);
+  gbd_address_list_t only_second = { .addresses = { second }, .count = 1 };
+  gbd_cookie_serve_t *reader = start_within_limit (&group, &only_second, NULL);
+  assert_true (gbd_pool_is_platform_unreachable (
+      gbd_director_peek_pool (reader->director)));
+  close_group (&group);
+}
+
+/* The relay cannot reach the platform and has an old list, but the starting
+   instance can: its list must be the platform's. */
+static void
+outdated_list_does_not_replace_that_of_the_platform (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  write_key (&group);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  run_for (&group, GBD_SECOND);
+  gbd_platform_watch_delete (relay->servers_watch);
+  relay->servers_watch = NULL;
+  gbd_relay_disconnect (relay->relay);
+  write_server (&group, 1, false);
+  write_server (&group, SERVERS + 1, true);
+  gbd_cookie_serve_t *reader = start_reader (&group);
+  run_for (&group, 3 * GBD_SECOND);
+  const gbd_pool_t *pool = gbd_director_peek_pool (reader->director);
+  gbd_pool_handle_t handle = gbd_pool_find (pool, gbd_cookie_fingerprint (1));
+  assert_int_equal (gbd_pool_get_count (pool), SERVERS + 1);
+  assert_int_equal (gbd_pool_peek (pool, handle)->entry.backend.state,
+                    GBD_BACKEND_DRAINING);
+  assert_false (gbd_pool_is_platform_unreachable (pool));
+  close_group (&group);
+}
+
+/* At the first start of a group of hundreds, each instance read routes and
+   list from the platform and tried to create the key. */
+static void
+first_start_reads_little_from_the_platform (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  group.relay = choose_free_address ();
+  gbd_address_list_t relays = { .addresses = { group.relay }, .count = 1 };
+  group.instances[0].settings.first_start = true;
+  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
+  run_for (&group, START_LIMIT);
+  assert_false (gbd_director_is_ready (reader->director));
+  assert_int_equal (count_calls (&group, "servers"), 0);
+  assert_int_equal (count_calls (&group, "config"),
+                    count_stale_calls (&group, "config"));
+  assert_int_equal (
+      fixture_count_calls (&group.fixture, "gooseberrydrum", "get"), 0);
+  start_relay (&group);
+  int calls = count_calls (&group, "servers");
+  run_until_ready (&group, reader);
+  assert_int_equal (reader->listing_count, 1);
+  assert_true (count_calls (&group, "servers") - calls <= 1);
+  assert_int_equal (
+      fixture_count_calls (&group.fixture, "gooseberrydrum", "put"), 1);
+  close_group (&group);
+}
+
 /* A change of the routes wakes every instance.  To limit the load on the
    store, readers of a relay watch the routes at a replica.  If the replica is
    stale, the relay's hint that newer routes exist must make the readers
@@ -386,8 +514,7 @@
   assert_ptr_not_equal (reader->clients[reader->sources.current],
                         reader->servers_platform);
   const gbd_pool_t *pool = gbd_director_peek_pool (reader->director);
-  gbd_pool_handle_t handle
-      = gbd_pool_find (pool, gbd_cookie_fingerprint (1));
+  gbd_pool_handle_t handle = gbd_pool_find (pool, gbd_cookie_fingerprint (1));
   assert_int_equal (gbd_pool_get_count (pool), SERVERS + 1);
   assert_int_equal (gbd_pool_peek (pool, handle)->entry.backend.state,
                     GBD_BACKEND_DRAINING);
@@ -466,12 +593,17 @@
 int
 main (void)
 {
-  const struct CMUnitTest tests[]
-      = { cmocka_unit_test (outage_backs_off_route_requests),
-          cmocka_unit_test (start_reads_a_stale_list_and_catches_up),
-          cmocka_unit_test (routes_arrive_in_time_despite_a_stale_replica),
-          cmocka_unit_test (reader_that_predates_its_relay_lists_once_more),
-          cmocka_unit_test (instance_with_timeouts_limits_its_requests),
-          cmocka_unit_test (unchanged_entries_are_not_relayed) };
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (outage_backs_off_route_requests),
+    cmocka_unit_test (start_reads_a_stale_list_and_catches_up),
+    cmocka_unit_test (reader_starts_while_the_platform_is_unreachable),
+    cmocka_unit_test (restarted_relay_passes_on_an_outdated_list),
+    cmocka_unit_test (outdated_list_does_not_replace_that_of_the_platform),
+    cmocka_unit_test (first_start_reads_little_from_the_platform),
+    cmocka_unit_test (routes_arrive_in_time_despite_a_stale_replica),
+    cmocka_unit_test (reader_that_predates_its_relay_lists_once_more),
+    cmocka_unit_test (instance_with_timeouts_limits_its_requests),
+    cmocka_unit_test (unchanged_entries_are_not_relayed)
+  };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
