--- a/src/gooseberrydrum/relay_codec.c
+++ b/src/gooseberrydrum/relay_codec.c
@@ -70,7 +70,9 @@
     case MSGPACK_OBJECT_ARRAY:
       return array_to_json (&object->via.array);
     case MSGPACK_OBJECT_STR:
-      return json_stringn (object->via.str.ptr, object->via.str.size);
+      /* The pointer of an empty string may be NULL. */
+      return json_stringn (object->via.str.size ? object->via.str.ptr : "",
+                           object->via.str.size);
     case MSGPACK_OBJECT_POSITIVE_INTEGER:
       return object->via.u64 <= INT64_MAX
                  ? json_integer ((json_int_t)object->via.u64)
