Relays that start while the store is away get the list from their readers

An instance that is not a relay serves listings too, made for each request from its pool, and tells relays its address with each request (from=ADDRESS). A relay without a list asks the readers that it has heard of in the last 5 s, and passes on what it gets, marked as outdated.

What remains is the time until a reader returns to its relay, 1 to 2 s.

Test: relay_starts_from_its_reader, which failed first because the argument was read with its name.

--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -31,7 +31,14 @@
   gbd_prober_t *prober;     /**< NULL if probes are disabled */
   gbd_platform_t *platform; /**< client for the routes and the group's key */
   gbd_platform_t *servers_platform; /**< client for the backend servers */
-  gbd_relay_t *relay;    /**< NULL if this instance is not a relay */
+  gbd_relay_t *relay; /**< NULL if this instance is not a relay */
+  /** Serves key, routes and list to a relay that starts while the platform is
+   *  unreachable; NULL if this instance is a relay or listens for no others */
+  gbd_relay_t *peer_server;
+  char from_argument[GBD_ADDRESS_TEXT_MAX + 8]; /**< tells relays where
+                                                     peer_server listens */
+  gbd_platform_t *peer;  /**< client of a reader of this relay; NULL: none */
+  bool is_peer_due;      /**< start_watch should try the next reader */
   gbd_sources_t sources; /**< sources of the list of backend servers */
   gbd_platform_t *clients[GBD_SOURCES_MAX]; /**< one client for each source */
   gbd_time_t last_tick_at;
@@ -58,6 +65,7 @@
   bool is_document_requested; /**< a request for key or routes of a relay is in
                                    progress */
   uint32_t document_source;   /**< source of the next such request */
+  const gbd_platform_t *document_client; /**< client of the last one */
   gbd_backoff_t document_backoff;
   gbd_time_t document_due; /**< earliest time of that request */
   bool was_ready;
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include <glib.h>
+
 #include "relay_api.h"
 
 /* Wait of a relay's long poll for backend servers.  A relay must detect within
@@ -35,6 +37,11 @@
    slow machine, ticks are delayed by less. */
 #define PROCESS_PAUSE_MIN (700 * GBD_MILLISECOND)
 
+static gbd_platform_t *open_relay (const gbd_cookie_serve_t *serve,
+                                   const gbd_address_t *address);
+static void request_list_from_peer (gbd_cookie_serve_t *serve, gbd_time_t now);
+static bool start_peer_server (gbd_cookie_serve_t *serve, const char **error);
+static void fill_listing (void *data);
 static void refresh_watches (gbd_cookie_serve_t *serve);
 static uint32_t find_relays (const gbd_cookie_serve_t *serve,
                              gbd_address_t *relays);
@@ -92,15 +99,9 @@
   bool is_relay = gbd_cookie_servers_is_relay (serve);
   uint32_t relay_count = find_relays (serve, relays);
   uint32_t platform_index = is_relay ? 0 : relay_count;
-  gbd_platform_settings_t settings = {
-    .platform_api = &gbd_platform_api_relay,
-    .call_timeout_ms = RELAY_TIMEOUT_MS,
-    .connect_timeout_ms = RELAY_CONNECT_TIMEOUT_MS,
-    .list_timeout_ms = RELAY_LIST_TIMEOUT_MS,
-    .attempts = 1,
-    .watch_wait_ms = READER_SERVERS_WATCH_WAIT_MS,
-    .random_seed = serve->random_value,
-  };
+  if (!is_relay && serve->settings->relay_listen.family
+      && !start_peer_server (serve, error))
+    return false;
   gbd_sources_init (&serve->sources, relay_count + 1, platform_index,
                     serve->settings->first_start, serve->random_value, now);
   /* The first list of a relay must not be a stale read, because it is served
@@ -114,8 +115,7 @@
     return false;
   for (uint32_t i = 0; i < relay_count; i++)
     {
-      settings.platform = relays[i];
-      gbd_platform_t *client = gbd_platform_new (serve->context, &settings);
+      gbd_platform_t *client = open_relay (serve, &relays[i]);
       *error = "cannot create the client of a relay; raise the memory limit";
       if (!client)
         return false;
@@ -152,10 +152,16 @@
   if (serve->last_tick_at && now - serve->last_tick_at > PROCESS_PAUSE_MIN)
     refresh_watches (serve);
   serve->last_tick_at = now;
+  if (serve->is_peer_due)
+    request_list_from_peer (serve, now);
   for (uint32_t i = 0; i < serve->sources.count; i++)
     gbd_platform_tick (serve->clients[i], now);
+  if (serve->peer)
+    gbd_platform_tick (serve->peer, now);
   if (serve->relay)
     gbd_relay_tick (serve->relay, now);
+  if (serve->peer_server)
+    gbd_relay_tick (serve->peer_server, now);
 }
 
 void
@@ -164,6 +170,8 @@
   gbd_platform_watch_delete (serve->start_watch);
   gbd_platform_watch_delete (serve->servers_watch);
   gbd_relay_delete (serve->relay);
+  gbd_relay_delete (serve->peer_server);
+  gbd_platform_delete (serve->peer);
   for (uint32_t i = 0; i < serve->sources.count; i++)
     gbd_platform_delete (serve->clients[i]);
 }
@@ -204,6 +212,87 @@
                                  (json_int_t)version, "cause", problem));
 }
 
+/* No relay has a list: requests it from the next reader of this relay.  Not
+   called from callbacks, because it deletes the client of the previous one. */
+static void
+request_list_from_peer (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  gbd_address_t address;
+  serve->is_peer_due = false;
+  if (!serve->start_watch || !serve->relay
+      || !gbd_relay_next_peer (serve->relay, &address, now))
+    return;
+  gbd_platform_t *client = open_relay (serve, &address);
+  if (!client)
+    return;
+  gbd_platform_t *previous = serve->peer;
+  serve->peer = client;
+  gbd_platform_watch_move (serve->start_watch, client, true);
+  gbd_platform_watch_refresh (serve->start_watch);
+  if (previous && serve->document_client == previous)
+    serve->is_document_requested = false;
+  gbd_platform_delete (previous);
+}
+
+static gbd_platform_t *
+open_relay (const gbd_cookie_serve_t *serve, const gbd_address_t *address)
+{
+  gbd_platform_settings_t settings = {
+    .platform = *address,
+    .platform_api = &gbd_platform_api_relay,
+    .call_timeout_ms = RELAY_TIMEOUT_MS,
+    .connect_timeout_ms = RELAY_CONNECT_TIMEOUT_MS,
+    .list_timeout_ms = RELAY_LIST_TIMEOUT_MS,
+    .attempts = 1,
+    .watch_wait_ms = READER_SERVERS_WATCH_WAIT_MS,
+    .watch_argument = serve->peer_server ? serve->from_argument : NULL,
+    .random_seed = serve->random_value,
+  };
+  return gbd_platform_new (serve->context, &settings);
+}
+
+static bool
+start_peer_server (gbd_cookie_serve_t *serve, const char **error)
+{
+  char address[GBD_ADDRESS_TEXT_MAX];
+  gbd_address_format (&serve->settings->relay_listen, address);
+  g_snprintf (serve->from_argument, sizeof serve->from_argument, "from=%s",
+              address);
+  serve->peer_server
+      = gbd_relay_new (serve->context, &serve->settings->relay_listen,
+                       serve->platform_api->servers_kind, error);
+  if (!serve->peer_server)
+    return false;
+  gbd_relay_set_fill (serve->peer_server, fill_listing, serve);
+  return true;
+}
+
+/* The list of an instance that is not a relay may be outdated: only relays
+   read from the platform all the time. */
+static void
+fill_listing (void *data)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = serve->clock (NULL);
+  const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
+  uint64_t version = gbd_platform_watch_get_version (serve->servers_watch);
+  uint32_t capacity = gbd_pool_get_capacity (pool);
+  if (!gbd_pool_is_synced (pool) || serve->is_listing || !version)
+    return;
+  for (uint32_t i = 0; i < capacity; i++)
+    {
+      const gbd_pool_server_t *server
+          = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
+      if (!server->is_used || !server->is_listed)
+        continue;
+      json_t *description = gbd_relay_describe_server (&server->entry, now);
+      gbd_relay_apply (serve->peer_server, server->entry.name, version,
+                       description);
+      json_decref (description);
+    }
+  gbd_relay_publish_outdated (serve->peer_server, version, now);
+}
+
 /* Called when the process was paused.  Responses to its pending requests may
    be lost, and the data that it relays may be old. */
 static void
@@ -541,6 +630,7 @@
   if (next == serve->sources.platform)
     next = (next + 1) % count;
   bool is_round_over = next <= serve->start_source;
+  serve->is_peer_due = is_round_over;
   serve->start_source = next;
   gbd_platform_watch_move (serve->start_watch, serve->clients[next],
                            !is_round_over);
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -44,6 +44,9 @@
 static void request_key (gbd_cookie_serve_t *serve, gbd_time_t now);
 static void handle_key_response (void *data, gbd_status_t status,
                                  uint64_t version, json_t *value);
+static void set_document (gbd_cookie_serve_t *serve, const char *kind,
+                          const char *name, uint64_t version,
+                          const json_t *value);
 static bool may_create_key (const gbd_cookie_serve_t *serve, gbd_time_t now);
 static void create_key (gbd_cookie_serve_t *serve, gbd_time_t now);
 static void handle_key (gbd_cookie_serve_t *serve, uint64_t version,
@@ -180,12 +183,21 @@
     }
   gbd_director_set_key (serve->director, strtoull (text, NULL, HEX_BASE));
   serve->has_key = true;
-  if (serve->relay)
-    gbd_relay_set_document (serve->relay, KEY_KIND, KEY_NAME, version, value);
+  set_document (serve, KEY_KIND, KEY_NAME, version, value);
   gbd_event_log_emit (serve->event_log, GBD_EVENT_KEY_KNOWN, now,
                       json_pack ("{s:I}", "version", (json_int_t)version));
 }
 
+/* Serves a document to other instances. */
+static void
+set_document (gbd_cookie_serve_t *serve, const char *kind, const char *name,
+              uint64_t version, const json_t *value)
+{
+  gbd_relay_t *server = serve->relay ? serve->relay : serve->peer_server;
+  if (server)
+    gbd_relay_set_document (server, kind, name, version, value);
+}
+
 static bool
 may_create_key (const gbd_cookie_serve_t *serve, gbd_time_t now)
 {
@@ -222,10 +234,13 @@
   if (serve->document_source == serve->sources.platform)
     serve->document_source
         = (serve->document_source + 1) % serve->sources.count;
+  gbd_platform_t *client = serve->clients[serve->document_source];
+  if (serve->peer && serve->document_backoff.attempts % 2 == 1)
+    client = serve->peer;
+  serve->document_client = client;
   serve->is_document_requested = true;
   gbd_platform_get (
-      serve->clients[serve->document_source],
-      serve->has_key ? serve->platform_api->routes_kind : KEY_KIND,
+      client, serve->has_key ? serve->platform_api->routes_kind : KEY_KIND,
       serve->has_key ? serve->platform_api->routes_name : KEY_NAME, false, now,
       handle_document, serve);
 }
@@ -268,12 +283,11 @@
   uint32_t count = gbd_routes_get_count (routes);
   serve->routes_object_version = MAX (serve->routes_object_version, version);
   serve->routes_stale_since = 0;
+  if (version == serve->routes_object_version)
+    set_document (serve, serve->platform_api->routes_kind, name, version,
+                  value);
   if (serve->relay && version == serve->routes_object_version)
-    {
-      gbd_relay_set_document (serve->relay, serve->platform_api->routes_kind,
-                              name, version, value);
-      gbd_relay_set_hint (serve->relay, version);
-    }
+    gbd_relay_set_hint (serve->relay, version);
   if (gbd_director_set_routes (serve->director, routes) != GBD_OK)
     return;
   serve->routes_read_at = now;
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -25,9 +25,12 @@
   uint32_t list_timeout_ms;    /**< of a listing; call_timeout_ms if 0 */
   uint32_t attempts;           /**< at a read; 4 if 0 */
   uint32_t watch_wait_ms;      /**< longest wait of a long poll */
-  uint32_t watch_pause_ms; /**< pause after a response with changes, so that
-                                the next one carries more of them; 0: none */
-  uint32_t max_backoff_ms; /**< longest back-off; 1000 if 0 */
+  uint32_t watch_pause_ms;    /**< pause after a response with changes, so that
+                                   the next one carries more of them; 0: none */
+  uint32_t max_backoff_ms;    /**< longest back-off; 1000 if 0 */
+  const char *watch_argument; /**< appended to the query of each request of a
+                                   watch, such as "from=10.0.0.1:80"; not
+                                   copied; NULL: none */
   bool allow_stale_first_list; /**< allow a stale read for the first listing of
                                 a watch; its next response contains the
                                 changes since then */
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -1,5 +1,7 @@
 #include "platform_private.h"
 
+#include <string.h>
+
 struct gbd_platform_watch
 {
   gbd_platform_t *platform;
@@ -212,6 +214,13 @@
   else
     platform_api->list (watch->kind, watch->after, watch->allow_stale,
                         &request);
+  if (platform->settings.watch_argument)
+    {
+      char *path = request.path;
+      request.path = g_strconcat (path, strchr (path, '?') ? "&" : "?",
+                                  platform->settings.watch_argument, NULL);
+      g_free (path);
+    }
   uint32_t timeout_ms = watch->is_listed
                             ? wait_ms + platform->settings.call_timeout_ms
                             : platform->settings.list_timeout_ms;
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -8,7 +8,8 @@
 #include "relay_api.h"
 #include "relay_codec.h"
 
-#define ARGUMENT_SIZE 32
+#define ARGUMENT_SIZE 64
+#define PEERS_MAX 8 /* most recent readers; a few of them suffice */
 #define WAIT_MS_MAX 10000
 #define DECIMAL_BASE 10
 #define KEEPALIVE_S 5 /* time-out of an idle connection */
@@ -37,6 +38,13 @@
   uint64_t since;
 } cached_response_t;
 
+/** A reader that serves listings itself. */
+typedef struct
+{
+  gbd_address_t address;
+  gbd_time_t seen_at;
+} peer_t;
+
 /** Connection of a reader. */
 typedef struct
 {
@@ -76,6 +84,10 @@
                              0: none */
   gbd_time_t newer_seen_at;
   cached_response_t cached_response;
+  gbd_relay_fill_t fill; /* NULL: the objects are stored */
+  void *fill_data;
+  peer_t peers[PEERS_MAX];
+  uint32_t next_peer;
   uint64_t response_count;
   uint64_t change_count;
   gbd_time_t now; /* time of the last tick */
@@ -91,6 +103,8 @@
                                     reader_t *reader, const char *path);
 static int wait_for_changes (gbd_relay_t *relay, reader_t *reader,
                              gbd_time_t time);
+static void record_peer (gbd_relay_t *relay, struct lws *wsi);
+static int send_filled_listing (gbd_relay_t *relay, reader_t *reader);
 static bool read_argument (struct lws *wsi, const char *name,
                            uint64_t *number);
 static int send_response (gbd_relay_t *relay, reader_t *reader);
@@ -270,6 +284,29 @@
                         take_bytes (&buffer));
 }
 
+void
+gbd_relay_set_fill (gbd_relay_t *relay, gbd_relay_fill_t fill, void *data)
+{
+  relay->fill = fill;
+  relay->fill_data = data;
+}
+
+bool
+gbd_relay_next_peer (gbd_relay_t *relay, gbd_address_t *peer, gbd_time_t now)
+{
+  for (uint32_t i = 0; i < PEERS_MAX; i++)
+    {
+      relay->next_peer = (relay->next_peer + 1) % PEERS_MAX;
+      const peer_t *candidate = &relay->peers[relay->next_peer];
+      if (!candidate->address.family
+          || now - candidate->seen_at > GBD_RELAY_PEER_VALIDITY)
+        continue;
+      *peer = candidate->address;
+      return true;
+    }
+  return false;
+}
+
 void
 gbd_relay_disconnect (gbd_relay_t *relay)
 {
@@ -404,7 +441,10 @@
       || strcmp (path + prefix, relay->kind) != 0)
     return handle_document_request (relay, wsi, reader, path);
   uint64_t wait_ms = 0;
+  record_peer (relay, wsi);
   reader->has_since = read_argument (wsi, "since=", &reader->since);
+  if (!reader->has_since && relay->fill)
+    return send_filled_listing (relay, reader);
   if (!reader->has_since)
     return relay->version || relay->has_failed
                ? send_response (relay, reader)
@@ -459,6 +499,43 @@
   return 0;
 }
 
+/* Replaces the entry of the same address, or the oldest one. */
+static void
+record_peer (gbd_relay_t *relay, struct lws *wsi)
+{
+  char text[ARGUMENT_SIZE] = "";
+  gbd_address_t address;
+  const char *found = lws_get_urlarg_by_name (wsi, "from=", text, sizeof text);
+  if (!found || gbd_address_parse (found, &address) != GBD_OK)
+    return;
+  peer_t *oldest = &relay->peers[0];
+  for (uint32_t i = 0; i < PEERS_MAX; i++)
+    {
+      peer_t *peer = &relay->peers[i];
+      if (gbd_address_is_equal (&peer->address, &address))
+        {
+          peer->seen_at = relay->now;
+          return;
+        }
+      if (peer->seen_at < oldest->seen_at)
+        oldest = peer;
+    }
+  *oldest = (peer_t){ .address = address, .seen_at = relay->now };
+}
+
+static int
+send_filled_listing (gbd_relay_t *relay, reader_t *reader)
+{
+  relay->has_failed = true;
+  relay->fill (relay->fill_data);
+  int result = send_response (relay, reader);
+  g_hash_table_remove_all (relay->objects);
+  relay->version = 0;
+  relay->cached_response.is_valid = false;
+  g_byte_array_set_size (relay->cached_response.body, 0);
+  return result;
+}
+
 static bool
 read_argument (struct lws *wsi, const char *name, uint64_t *number)
 {
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -3,6 +3,8 @@
  *  the messages of relay_codec.h.  This reduces the load on the platform, and
  *  lets an instance start while the platform is unreachable.
  *
+ *  A reader may add the address of its own relay as "from=ADDRESS".
+ *
  *    GET /v2/KIND                          all objects
  *    GET /v2/KIND?since=VERSION&wait_ms=MS changes; long poll
  *    GET /v2/KIND/NAME                     one document
@@ -44,6 +46,8 @@
 #define GBD_RELAY_NEWER_READER_DELAY (2 * GBD_SECOND)
 #define GBD_RELAY_NEWER_READER_VALIDITY (3 * GBD_SECOND)
 
+#define GBD_RELAY_PEER_VALIDITY (5 * GBD_SECOND)
+
 /** @param kind kind of the objects; not copied, must outlive the relay
  *  @param error set to a message that names the remedy if NULL is returned */
 gbd_relay_t *gbd_relay_new (struct lws_context *context,
@@ -76,6 +80,18 @@
 void gbd_relay_set_document (gbd_relay_t *relay, const char *kind,
                              const char *name, uint64_t version,
                              const json_t *value);
+/** Applies all objects and publishes them; called before a listing is sent. */
+typedef void (*gbd_relay_fill_t) (void *data);
+/** Serve listings that are made for each request and not stored, for an
+ *  instance that has readers in exceptional cases only. */
+void gbd_relay_set_fill (gbd_relay_t *relay, gbd_relay_fill_t fill,
+                         void *data);
+/** Return the next of the addresses that readers have sent as the argument
+ *  "from" in the last GBD_RELAY_PEER_VALIDITY.  A relay that has restarted
+ *  while the platform is unreachable can get the list from these instances.
+ *  @return false if there are none. */
+bool gbd_relay_next_peer (gbd_relay_t *relay, gbd_address_t *peer,
+                          gbd_time_t now);
 /** Record that the platform is unreachable.  Waiting and new readers are
  *  rejected. */
 void gbd_relay_disconnect (gbd_relay_t *relay);
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -383,6 +383,44 @@
   close_group (&group);
 }
 
+/* All relays have been killed while the platform is unreachable.  A relay that
+   starts must get everything from a reader that is still running. */
+static void
+relay_starts_from_its_reader (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  write_key (&group);
+  gbd_address_t listen = choose_free_address ();
+  group.relay = choose_free_address ();
+  gbd_address_list_t relays = { .addresses = { group.relay }, .count = 1 };
+  gbd_address_parse ("127.0.0.1:1", &relays.addresses[relays.count++]);
+  run_until_ready (&group, start_instance (&group, &relays, &listen));
+  run_for (&group, GBD_SECOND);
+  fixture_set_switches (&group.fixture, "{\"down\":true}");
+  run_for (&group, 3 * GBD_SECOND);
+  gbd_cookie_serve_t *relay = start_instance (&group, &relays, &group.relay);
+  /* The reader tries the relay again after its backoff, and then the relay
+     tries the reader. */
+  gbd_time_t end
+      = group.fixture.now + GBD_SOURCES_MAX_BACKOFF + GBD_SECOND + START_LIMIT;
+  while (!gbd_director_is_ready (relay->director) && group.fixture.now < end)
+    step (&group);
+  assert_true (gbd_director_is_ready (relay->director));
+  const gbd_pool_t *pool = gbd_director_peek_pool (relay->director);
+  assert_int_equal (gbd_pool_get_count (pool), SERVERS);
+  assert_true (gbd_pool_is_platform_unreachable (pool));
+  gbd_cookie_serve_t *reader = start_within_limit (&group, &relays, NULL);
+  assert_int_equal (get_routes_version (reader), 1);
+  fixture_set_switches (&group.fixture, "{\"down\":false}");
+  write_server (&group, SERVERS + 1, true);
+  run_for (&group, 5 * GBD_SECOND);
+  assert_int_equal (gbd_pool_get_count (pool), SERVERS + 1);
+  assert_false (gbd_pool_is_platform_unreachable (pool));
+  close_group (&group);
+}
+
 /* The relay cannot reach the platform and has an old list, but the starting
    instance can: its list must be the platform's. */
 static void
@@ -598,6 +636,7 @@
     cmocka_unit_test (start_reads_a_stale_list_and_catches_up),
     cmocka_unit_test (reader_starts_while_the_platform_is_unreachable),
     cmocka_unit_test (restarted_relay_passes_on_an_outdated_list),
+    cmocka_unit_test (relay_starts_from_its_reader),
     cmocka_unit_test (outdated_list_does_not_replace_that_of_the_platform),
     cmocka_unit_test (first_start_reads_little_from_the_platform),
     cmocka_unit_test (routes_arrive_in_time_despite_a_stale_replica),
