Place flows from the first page of the list

After a loss of power all instances read the list at once; at 600 backend servers its two pages arrive 0.1 to 0.3 s apart, limited by the store's link, and nothing was served before the second.

The director is ready with the first page. Until the list is complete nothing is reset because a backend server is missing.

--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -105,7 +105,8 @@
 gbd_director_is_ready (const gbd_director_t *director)
 {
   return director->has_key && director->routes
-         && gbd_pool_is_synced (director->pool);
+         && (gbd_pool_is_synced (director->pool)
+             || gbd_pool_get_count (director->pool) > 0);
 }
 
 void
@@ -230,7 +231,11 @@
   decision->previous = placement.avoid;
   if (decision->server == GBD_POOL_NONE)
     {
-      decide_reset (decision, GBD_DIRECTOR_RULE_NO_SERVER);
+      if (gbd_pool_is_synced (director->pool))
+        decide_reset (decision, GBD_DIRECTOR_RULE_NO_SERVER);
+      else
+        decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY,
+                     GBD_DROP_NOT_JOINED);
       return;
     }
   const gbd_pool_server_t *server
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -180,7 +180,8 @@
 run_until_ready (group_t *group, const gbd_cookie_serve_t *serve)
 {
   gbd_time_t end = group->fixture.now + 5 * GBD_SECOND;
-  while (!gbd_director_is_ready (serve->director))
+  while (!gbd_director_is_ready (serve->director)
+         || !gbd_pool_is_synced (gbd_director_peek_pool (serve->director)))
     {
       assert_true (group->fixture.now < end);
       step (group);
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -296,6 +296,45 @@
   gbd_director_delete (director);
 }
 
+/* All instances have lost power and read the list together, in two pages.
+   Flows are placed from the first page on, but a service whose backend servers
+   are on the second page must not be refused. */
+static void
+incomplete_list_is_used_but_resets_nothing (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  gbd_director_set_key (director, KEY);
+  gbd_director_set_routes (director, make_routes (1, "web"));
+  gbd_pool_begin_listing (pool);
+  assert_false (gbd_director_is_ready (director));
+  gbd_pool_entry_t entry = make_entry (5, "mail", "a");
+  put_entry (director, &entry, START);
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_director_decision_t decision = route_packet (director, &packet, START);
+  assert_int_equal (decision.kind, GBD_ACTION_DROP);
+  assert_int_equal (decision.rule, GBD_DIRECTOR_RULE_NOT_READY);
+  /* A flow of a backend server that is not listed yet. */
+  packet.kind = GBD_PACKET_ESTABLISHED;
+  packet.cookie = 7;
+  assert_int_equal (route_packet (director, &packet, START).kind,
+                    GBD_ACTION_DROP);
+  packet.kind = GBD_PACKET_OPENING;
+  entry = make_entry (1, "web", "a");
+  put_entry (director, &entry, START);
+  assert_true (gbd_director_is_ready (director));
+  decision = route_packet (director, &packet, START);
+  assert_int_equal (get_backend_id (director, &decision), 1);
+  gbd_pool_remove (pool, 1, START);
+  gbd_pool_end_listing (pool, START);
+  gbd_director_set_routes (director, make_routes (2, "nobody"));
+  packet = make_packet (GBD_PACKET_OPENING, 2);
+  assert_int_equal (route_packet (director, &packet, START).kind,
+                    GBD_ACTION_RESET);
+  gbd_director_delete (director);
+}
+
 static void
 opening_packet_of_a_service_without_servers_is_reset (void **state)
 {
@@ -426,6 +465,7 @@
     cmocka_unit_test (
         unknown_route_is_reset_only_while_the_platform_is_reachable),
     cmocka_unit_test (opening_packet_of_a_service_without_servers_is_reset),
+    cmocka_unit_test (incomplete_list_is_used_but_resets_nothing),
     cmocka_unit_test (older_routes_are_rejected),
     cmocka_unit_test (retransmitted_opening_packet_moves_to_another_server),
     cmocka_unit_test (packet_loss_does_not_exclude_servers),
