A relay that starts beside another one polls the platform each second

Its first list may come from the other relay; the watch that then replaced the one on the platform had the default wait of 4 s.

--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -614,6 +614,9 @@
   serve->servers_watch = serve->start_watch;
   serve->start_watch = NULL;
   gbd_platform_watch_set_callbacks (serve->servers_watch, &servers_callbacks);
+  if (serve->relay)
+    gbd_platform_watch_set_wait (serve->servers_watch,
+                                 RELAY_SERVERS_WATCH_WAIT_MS);
   serve->sources.current = serve->start_source;
   servers_confirmed (data, requested_at);
 }
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -560,6 +560,30 @@
   close_group (&group);
 }
 
+/* A relay that gets its first list from another relay must detect within about
+   a second that it has lost the platform, as any relay. */
+static void
+relay_that_starts_beside_another_polls_each_second (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  write_key (&group);
+  start_relay (&group);
+  run_for (&group, GBD_SECOND);
+  gbd_address_t second = choose_free_address ();
+  gbd_address_list_t relays
+      = { .addresses = { group.relay, second }, .count = 2 };
+  run_until_ready (&group, start_instance (&group, &relays, &second));
+  run_for (&group, GBD_SECOND);
+  int before = count_full_calls (&group, "servers");
+  run_for (&group, 10 * GBD_SECOND);
+  int calls = count_full_calls (&group, "servers") - before;
+  print_message ("%d calls\n", calls);
+  assert_true (calls >= 2 * 9);
+  close_group (&group);
+}
+
 /* The requests of one instance to the platform time out for 20 s, while a
    relay keeps reporting that the routes of this instance are stale. */
 static void
@@ -642,6 +666,7 @@
     cmocka_unit_test (first_start_reads_little_from_the_platform),
     cmocka_unit_test (routes_arrive_in_time_despite_a_stale_replica),
     cmocka_unit_test (reader_that_predates_its_relay_lists_once_more),
+    cmocka_unit_test (relay_that_starts_beside_another_polls_each_second),
     cmocka_unit_test (instance_with_timeouts_limits_its_requests),
     cmocka_unit_test (unchanged_entries_are_not_relayed)
   };
