A listing is not abandoned while it arrives

Ruled out: the relays (they start 0.3 s later and were ready first), the list of backend servers (complete 1.2 s after the start).

The time-out of a listing counts from the last bytes received, with a limit of 10 s.

Test: listing_is_not_abandoned_while_it_arrives, which failed before.

--- a/src/gooseberrydrum/platform_http.c
+++ b/src/gooseberrydrum/platform_http.c
@@ -162,6 +162,12 @@
   return call->is_sent;
 }
 
+size_t
+gbd_http_get_response_length (const gbd_http_call_t *call)
+{
+  return call->response->len;
+}
+
 bool
 gbd_http_is_responding (const gbd_http_call_t *call)
 {
--- a/src/gooseberrydrum/platform_http.h
+++ b/src/gooseberrydrum/platform_http.h
@@ -64,6 +64,9 @@
  *  been sent. */
 bool gbd_http_is_sent (const gbd_http_call_t *call);
 
+/** @return number of bytes of the response's body received so far. */
+size_t gbd_http_get_response_length (const gbd_http_call_t *call);
+
 /** Whether the response has begun. */
 bool gbd_http_is_responding (const gbd_http_call_t *call);
 
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* Limit for a page of a listing that keeps arriving. */
+#define LISTING_TIME_MAX (10 * GBD_SECOND)
+
 struct gbd_platform_watch
 {
   gbd_platform_t *platform;
@@ -22,6 +25,7 @@
   gbd_time_t requested_at;
   gbd_time_t unconnected_since; /* for gbd_platform_is_connect_late() */
   gbd_time_t timeout_at;
+  size_t received; /* bytes of the response to a listing at the last tick */
   gbd_time_t retry_at;
   bool is_retry;   /* the last attempt failed, or a refresh was requested */
   bool is_refresh; /* a refresh was requested; no response has arrived since */
@@ -35,6 +39,7 @@
 };
 
 static void send_request (gbd_platform_watch_t *watch);
+static void extend_timeout (gbd_platform_watch_t *watch);
 static void receive_response (void *data, const gbd_http_response_t *response);
 static void apply_response (gbd_platform_watch_t *watch,
                             const gbd_platform_result_t *result);
@@ -173,6 +178,7 @@
   gbd_platform_t *platform = watch->platform;
   if (watch->http_call)
     {
+      extend_timeout (watch);
       if (platform->now < watch->timeout_at
           && !gbd_platform_is_connect_late (platform, watch->http_call,
                                             &watch->unconnected_since))
@@ -227,6 +233,7 @@
   watch->has_moved = false;
   watch->requested_at = platform->now;
   watch->unconnected_since = 0;
+  watch->received = 0;
   watch->timeout_at = platform->now + timeout_ms * GBD_MILLISECOND;
   gbd_retry_budget_earn (&platform->budget);
   watch->http_call = gbd_platform_start (
@@ -236,6 +243,22 @@
     back_off (watch);
 }
 
+/* A listing is not abandoned while its response arrives: when many instances
+   list at once, the platform's link may need longer than any sensible time-out
+   for all of them, and to begin again would only add to its load. */
+static void
+extend_timeout (gbd_platform_watch_t *watch)
+{
+  gbd_platform_t *platform = watch->platform;
+  size_t received = gbd_http_get_response_length (watch->http_call);
+  if (watch->is_listed || received == watch->received)
+    return;
+  watch->received = received;
+  watch->timeout_at = MIN (
+      platform->now + platform->settings.list_timeout_ms * GBD_MILLISECOND,
+      watch->requested_at + LISTING_TIME_MAX);
+}
+
 static void
 receive_response (void *data, const gbd_http_response_t *response)
 {
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -5,6 +5,11 @@
 #include <string.h>
 #include <cmocka.h>
 
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
 #include <glib.h>
 
 #include "gooseberrydrum/platform_client.h"
@@ -684,6 +689,109 @@
   fixture_close (&fixture);
 }
 
+#define SLOW_PIECES 20
+#define SLOW_TIMEOUT_MS 200
+#define SLOW_PIECE_INTERVAL (100 * GBD_MILLISECOND)
+#define SLOW_STEPS_MAX 1000
+
+/* A server that sends one response in pieces. */
+typedef struct
+{
+  int listen_fd;
+  int fd;
+  int sent_pieces;
+  int pieces_max; /* the connection stalls after so many pieces */
+  gbd_time_t next_piece_at;
+} slow_server_t;
+
+static gbd_address_t
+open_slow_server (slow_server_t *server, int pieces_max)
+{
+  struct sockaddr_in name = { .sin_family = AF_INET };
+  socklen_t length = sizeof name;
+  gbd_address_t address;
+  *server = (slow_server_t){ .fd = -1, .pieces_max = pieces_max };
+  name.sin_addr.s_addr = htonl (INADDR_LOOPBACK);
+  server->listen_fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+  assert_int_equal (
+      bind (server->listen_fd, (struct sockaddr *)&name, sizeof name), 0);
+  assert_int_equal (listen (server->listen_fd, 1), 0);
+  getsockname (server->listen_fd, (struct sockaddr *)&name, &length);
+  gbd_address_parse ("127.0.0.1:1", &address);
+  address.port = ntohs (name.sin_port);
+  return address;
+}
+
+/* Sends the next piece if it is due: {"version":1,"items":[...]}, padded. */
+static void
+serve_slowly (slow_server_t *server, gbd_time_t now)
+{
+  static const char body[] = "{\"version\":1,\"items\":[]}";
+  char text[128];
+  if (server->fd < 0)
+    {
+      server->fd = accept (server->listen_fd, NULL, NULL);
+      if (server->fd < 0)
+        return;
+      int length = g_snprintf (text, sizeof text,
+                               "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n",
+                               SLOW_PIECES + (int)strlen (body));
+      assert_int_equal (send (server->fd, text, (size_t)length, 0), length);
+      server->next_piece_at = now + SLOW_PIECE_INTERVAL;
+    }
+  if (now < server->next_piece_at || server->sent_pieces >= server->pieces_max)
+    return;
+  server->next_piece_at = now + SLOW_PIECE_INTERVAL;
+  bool is_last = ++server->sent_pieces == SLOW_PIECES;
+  g_snprintf (text, sizeof text, " %s", is_last ? body : "");
+  send (server->fd, text, strlen (text), MSG_NOSIGNAL);
+}
+
+/* Seen on a played day: after a loss of power all instances read the routes
+   (330 kB) at once.  The store's link needed 1.5 s for them, but each request
+   was abandoned after 1 s and sent again, so the return took 4 s. */
+static void
+listing_is_not_abandoned_while_it_arrives (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    int pieces;
+    bool is_complete;
+  } rows[] = { { SLOW_PIECES, true }, { SLOW_PIECES / 2, false } };
+  for (size_t i = 0; i < G_N_ELEMENTS (rows); i++)
+    {
+      fixture_t fixture;
+      slow_server_t server;
+      watch_view_t view = { .view = json_object () };
+      gbd_platform_watch_callbacks_t callbacks = view_callbacks;
+      callbacks.failed = record_failure;
+      fixture_open (&fixture, 0);
+      gbd_platform_settings_t settings
+          = { .platform = open_slow_server (&server, rows[i].pieces),
+              .call_timeout_ms = SLOW_TIMEOUT_MS };
+      fixture.platform = gbd_platform_new (fixture.context, &settings);
+      gbd_platform_watch_new (fixture.platform, KIND, "", fixture.now,
+                              &callbacks, &view);
+      for (int step = 0; step < SLOW_STEPS_MAX && view.confirmations == 0
+                         && view.failures == 0;
+           step++)
+        {
+          lws_cancel_service (fixture.context);
+          lws_service (fixture.context, 0);
+          serve_slowly (&server, fixture.now);
+          fixture.now += FIXTURE_STEP;
+          gbd_platform_tick (fixture.platform, fixture.now);
+        }
+      assert_int_equal (view.confirmations, rows[i].is_complete);
+      assert_int_equal (view.failures, !rows[i].is_complete);
+      json_decref (view.view);
+      close (server.fd);
+      close (server.listen_fd);
+      fixture_close (&fixture);
+    }
+}
+
 static int
 use_objects_api (void **state)
 {
@@ -721,6 +829,7 @@
     cmocka_unit_test (watch_converges_to_the_state_of_the_platform),
     cmocka_unit_test (watch_relists_when_its_version_was_compacted),
     cmocka_unit_test (user_may_refuse_to_relist_after_compaction),
+    cmocka_unit_test (listing_is_not_abandoned_while_it_arrives),
   };
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   return failed
