--- a/include/gooseberrydrum/sources.h
+++ b/include/gooseberrydrum/sources.h
@@ -11,9 +11,8 @@
  *
  *  - Start.  The relays may have stopped together with their readers, and no
  *    packet is served before the list is read, so a reader begins at the
- *    platform.  Only at the first start of a group, when no packets arrive
- * yet, it begins at the relays and leaves out the platform until they have
- *    started.
+ *    platform.  At the first start of a group no packets arrive yet; it then
+ *    begins at the relays and leaves out the platform until they have started.
  *  - Outage of the platform.  Relays that respond that they cannot reach the
  *    platform show that the reader need not look for itself.  Their readers
  *    then try the platform in turn, one for each GBD_SOURCES_PROBE_SPACING,
@@ -38,9 +37,9 @@
  *  processes of the relays may start some tenths of a second after others. */
 #define GBD_SOURCES_FIRST_START_DELAY (2 * GBD_SECOND)
 /** After the first list was read from the platform, time for which the relays
- *  are preferred although they do not respond: the list is seconds old at
- * most, and relays that were stopped together with their readers start soon.
- * Their readers would otherwise each make several requests to the platform. */
+ *  are preferred although they do not respond.  The list is seconds old at
+ *  most, and relays that were stopped together with their readers start soon;
+ *  each reader would otherwise make several requests to the platform. */
 #define GBD_SOURCES_RELAY_START_TIME GBD_SECOND
 /** Mean time between two attempts at the platform by the readers of one relay
  *  while their relays cannot reach it. */
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -35,8 +35,8 @@
   /** Serves key, routes and list to a relay that starts while the platform is
    *  unreachable; NULL if this instance is a relay or listens for no others */
   gbd_relay_t *peer_server;
-  char from_argument[GBD_ADDRESS_TEXT_MAX + 8]; /**< tells relays where
-                                                     peer_server listens */
+  char from_argument[GBD_ADDRESS_TEXT_MAX + sizeof "from="]; /**< tells relays
+                                                 where peer_server listens */
   gbd_platform_t *peer;  /**< client of a reader of this relay; NULL: none */
   gbd_sources_t sources; /**< sources of the list of backend servers */
   gbd_platform_t *clients[GBD_SOURCES_MAX]; /**< one client for each source */
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -3,12 +3,13 @@
  *  the messages of relay_codec.h.  This reduces the load on the platform, and
  *  lets an instance start while the platform is unreachable.
  *
- *  A reader may add the address of its own relay as "from=ADDRESS".
- *
  *    GET /v2/KIND                          all objects
  *    GET /v2/KIND?since=VERSION&wait_ms=MS changes; long poll
  *    GET /v2/KIND/NAME                     one document
  *
+ *  The first two accept the argument "from=ADDRESS": where the reader itself
+ *  serves listings.
+ *
  *  Versions are those of the platform, so a reader can switch between relays
  *  and the platform.  A reader whose version is higher than that of the relay
  *  keeps its version.  The status is 410 for a version older than the retained
@@ -32,11 +33,8 @@
  *  and still resume its watch. */
 #define GBD_RELAY_DELETION_RETENTION (60 * GBD_SECOND)
 
-typedef struct gbd_relay gbd_relay_t;
-
-/** Longest wait of a request for a listing until the relay has one: the
- *  slowest instances of the largest sites need about half of it to read 600
- *  backend servers from the platform. */
+/** Longest wait of a request for a listing until the relay has one, which
+ *  takes a relay some tenths of a second with 600 backend servers. */
 #define GBD_RELAY_LISTING_WAIT GBD_SECOND
 /** Readers with a newer version show that the platform serves some instances.
  *  They are reported to the others if such requests last for
@@ -45,9 +43,11 @@
  *  after the last one. */
 #define GBD_RELAY_NEWER_READER_DELAY (2 * GBD_SECOND)
 #define GBD_RELAY_NEWER_READER_VALIDITY (3 * GBD_SECOND)
-
+/** Time after its last request in which a reader is expected to be running. */
 #define GBD_RELAY_PEER_VALIDITY (5 * GBD_SECOND)
 
+typedef struct gbd_relay gbd_relay_t;
+
 /** @param kind kind of the objects; not copied, must outlive the relay
  *  @param error set to a message that names the remedy if NULL is returned */
 gbd_relay_t *gbd_relay_new (struct lws_context *context,
