Read-through: start decisions apart from I/O, causes in the log, pages

Found by reading the change as a whole; no decision changes.

- Which list a starting instance uses, when it asks relays and who creates the key were decided between socket calls in cookie_servers.c and cookie_store.c, and when readers are told of one that the platform serves, in relay.c.
- platform_http.h: a comment stood above the wrong function.
Lengths of messages have names; the request for changes is built in one place for the native API and relays.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -106,9 +106,9 @@
 /** @return NULL if no routes are installed. */
 const gbd_routes_t *gbd_director_get_routes (const gbd_director_t *director);
 
-/** Whether packets can be routed: the group's key, the routes and at least
- * part of the list of backend servers are installed.  When all instances start
- *  together, the list arrives in parts, up to half a second apart; until it is
+/** Whether packets can be routed: key, routes and at least part of the list of
+ *  backend servers are installed.  When all instances start together, the
+ *  pages of the list arrive some tenths of a second apart; until it is
  *  complete, nothing is reset because a backend server is missing. */
 bool gbd_director_is_ready (const gbd_director_t *director);
 
--- a/include/gooseberrydrum/sources.h
+++ b/include/gooseberrydrum/sources.h
@@ -7,17 +7,20 @@
  *  it serves others.  Sources are in order of preference; a failed source is
  *  retried after an exponential backoff.
  *
- *  Two load patterns decide when a reader of relays may try the platform:
+ *  Three load patterns decide when a reader of relays may try the platform:
  *
  *  - Start.  The relays may have stopped together with their readers, and no
  *    packet is served before the list is read, so a reader begins at the
  *    platform.  At the first start of a group no packets arrive yet; it then
  *    begins at the relays and leaves out the platform until they have started.
+ *  - Relays that return after their readers.  A reader that has the list waits
+ *    GBD_SOURCES_RELAY_START_TIME for them before it uses the platform again.
  *  - Outage of the platform.  Relays that respond that they cannot reach the
  *    platform show that the reader need not look for itself.  Their readers
  *    then try the platform in turn, one for each GBD_SOURCES_PROBE_SPACING,
  *    in case it rejects only the relays.  If one of them succeeds, the relays
- *    see its newer version and all their readers may follow.
+ *    see its newer version (gbd_newer_readers_t), and all their readers may
+ *    follow.
  */
 #ifndef GOOSEBERRYDRUM_SOURCES_H
 #define GOOSEBERRYDRUM_SOURCES_H
@@ -74,8 +77,7 @@
 
 /** Initialize the list and select the first source.
  *  @param platform index of the platform
- *  @param is_first_start whether all instances of the group start for the
- * first time */
+ *  @param is_first_start as in gbd_start_may_ask_relays() */
 void gbd_sources_init (gbd_sources_t *sources, uint32_t count,
                        uint32_t platform, bool is_first_start,
                        uint64_t random_seed, gbd_time_t now);
@@ -105,5 +107,27 @@
  *  @return whether the current source changed. */
 bool gbd_sources_fail_back (gbd_sources_t *sources, gbd_time_t now);
 
+/** Readers whose version is higher than that of their relay, which cannot
+ * reach the platform: they have read from the platform since, so it rejects
+ * the relay only.  They are reported to the other readers when their requests
+ *  have lasted for GBD_NEWER_READERS_DELAY, in which a relay reaches the
+ *  platform again after an outage; else all readers would follow the first
+ *  one at the end of each outage. */
+typedef struct
+{
+  gbd_time_t since; /**< first such request; 0: none */
+  gbd_time_t seen_at;
+} gbd_newer_readers_t;
+
+#define GBD_NEWER_READERS_DELAY (2 * GBD_SECOND)
+/** Time for which they are reported after their last request. */
+#define GBD_NEWER_READERS_VALIDITY (3 * GBD_SECOND)
+
+void gbd_newer_readers_record (gbd_newer_readers_t *readers, gbd_time_t now);
+/** Call when the relay has reached the platform. */
+void gbd_newer_readers_reset (gbd_newer_readers_t *readers);
+bool gbd_newer_readers_are_reported (const gbd_newer_readers_t *readers,
+                                     gbd_time_t now);
+
 GBD_END_DECLS
 #endif
--- /dev/null
+++ b/include/gooseberrydrum/start.h
@@ -0,0 +1,56 @@
+/** @file start.h
+ *  Decisions of an instance that starts: which list to use, when to ask
+ *  relays, who creates the group's key.
+ *
+ *  Load pattern: many instances of a group are stopped at once, by a loss of
+ *  power or a fault, and return together, the relays perhaps last, and perhaps
+ *  while the platform is unreachable.  No packet is served until an instance
+ *  has key, routes and a list, so it asks all sources at once and uses the
+ *  first response; and hundreds of instances must not repeat what one of them
+ *  can do for all.
+ */
+#ifndef GOOSEBERRYDRUM_START_H
+#define GOOSEBERRYDRUM_START_H
+
+#include "gooseberrydrum/decls.h"
+#include "gooseberrydrum/types.h"
+
+GBD_BEGIN_DECLS
+
+/** Time for which only relays create the key.  If every instance of a new
+ * group tried, all but one of these writes would be in vain. */
+#define GBD_START_KEY_CREATION_DELAY (2 * GBD_SECOND)
+/** Time for which key and routes are left to the platform, whose responses
+ * take milliseconds unless it is slow or unreachable. */
+#define GBD_START_DOCUMENT_DELAY (200 * GBD_MILLISECOND)
+
+/** What to do with the list of a relay. */
+typedef enum
+{
+  GBD_START_LIST_USED,        /**< in place of the platform's */
+  GBD_START_LIST_PROVISIONAL, /**< until the platform's list arrives */
+  GBD_START_LIST_IGNORED      /**< it may be older than what the platform has
+                                   sent */
+} gbd_start_list_t;
+#define GBD_START_LIST_COUNT 3
+extern const char *const gbd_start_list_strings[GBD_START_LIST_COUNT];
+
+/** @param is_outdated whether the relay cannot reach the platform
+ *  @param has_platform_begun whether part of the platform's list has arrived
+ */
+gbd_start_list_t gbd_start_choose_list (bool is_outdated,
+                                        bool has_platform_begun);
+
+/** Whether this instance may create the key if the platform has none.
+ *  @param has_relays whether the group has relays besides this instance
+ *  @param uptime     time since this instance started */
+bool gbd_start_may_create_key (bool is_relay, bool has_relays,
+                               gbd_time_t uptime);
+
+/** Whether to request a missing key or missing routes from relays.
+ *  @param is_first_start whether all instances of the group start for the
+ *  first time, so that the platform has no key yet */
+bool gbd_start_may_ask_relays (bool is_first_start, gbd_time_t uptime);
+
+GBD_END_DECLS
+#endif
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -10,6 +10,7 @@
 #include "event_log.h"
 #include "gooseberrydrum/retry.h"
 #include "gooseberrydrum/sources.h"
+#include "gooseberrydrum/start.h"
 #include "platform_client.h"
 #include "prober.h"
 #include "relay.h"
@@ -55,19 +56,21 @@
   gbd_backoff_t key_backoff;
   gbd_time_t key_retry_at; /**< earliest time of the next request for the key
                                 from the platform */
-  const gbd_platform_t *document_client; /**< of the last such request */
+  /** Client of the last request for a document, that is key or routes of a
+   *  relay */
+  const gbd_platform_t *document_client;
   gbd_backoff_t document_backoff;
-  gbd_time_t document_due;    /**< earliest time of that request */
-  uint32_t start_source;      /**< relay that start_watch uses */
-  uint32_t document_source;   /**< source of the next request for a document */
-  bool is_peer_due;           /**< start_watch should try the next reader */
-  bool is_start_list_ignored; /**< the platform has responded before the
-                                   relay's outdated list */
-  bool is_key_requested;      /**< a request for the key is in progress at the
-                                   platform */
+  gbd_time_t document_due;     /**< earliest time of the next such request */
+  uint32_t start_source;       /**< relay that start_watch uses */
+  gbd_start_list_t start_list; /**< what to do with its list */
+  uint32_t document_source; /**< source of the next request for a document */
+  bool is_peer_due;         /**< start_watch should try the next reader */
+  bool is_relay_rejecting;  /**< the last response of a relay said that it
+                                 cannot reach the platform */
+  bool is_key_requested;    /**< a request for the key is in progress at the
+                                 platform */
   bool has_key;
-  bool is_document_requested; /**< a request for key or routes of a relay is in
-                                   progress */
+  bool is_document_requested; /**< a request for a document is in progress */
   bool was_ready;
   bool is_listing;       /**< a listing of backend servers is in progress */
   bool is_list_outdated; /**< the relay that sent the last list could not reach
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -225,6 +225,10 @@
   gbd_platform_t *client = open_relay (serve, &address);
   if (!client)
     return;
+  char text[GBD_ADDRESS_TEXT_MAX];
+  gbd_address_format (&address, text);
+  gbd_event_log_emit (serve->event_log, GBD_EVENT_READER_ASKED, now,
+                      json_pack ("{s:s}", "reader", text));
   gbd_platform_t *previous = serve->peer;
   serve->peer = client;
   gbd_platform_watch_move (serve->start_watch, client, true);
@@ -517,9 +521,10 @@
 servers_rejected (void *data, const json_t *body)
 {
   gbd_cookie_serve_t *serve = data;
-  json_t *readers = json_object_get (body, "readers");
+  const json_t *readers = json_object_get (body, "readers");
   if (gbd_cookie_servers_use_platform (serve) || !json_is_integer (readers))
     return;
+  serve->is_relay_rejecting = true;
   gbd_sources_record_rejection (
       &serve->sources, (uint32_t)json_integer_value (readers),
       json_is_true (json_object_get (body, "newer")), serve->clock (NULL));
@@ -536,6 +541,7 @@
               gbd_cookie_servers_use_platform (serve) ? GBD_EVENT_PLATFORM_LOST
                                                       : GBD_EVENT_RELAY_LOST,
               now);
+  serve->is_relay_rejecting = false;
   if (serve->relay)
     gbd_relay_disconnect (serve->relay);
   bool was_at_relay = !gbd_cookie_servers_use_platform (serve);
@@ -568,14 +574,18 @@
   gbd_cookie_routes_check_version (serve, hint, now);
 }
 
-/* An outdated list must not replace entries that the platform has sent. */
 static void
 start_list_metadata (void *data, uint32_t removal_grace_ms, uint64_t hint,
                      bool is_connected)
 {
   gbd_cookie_serve_t *serve = data;
-  serve->is_start_list_ignored = !is_connected && serve->is_listing;
-  if (!serve->is_start_list_ignored)
+  serve->start_list = gbd_start_choose_list (!is_connected, serve->is_listing);
+  gbd_event_log_emit (
+      serve->event_log, GBD_EVENT_START_LIST, serve->clock (NULL),
+      json_pack ("{s:s, s:b, s:b}", "list",
+                 gbd_start_list_strings[serve->start_list], "connected",
+                 is_connected, "listing", serve->is_listing));
+  if (serve->start_list != GBD_START_LIST_IGNORED)
     servers_relay_metadata (data, removal_grace_ms, hint, is_connected);
 }
 
@@ -583,7 +593,7 @@
 start_list_reset (void *data)
 {
   const gbd_cookie_serve_t *serve = data;
-  if (!serve->is_start_list_ignored)
+  if (serve->start_list != GBD_START_LIST_IGNORED)
     servers_reset (data);
 }
 
@@ -592,7 +602,7 @@
                     json_t *value)
 {
   const gbd_cookie_serve_t *serve = data;
-  if (!serve->is_start_list_ignored)
+  if (serve->start_list != GBD_START_LIST_IGNORED)
     server_changed (data, name, version, value);
 }
 
@@ -600,10 +610,10 @@
 start_list_confirmed (void *data, gbd_time_t requested_at)
 {
   gbd_cookie_serve_t *serve = data;
-  if (serve->is_list_outdated || serve->is_start_list_ignored)
+  if (serve->start_list != GBD_START_LIST_USED)
     {
       /* The request to the platform goes on. */
-      if (!serve->is_start_list_ignored)
+      if (serve->start_list == GBD_START_LIST_PROVISIONAL)
         accept_outdated_list (serve, serve->start_watch, serve->clock (NULL));
       serve->is_list_outdated = false;
       gbd_platform_watch_delete (serve->start_watch);
@@ -624,7 +634,6 @@
 static void
 start_list_failed (void *data, gbd_time_t now)
 {
-  (void)now;
   gbd_cookie_serve_t *serve = data;
   if (!serve->start_watch)
     return; /* its first request has failed at once */
@@ -633,6 +642,11 @@
   if (next == serve->sources.platform)
     next = (next + 1) % count;
   bool is_round_over = next <= serve->start_source;
+  if (is_round_over)
+    gbd_event_log_emit (serve->event_log, GBD_EVENT_RELAY_LOST, now,
+                        json_pack ("{s:s, s:s, s:s}", "watch",
+                                   serve->platform_api->servers_kind, "source",
+                                   "relay", "cause", "no list at a start"));
   serve->is_peer_due = is_round_over;
   serve->start_source = next;
   gbd_platform_watch_move (serve->start_watch, serve->clients[next],
@@ -666,6 +680,11 @@
   json_t *fields = json_pack (
       "{s:s, s:s}", "watch", serve->platform_api->servers_kind, "source",
       gbd_cookie_servers_use_platform (serve) ? "platform" : "relay");
+  if (event == GBD_EVENT_RELAY_LOST)
+    json_object_set_new (fields, "cause",
+                         json_string (serve->is_relay_rejecting
+                                          ? "platform unreachable"
+                                          : "no response"));
   if (event == GBD_EVENT_PLATFORM_FOUND)
     json_object_set_new (
         fields, "away_ms",
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -26,15 +26,9 @@
 #define CALL_TIMEOUT_MS 1000
 /* A working watch on routes lags behind a relay by at most its batch delay. */
 #define STALE_ROUTES_TIMEOUT ((ROUTES_BATCH_DELAY_MS + 200) * GBD_MILLISECOND)
-/* Time after a start in which only relays create the key.  If every instance
-   of a new group created it, all but one of these writes would be in vain. */
-#define KEY_CREATION_DELAY (2 * GBD_SECOND)
 #define KEY_BACKOFF_FIRST (50 * GBD_MILLISECOND)
-#define KEY_BACKOFF_LONGEST GBD_SECOND
-/* An instance that lacks the key or the routes requests them from the relays,
-   one after the other, if the platform has not sent them by then. */
-#define RELAY_DOCUMENT_DELAY (200 * GBD_MILLISECOND)
-#define RELAY_DOCUMENT_BACKOFF_FIRST (100 * GBD_MILLISECOND)
+#define DOCUMENT_BACKOFF_FIRST (100 * GBD_MILLISECOND)
+#define BACKOFF_LONGEST GBD_SECOND /* of key and documents */
 #define KEY_KIND "gooseberrydrum"
 #define KEY_NAME "cookie-key"
 #define KEY_FIELD "key" /* 16 hexadecimal digits */
@@ -47,10 +41,14 @@
 static void set_document (gbd_cookie_serve_t *serve, const char *kind,
                           const char *name, uint64_t version,
                           const json_t *value);
-static bool may_create_key (const gbd_cookie_serve_t *serve, gbd_time_t now);
 static void create_key (gbd_cookie_serve_t *serve, gbd_time_t now);
 static void handle_key (gbd_cookie_serve_t *serve, uint64_t version,
-                        json_t *value, gbd_time_t now);
+                        json_t *value, const char *source, gbd_time_t now);
+static void install_routes (gbd_cookie_serve_t *serve, uint64_t version,
+                            json_t *value, const char *source, gbd_time_t now);
+static void log_failure (gbd_cookie_serve_t *serve, gbd_event_t event,
+                         const char *kind, gbd_status_t status,
+                         gbd_time_t now);
 static void request_document (gbd_cookie_serve_t *serve, gbd_time_t now);
 static void handle_document (void *data, gbd_status_t status, uint64_t version,
                              json_t *value);
@@ -104,12 +102,12 @@
   gbd_platform_watch_set_pause (serve->routes_watch, ROUTES_BATCH_DELAY_MS);
   if (!gbd_cookie_servers_start (serve, error))
     return false;
-  gbd_backoff_init (&serve->key_backoff, KEY_BACKOFF_FIRST,
-                    KEY_BACKOFF_LONGEST, serve->random_value);
-  gbd_backoff_init (&serve->document_backoff, RELAY_DOCUMENT_BACKOFF_FIRST,
-                    KEY_BACKOFF_LONGEST, serve->random_value);
+  gbd_backoff_init (&serve->key_backoff, KEY_BACKOFF_FIRST, BACKOFF_LONGEST,
+                    serve->random_value);
+  gbd_backoff_init (&serve->document_backoff, DOCUMENT_BACKOFF_FIRST,
+                    BACKOFF_LONGEST, serve->random_value);
   /* At the first start there is no key yet, and the relays create it. */
-  serve->key_retry_at = now + KEY_CREATION_DELAY;
+  serve->key_retry_at = now + GBD_START_KEY_CREATION_DELAY;
   if (serve->relay || !serve->settings->first_start)
     request_key (serve, now);
   return true;
@@ -163,8 +161,12 @@
   if (serve->has_key)
     return;
   if (status == GBD_OK || status == GBD_ERROR_CONFLICT)
-    handle_key (serve, version, value, now);
-  else if (status == GBD_ERROR_NOT_FOUND && may_create_key (serve, now))
+    handle_key (serve, version, value, "platform", now);
+  else if (status != GBD_ERROR_NOT_FOUND)
+    log_failure (serve, GBD_EVENT_PLATFORM_LOST, KEY_KIND, status, now);
+  else if (gbd_start_may_create_key (serve->relay,
+                                     gbd_cookie_servers_have_relays (serve),
+                                     now - serve->started_at))
     create_key (serve, now);
   if (!serve->has_key)
     serve->key_retry_at = now + gbd_backoff_next (&serve->key_backoff);
@@ -172,7 +174,7 @@
 
 static void
 handle_key (gbd_cookie_serve_t *serve, uint64_t version, json_t *value,
-            gbd_time_t now)
+            const char *source, gbd_time_t now)
 {
   const char *text = json_string_value (json_object_get (value, KEY_FIELD));
   if (!text)
@@ -185,7 +187,8 @@
   serve->has_key = true;
   set_document (serve, KEY_KIND, KEY_NAME, version, value);
   gbd_event_log_emit (serve->event_log, GBD_EVENT_KEY_KNOWN, now,
-                      json_pack ("{s:I}", "version", (json_int_t)version));
+                      json_pack ("{s:I, s:s}", "version", (json_int_t)version,
+                                 "source", source));
 }
 
 /* Serves a document to other instances. */
@@ -198,13 +201,6 @@
     gbd_relay_set_document (server, kind, name, version, value);
 }
 
-static bool
-may_create_key (const gbd_cookie_serve_t *serve, gbd_time_t now)
-{
-  return serve->relay || !gbd_cookie_servers_have_relays (serve)
-         || now - serve->started_at >= KEY_CREATION_DELAY;
-}
-
 static void
 create_key (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
@@ -225,9 +221,10 @@
 {
   bool has_routes = gbd_director_get_routes (serve->director)
                     || gbd_platform_watch_is_responding (serve->routes_watch);
-  gbd_time_t delay = serve->settings->first_start ? 0 : RELAY_DOCUMENT_DELAY;
   if ((serve->has_key && has_routes) || serve->is_document_requested
-      || now < serve->document_due || now - serve->started_at < delay
+      || now < serve->document_due
+      || !gbd_start_may_ask_relays (serve->settings->first_start,
+                                    now - serve->started_at)
       || !gbd_cookie_servers_have_relays (serve))
     return;
   serve->document_source = (serve->document_source + 1) % serve->sources.count;
@@ -254,22 +251,33 @@
   serve->is_document_requested = false;
   if (status != GBD_OK || !value)
     {
+      /* A relay that is starting too has no documents yet. */
+      if (status != GBD_ERROR_NOT_FOUND)
+        log_failure (serve, GBD_EVENT_RELAY_LOST,
+                     serve->has_key ? serve->platform_api->routes_kind
+                                    : KEY_KIND,
+                     status, now);
       serve->document_due = now + gbd_backoff_next (&serve->document_backoff);
       return;
     }
   if (json_object_get (value, KEY_FIELD) && !serve->has_key)
-    handle_key (serve, version, value, now);
+    handle_key (serve, version, value, "relay", now);
   else if (!json_object_get (value, KEY_FIELD))
-    routes_changed (serve, serve->platform_api->routes_name, version, value);
+    install_routes (serve, version, value, "relay", now);
 }
 
 static void
 routes_changed (void *data, const char *name, uint64_t version, json_t *value)
 {
   gbd_cookie_serve_t *serve = data;
-  gbd_time_t now = serve->clock (NULL);
-  if (!value || strcmp (name, serve->platform_api->routes_name) != 0)
-    return;
+  if (value && strcmp (name, serve->platform_api->routes_name) == 0)
+    install_routes (serve, version, value, "platform", serve->clock (NULL));
+}
+
+static void
+install_routes (gbd_cookie_serve_t *serve, uint64_t version, json_t *value,
+                const char *source, gbd_time_t now)
+{
   const char *problem = NULL;
   gbd_routes_t *routes = serve->platform_api->read_routes (value, &problem);
   if (!routes)
@@ -284,17 +292,18 @@
   serve->routes_object_version = MAX (serve->routes_object_version, version);
   serve->routes_stale_since = 0;
   if (version == serve->routes_object_version)
-    set_document (serve, serve->platform_api->routes_kind, name, version,
-                  value);
+    set_document (serve, serve->platform_api->routes_kind,
+                  serve->platform_api->routes_name, version, value);
   if (serve->relay && version == serve->routes_object_version)
     gbd_relay_set_hint (serve->relay, version);
   if (gbd_director_set_routes (serve->director, routes) != GBD_OK)
     return;
   serve->routes_read_at = now;
   gbd_event_log_emit (serve->event_log, GBD_EVENT_ROUTES, now,
-                      json_pack ("{s:I, s:I, s:i}", "version",
+                      json_pack ("{s:I, s:I, s:i, s:s}", "version",
                                  (json_int_t)route_version, "object_version",
-                                 (json_int_t)version, "routes", (int)count));
+                                 (json_int_t)version, "routes", (int)count,
+                                 "source", source));
 }
 
 static void
@@ -316,3 +325,12 @@
       serve->event_log, GBD_EVENT_PLATFORM_LOST, now,
       json_pack ("{s:s}", "watch", serve->platform_api->routes_kind));
 }
+
+static void
+log_failure (gbd_cookie_serve_t *serve, gbd_event_t event, const char *kind,
+             gbd_status_t status, gbd_time_t now)
+{
+  gbd_event_log_emit (serve->event_log, event, now,
+                      json_pack ("{s:s, s:s}", "watch", kind, "cause",
+                                 gbd_status_strings[status]));
+}
--- a/src/gooseberrydrum/platform_api.c
+++ b/src/gooseberrydrum/platform_api.c
@@ -61,6 +61,17 @@
   g_free (query);
 }
 
+void
+gbd_platform_set_watch_request (gbd_platform_request_t *request,
+                                const char *prefix, const char *kind,
+                                uint64_t version, uint32_t wait_ms)
+{
+  gbd_platform_set_request (request, "GET", prefix, kind, NULL,
+                            g_strdup_printf ("?since=" VERSION_FORMAT
+                                             "&wait_ms=%u",
+                                             version, wait_ms));
+}
+
 static void
 make_list (const char *kind, const char *after, bool allow_stale,
            gbd_platform_request_t *request)
@@ -77,10 +88,7 @@
             bool allow_stale, gbd_platform_request_t *request)
 {
   (void)allow_stale;
-  gbd_platform_set_request (request, "GET", PREFIX, kind, NULL,
-                            g_strdup_printf ("?since=" VERSION_FORMAT
-                                             "&wait_ms=%u",
-                                             version, wait_ms));
+  gbd_platform_set_watch_request (request, PREFIX, kind, version, wait_ms);
 }
 
 static void
--- a/src/gooseberrydrum/platform_api.h
+++ b/src/gooseberrydrum/platform_api.h
@@ -85,4 +85,10 @@
                                const char *kind, const char *name,
                                char *query);
 
+/** Set a request for the changes since a version, in the form that the native
+ *  API and the relays share. */
+void gbd_platform_set_watch_request (gbd_platform_request_t *request,
+                                     const char *prefix, const char *kind,
+                                     uint64_t version, uint32_t wait_ms);
+
 #endif
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -22,7 +22,8 @@
   uint32_t connect_timeout_ms; /**< abandon a call whose connection is not
                                     established by then; 0: only by
                                     call_timeout_ms */
-  uint32_t list_timeout_ms;    /**< of a listing; call_timeout_ms if 0 */
+  uint32_t list_timeout_ms;    /**< of a listing, counted from the last bytes
+                                    received; call_timeout_ms if 0 */
   uint32_t attempts;           /**< at a read; 4 if 0 */
   uint32_t watch_wait_ms;      /**< longest wait of a long poll */
   uint32_t watch_pause_ms;    /**< pause after a response with changes, so that
@@ -163,8 +164,8 @@
  *  while the circuit breaker is open.  Use it if the response may never
  *  arrive, or if the platform is known to respond to other clients.  If the
  *  request fails, the back-off continues from its last delay.  A retry or a
- *  listing in progress is not abandoned, as it is not a long poll and its
- *  time-out is short. */
+ *  listing in progress is not abandoned: it is not a long poll, and it times
+ *  out soon unless its response is arriving. */
 void gbd_platform_watch_refresh (gbd_platform_watch_t *watch);
 
 /** Whether a listing is complete, or the response to it has begun. */
--- a/src/gooseberrydrum/platform_http.h
+++ b/src/gooseberrydrum/platform_http.h
@@ -59,7 +59,6 @@
  *  @return GBD_HTTP_NOT_SENT or GBD_HTTP_INTERRUPTED */
 gbd_http_outcome_t gbd_http_cancel (gbd_http_call_t *call);
 
-/** Number of calls in progress. */
 /** Whether the connection of a call is established and its request may have
  *  been sent. */
 bool gbd_http_is_sent (const gbd_http_call_t *call);
@@ -70,6 +69,7 @@
 /** Whether the response has begun. */
 bool gbd_http_is_responding (const gbd_http_call_t *call);
 
+/** Number of calls in progress. */
 uint32_t gbd_http_get_open_count (const gbd_http_t *http);
 
 /** Total bytes of the request bodies that were sent, and of the response
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "admin_response.h"
+#include "gooseberrydrum/sources.h"
 #include "relay_api.h"
 #include "relay_codec.h"
 
@@ -78,11 +79,8 @@
   bool is_connected; /* the platform is reachable */
   bool has_failed;   /* the platform was unreachable at least once */
   bool is_listing;
-  uint32_t reader_count;  /* waiting readers at the last publication */
-  gbd_time_t newer_since; /* first and last request of a reader with a newer
-                             version since the platform became unreachable;
-                             0: none */
-  gbd_time_t newer_seen_at;
+  uint32_t reader_count; /* waiting readers at the last publication */
+  gbd_newer_readers_t newer_readers;
   cached_response_t cached_response;
   gbd_relay_fill_t fill; /* NULL: the objects are stored */
   void *fill_data;
@@ -237,7 +235,7 @@
   publish_objects (relay, version, now);
   relay->removal_grace_ms = removal_grace_ms;
   relay->is_connected = true;
-  relay->newer_since = 0;
+  gbd_newer_readers_reset (&relay->newer_readers);
   relay->reader_count = MAX (relay->reader_count, relay->waiting_readers->len);
   expire_deletions (relay, now);
   respond_to_waiting_readers (relay, false);
@@ -274,7 +272,7 @@
     return;
   msgpack_sbuffer_init (&buffer);
   msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 4);
+  msgpack_pack_array (&packer, GBD_RELAY_DOCUMENT_LENGTH);
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, GBD_RELAY_DOCUMENT);
   msgpack_pack_uint64 (&packer, version);
@@ -451,11 +449,7 @@
                : wait_for_changes (relay, reader, GBD_RELAY_LISTING_WAIT);
   read_argument (wsi, "wait_ms=", &wait_ms);
   if (!relay->is_connected && reader->since > relay->version)
-    {
-      relay->newer_seen_at = relay->now;
-      if (!relay->newer_since)
-        relay->newer_since = relay->now;
-    }
+    gbd_newer_readers_record (&relay->newer_readers, relay->now);
   /* A reader with a higher version has read from another source.  It has
      everything that this relay has, so it waits until the relay publishes a
      higher version. */
@@ -610,7 +604,7 @@
 
   msgpack_packer packer;
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 7);
+  msgpack_pack_array (&packer, GBD_RELAY_OBJECTS_LENGTH);
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, since ? GBD_RELAY_CHANGES : GBD_RELAY_LISTING);
   msgpack_pack_uint64 (&packer,
@@ -625,7 +619,7 @@
       const object_t *object = data;
       if (!is_included (object, since))
         continue;
-      msgpack_pack_array (&packer, 3);
+      msgpack_pack_array (&packer, GBD_RELAY_OBJECT_LENGTH);
       pack_text (&packer, name);
       msgpack_pack_uint64 (&packer, object->version);
       gsize length = 0;
@@ -643,11 +637,9 @@
 {
   msgpack_packer packer;
   bool has_newer_reader
-      = relay->newer_since
-        && relay->now - relay->newer_since >= GBD_RELAY_NEWER_READER_DELAY
-        && relay->now - relay->newer_seen_at < GBD_RELAY_NEWER_READER_VALIDITY;
+      = gbd_newer_readers_are_reported (&relay->newer_readers, relay->now);
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, 4);
+  msgpack_pack_array (&packer, GBD_RELAY_REJECTION_LENGTH);
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, GBD_RELAY_REJECTION);
   msgpack_pack_uint32 (&packer, relay->reader_count);
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -36,13 +36,6 @@
 /** Longest wait of a request for a listing until the relay has one, which
  *  takes a relay some tenths of a second with 600 backend servers. */
 #define GBD_RELAY_LISTING_WAIT GBD_SECOND
-/** Readers with a newer version show that the platform serves some instances.
- *  They are reported to the others if such requests last for
- *  GBD_RELAY_NEWER_READER_DELAY, in which the relay reaches the platform again
- *  after an outage of the platform, and for GBD_RELAY_NEWER_READER_VALIDITY
- *  after the last one. */
-#define GBD_RELAY_NEWER_READER_DELAY (2 * GBD_SECOND)
-#define GBD_RELAY_NEWER_READER_VALIDITY (3 * GBD_SECOND)
 /** Time after its last request in which a reader is expected to be running. */
 #define GBD_RELAY_PEER_VALIDITY (5 * GBD_SECOND)
 
--- a/src/gooseberrydrum/relay_api.c
+++ b/src/gooseberrydrum/relay_api.c
@@ -6,8 +6,6 @@
 
 #include "relay_codec.h"
 
-#define VERSION_FORMAT "%" G_GUINT64_FORMAT
-
 /* Positions in a message. */
 enum
 {
@@ -90,10 +88,8 @@
             bool allow_stale, gbd_platform_request_t *request)
 {
   (void)allow_stale;
-  gbd_platform_set_request (request, "GET", GBD_RELAY_PREFIX, kind, NULL,
-                            g_strdup_printf ("?since=" VERSION_FORMAT
-                                             "&wait_ms=%u",
-                                             version, wait_ms));
+  gbd_platform_set_watch_request (request, GBD_RELAY_PREFIX, kind, version,
+                                  wait_ms);
 }
 
 static void
--- a/src/gooseberrydrum/relay_codec.h
+++ b/src/gooseberrydrum/relay_codec.h
@@ -19,6 +19,12 @@
 
 #define GBD_RELAY_SCHEMA 1
 
+/* Numbers of entries of the arrays of this schema. */
+#define GBD_RELAY_OBJECTS_LENGTH 7 /**< of a listing, or of changes */
+#define GBD_RELAY_OBJECT_LENGTH 3
+#define GBD_RELAY_DOCUMENT_LENGTH 4
+#define GBD_RELAY_REJECTION_LENGTH 4
+
 typedef enum
 {
   GBD_RELAY_LISTING,
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -49,8 +49,9 @@
     "(HTTP); only for the policy cookie." },
   { "relay-listen", &gbd_kind_optional_address, FIELD (relay_listen), "off",
     "", 0, 0, NULL, false,
-    "Address at which this instance relays the list of backend servers to "
-    "other instances (HTTP); only for the policy cookie." },
+    "Address at which this instance serves the list of backend servers, the "
+    "routes and the group's key to other instances (HTTP); only for the "
+    "policy cookie.  Whoever reaches it can read the key." },
   { "relays", &gbd_kind_addresses, FIELD (relays), "", "", 0, 0, NULL, false,
     "Addresses of the relays: instances that watch the platform's list of "
     "backend servers and relay it to the others.  An instance is a relay if "
--- a/src/libgooseberrydrum/sources.c
+++ b/src/libgooseberrydrum/sources.c
@@ -123,6 +123,28 @@
   return false;
 }
 
+void
+gbd_newer_readers_record (gbd_newer_readers_t *readers, gbd_time_t now)
+{
+  readers->seen_at = now;
+  if (!readers->since)
+    readers->since = now;
+}
+
+void
+gbd_newer_readers_reset (gbd_newer_readers_t *readers)
+{
+  readers->since = 0;
+}
+
+bool
+gbd_newer_readers_are_reported (const gbd_newer_readers_t *readers,
+                                gbd_time_t now)
+{
+  return readers->since && now - readers->since >= GBD_NEWER_READERS_DELAY
+         && now - readers->seen_at < GBD_NEWER_READERS_VALIDITY;
+}
+
 static bool
 is_due (const gbd_sources_t *sources, uint32_t index, gbd_time_t now)
 {
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -15,6 +15,7 @@
 #include "free_address.h"
 #include "gooseberrydrum/relay.h"
 #include "gooseberrydrum/relay_api.h"
+#include "gooseberrydrum/sources.h"
 
 #define KIND "servers"
 #define STEP (100 * GBD_MILLISECOND)
@@ -454,8 +455,7 @@
       gbd_relay_disconnect (lagging_relay);
       for (int i = 0; i < 2; i++)
         {
-          gbd_relay_tick (lagging_relay,
-                          now + i * GBD_RELAY_NEWER_READER_DELAY);
+          gbd_relay_tick (lagging_relay, now + i * GBD_NEWER_READERS_DELAY);
           gbd_platform_watch_move (watch, second_client, true);
           run_until_count (&failures, failures + 1);
           assert_int_equal (
