--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -792,6 +792,92 @@
     }
 }
 
+/* Seen on a played day: when no relay responded, the routes were requested
+   again, which abandoned the listing of 287 kB that was arriving and doubled
+   the time of the start. */
+static void
+refresh_does_not_abandon_a_listing (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  slow_server_t server;
+  watch_view_t view = { .view = json_object () };
+  gbd_platform_watch_callbacks_t callbacks = view_callbacks;
+  callbacks.failed = record_failure;
+  fixture_open (&fixture, 0);
+  gbd_platform_settings_t settings
+      = { .platform = open_slow_server (&server, SLOW_PIECES),
+          .call_timeout_ms = SLOW_TIMEOUT_MS };
+  fixture.platform = gbd_platform_new (fixture.context, &settings);
+  gbd_platform_watch_t *watch = gbd_platform_watch_new (
+      fixture.platform, KIND, "", fixture.now, &callbacks, &view);
+  bool is_refreshed = false;
+  for (int step = 0; step < SLOW_STEPS_MAX && view.confirmations == 0; step++)
+    {
+      lws_cancel_service (fixture.context);
+      lws_service (fixture.context, 0);
+      serve_slowly (&server, fixture.now);
+      if (server.sent_pieces == SLOW_PIECES / 2 && !is_refreshed)
+        {
+          gbd_platform_watch_refresh (watch);
+          is_refreshed = true;
+        }
+      fixture.now += FIXTURE_STEP;
+      gbd_platform_tick (fixture.platform, fixture.now);
+    }
+  assert_true (is_refreshed);
+  assert_int_equal (view.confirmations, 1);
+  assert_int_equal (view.failures, 0);
+  json_decref (view.view);
+  close (server.fd);
+  close (server.listen_fd);
+  fixture_close (&fixture);
+}
+
+static int
+count_full_calls (fixture_t *fixture)
+{
+  json_t *stats = platform_store_get_stats (fixture->store);
+  json_t *stale = json_object_get (json_object_get (stats, "lagging"), KIND);
+  int count = fixture_count_calls (fixture, KIND, "list")
+              + fixture_count_calls (fixture, KIND, "watch")
+              - (int)json_integer_value (stale);
+  json_decref (stats);
+  return count;
+}
+
+/* Hundreds of instances retry when the platform fails.  A retry of a watch
+   that allows stale reads must be a stale read, which replicas answer; only a
+   refresh must not. */
+static void
+retries_of_a_stale_watch_are_stale_reads (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  watch_view_t view = { .view = json_object () };
+  gbd_platform_watch_callbacks_t callbacks = view_callbacks;
+  callbacks.failed = record_failure;
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  fixture_write (&fixture, KIND, "a", "1");
+  gbd_platform_watch_t *watch = gbd_platform_watch_new (
+      platform, KIND, "", fixture.now, &callbacks, &view);
+  gbd_platform_watch_set_allow_stale (watch, true);
+  step_until_confirmed (&fixture, &view);
+  fixture_set_switches (&fixture, "{\"cut_watches\":true}");
+  int before = count_full_calls (&fixture);
+  while (view.failures < 3)
+    fixture_step (&fixture);
+  fixture_set_switches (&fixture, "{\"cut_watches\":false}");
+  step_until_confirmed (&fixture, &view);
+  assert_int_equal (count_full_calls (&fixture), before);
+  gbd_platform_watch_refresh (watch);
+  step_until_confirmed (&fixture, &view);
+  assert_int_equal (count_full_calls (&fixture), before + 1);
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
 static int
 use_objects_api (void **state)
 {
@@ -815,6 +901,7 @@
     cmocka_unit_test (listing_spans_several_pages),
     cmocka_unit_test (pages_of_different_versions_miss_no_change),
     cmocka_unit_test (watch_relists_when_its_version_was_compacted),
+    cmocka_unit_test (retries_of_a_stale_watch_are_stale_reads),
   };
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (call_status_matches_the_effect_under_faults),
@@ -830,6 +917,7 @@
     cmocka_unit_test (watch_relists_when_its_version_was_compacted),
     cmocka_unit_test (user_may_refuse_to_relist_after_compaction),
     cmocka_unit_test (listing_is_not_abandoned_while_it_arrives),
+    cmocka_unit_test (refresh_does_not_abandon_a_listing),
   };
   int failed = cmocka_run_group_tests (tests, NULL, NULL);
   return failed
