A removed entry alone does not end a backend server's flows

Now a draining server's flows are reset early only with a missing response, a refused probe or one without response; servers whose entries are removed are probed while flows are open; flows of a server that has responded or accepted a probe since the removal are not reset. The first list starts the removal grace period.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -23,20 +23,24 @@
 GBD_BEGIN_DECLS
 
 /** Delay between the removal of a backend server's entry and the reset of its
- *  flows, if other evidence confirms that it has stopped: it was draining, and
- *  a draining backend server removes its entry when it exits, or at least
- *  GBD_DIRECTOR_FAILURES_REMOVED packets have remained unanswered since its
- *  last response. */
+ *  flows, if other evidence confirms that it has stopped: a refused probe, or
+ *  missing responses since its last one.  The entry alone proves nothing: it
+ *  also expires when heartbeats are lost or written late. */
 #define GBD_DIRECTOR_CONFIRMED_RESET_DELAY (300 * GBD_MILLISECOND)
 /** One missing response may be packet loss.  Two in a row, together with the
  *  removed entry, indicate a failure. */
 #define GBD_DIRECTOR_FAILURES_REMOVED 2
+/** The same for a backend server that was draining, which was about to exit;
+ *  a probe without a response counts too. */
+#define GBD_DIRECTOR_FAILURES_DRAINED 1
 /** Missing responses to packets and probes, counted together, after which a
  *  listed backend server is considered down for callers that may retry. */
 #define GBD_DIRECTOR_FAILURES_LISTED 3
 /** Delay between the removal of a backend server's entry and the reset of its
  *  flows without such evidence.  It may only have lost its connection to the
- *  platform; it then writes its entry again within GBD_POOL_REMOVAL_GRACE. */
+ *  platform; it then writes its entry again within GBD_POOL_REMOVAL_GRACE.
+ *  Never reset are flows of a backend server that has responded since the
+ *  removal, or has accepted a probe, without a missing response after that. */
 #define GBD_DIRECTOR_UNCONFIRMED_RESET_DELAY                                  \
   (GBD_POOL_REMOVAL_GRACE + GBD_SECOND)
 
--- a/include/gooseberrydrum/suspicion.h
+++ b/include/gooseberrydrum/suspicion.h
@@ -17,6 +17,10 @@
  *  A probe, which is a TCP connection to the address of a suspected backend
  *  server, distinguishes a process that has stopped or an unreachable machine
  *  from one that is slow or behind a lossy link.
+ *
+ *  A backend server whose entry is removed is probed as well.  Its entry may
+ *  have expired because its heartbeats were written late, while it serves its
+ *  flows.
  */
 #ifndef GOOSEBERRYDRUM_SUSPICION_H
 #define GOOSEBERRYDRUM_SUSPICION_H
@@ -68,6 +72,7 @@
                                   had a result */
   uint32_t probe_count;      /**< consecutive probes whose result was
                                   `probe` */
+  bool is_removed;           /**< the platform no longer lists it */
 } gbd_suspicion_t;
 
 /** Record a response to a packet. */
@@ -80,6 +85,11 @@
 bool gbd_suspicion_record_failure (gbd_suspicion_t *suspicion,
                                    gbd_time_t sent_at, gbd_time_t now);
 
+/** Record that the entry of the backend server was removed, or listed again.
+ */
+void gbd_suspicion_record_removal (gbd_suspicion_t *suspicion, gbd_time_t now);
+void gbd_suspicion_record_listing (gbd_suspicion_t *suspicion);
+
 bool gbd_suspicion_is_suspected (const gbd_suspicion_t *suspicion);
 
 bool gbd_suspicion_is_probe_due (const gbd_suspicion_t *suspicion,
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -473,6 +473,10 @@
       accept_outdated_list (serve, serve->servers_watch, now);
       return;
     }
+  /* An instance that starts does not know whether the platform was unreachable
+     just before. */
+  if (!serve->servers_confirmed_at)
+    gbd_pool_extend_removal_grace (pool, now + GBD_POOL_REMOVAL_GRACE);
   serve->servers_confirmed_at = now;
   gbd_pool_set_platform_unreachable (pool, false, now);
   if (serve->is_listing)
--- a/src/gooseberrydrum/prober.c
+++ b/src/gooseberrydrum/prober.c
@@ -144,7 +144,8 @@
     {
       gbd_pool_server_t *server
           = gbd_pool_get (prober->pool, (gbd_pool_handle_t)i);
-      if (!server->is_used || !server->is_listed
+      /* Of a removed backend server, only its flows are of interest. */
+      if (!server->is_used || (!server->is_listed && server->load.open == 0)
           || !gbd_suspicion_is_probe_due (&server->load.suspicion, now))
         continue;
       probe_t *probe = find_free_probe (prober);
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -292,9 +292,20 @@
 {
   if (server->is_listed || gbd_pool_is_platform_unreachable (director->pool))
     return false;
+  const gbd_suspicion_t *suspicion = &server->load.suspicion;
+  gbd_probe_result_t probe = gbd_suspicion_get_probe (suspicion, now);
+  bool is_draining = server->entry.backend.state == GBD_BACKEND_DRAINING;
+  uint32_t failures = is_draining
+                          ? gbd_suspicion_count_failures (suspicion, now)
+                          : suspicion->unanswered;
   bool is_confirmed
-      = server->entry.backend.state == GBD_BACKEND_DRAINING
-        || server->load.suspicion.unanswered >= GBD_DIRECTOR_FAILURES_REMOVED;
+      = probe == GBD_PROBE_REFUSED
+        || failures >= (is_draining ? GBD_DIRECTOR_FAILURES_DRAINED
+                                    : GBD_DIRECTOR_FAILURES_REMOVED);
+  bool is_running = suspicion->last_response_at > server->removed_at
+                    || probe == GBD_PROBE_ACCEPTED;
+  if (!is_confirmed && is_running)
+    return false;
   gbd_time_t delay = is_confirmed ? GBD_DIRECTOR_CONFIRMED_RESET_DELAY
                                   : GBD_DIRECTOR_UNCONFIRMED_RESET_DELAY;
   return now - server->removed_at >= delay;
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -103,6 +103,7 @@
   server->removed_at = GBD_TIME_NEVER;
   server->removal_due = GBD_TIME_NEVER;
   server->superseded_at = GBD_TIME_NEVER;
+  gbd_suspicion_record_listing (&server->load.suspicion);
   supersede (pool, server, now);
   if (!is_new && !has_moved)
     return GBD_OK;
@@ -420,5 +421,6 @@
   server->is_listed = false;
   server->removal_due = GBD_TIME_NEVER;
   server->removed_at = now;
+  gbd_suspicion_record_removal (&server->load.suspicion, now);
   pool->listed_count--;
 }
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -3,6 +3,7 @@
 const char *const gbd_probe_strings[GBD_PROBE_COUNT]
     = { "none", "accepted", "refused", "silent" };
 
+static bool needs_probe (const gbd_suspicion_t *suspicion);
 static gbd_time_t get_earlier (gbd_time_t a, gbd_time_t b);
 
 void
@@ -31,6 +32,20 @@
   return is_first;
 }
 
+void
+gbd_suspicion_record_removal (gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  suspicion->is_removed = true;
+  suspicion->probe_due = now;
+  suspicion->probe_interval = GBD_SUSPICION_FIRST_TRIAL;
+}
+
+void
+gbd_suspicion_record_listing (gbd_suspicion_t *suspicion)
+{
+  suspicion->is_removed = false;
+}
+
 bool
 gbd_suspicion_is_suspected (const gbd_suspicion_t *suspicion)
 {
@@ -40,7 +55,7 @@
 bool
 gbd_suspicion_is_probe_due (const gbd_suspicion_t *suspicion, gbd_time_t now)
 {
-  return suspicion->unanswered > 0 && now >= suspicion->probe_due;
+  return needs_probe (suspicion) && now >= suspicion->probe_due;
 }
 
 void
@@ -56,7 +71,7 @@
                             gbd_probe_result_t result, gbd_time_t began_at,
                             gbd_time_t now)
 {
-  if (suspicion->unanswered == 0 || suspicion->last_response_at >= began_at)
+  if (!needs_probe (suspicion) || suspicion->last_response_at >= began_at)
     return false;
   bool has_changed = gbd_suspicion_get_probe (suspicion, now) != result;
   suspicion->probe_count = has_changed ? 1 : suspicion->probe_count + 1;
@@ -71,7 +86,7 @@
 gbd_probe_result_t
 gbd_suspicion_get_probe (const gbd_suspicion_t *suspicion, gbd_time_t now)
 {
-  if (suspicion->unanswered == 0
+  if (!needs_probe (suspicion)
       || now - suspicion->probed_at > GBD_SUSPICION_PROBE_VALIDITY)
     return GBD_PROBE_NONE;
   return (gbd_probe_result_t)suspicion->probe;
@@ -105,6 +120,12 @@
                                            GBD_SUSPICION_LONGEST_TRIAL);
 }
 
+static bool
+needs_probe (const gbd_suspicion_t *suspicion)
+{
+  return suspicion->unanswered > 0 || suspicion->is_removed;
+}
+
 static gbd_time_t
 get_earlier (gbd_time_t a, gbd_time_t b)
 {
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -309,6 +309,34 @@
   close_group (&group);
 }
 
+/* Entries expire in an outage that ends just before an instance starts, so the
+   instance learns only that they are deleted.  Their backend servers write
+   them again within GBD_POOL_REMOVAL_GRACE. */
+static void
+entries_that_expired_before_a_start_have_a_grace_period (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  freeze_replicas (&group);
+  for (uint64_t i = 1; i <= 2; i++)
+    {
+      char name[GBD_NAME_MAX + 1];
+      world_object_format_objects.format_server_name (i, name, sizeof name);
+      platform_store_write (group.fixture.store, "servers", name, NULL);
+    }
+  const gbd_address_list_t no_relays = { .count = 0 };
+  run_until_ready (&group, start_instance (&group, &no_relays, NULL));
+  run_for (&group, GBD_SECOND);
+  assert_true (find_server (&group, 1)->is_listed);
+  assert_true (find_server (&group, 2)->is_listed);
+  write_server (&group, 2, true);
+  run_for (&group, GBD_POOL_REMOVAL_GRACE);
+  assert_false (find_server (&group, 1)->is_listed);
+  assert_true (find_server (&group, 2)->is_listed);
+  close_group (&group);
+}
+
 static uint64_t
 get_routes_version (const gbd_cookie_serve_t *serve)
 {
@@ -659,6 +687,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (outage_backs_off_route_requests),
     cmocka_unit_test (start_reads_a_stale_list_and_catches_up),
+    cmocka_unit_test (entries_that_expired_before_a_start_have_a_grace_period),
     cmocka_unit_test (reader_starts_while_the_platform_is_unreachable),
     cmocka_unit_test (restarted_relay_passes_on_an_outdated_list),
     cmocka_unit_test (relay_starts_from_its_reader),
