An outdated list is not the base of later changes

Cause, traced in its log: all processes were killed at 29 s while the store was silent, and entries expired in it. Instances that had seen the deletion of i-4bbe0d3c13 (version 633) kept the entry for the removal grace period, and handed it on as part of a list of version 764. A relay whose watch continued from 764 never received the deletion; when the server wrote its entry again (version 907) the relay found it unchanged and did not pass it on. edge-abdali-14 had removed the entry, because its grace period ended at 33.47 s although it had lost the platform again at 32.81 s, got the changes since 866 from that relay without version 907, and reset the flows 3.6 s later.

- A watch that continues from an outdated list lists everything again at the first response of a connected source.
- An outage in the grace period, and a longer grace period that a relay reports, postpone pending removals.

Ruled out: resets because of older routes; a stale first list (the list of abdali-14 was complete for its version).

--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -75,6 +75,8 @@
   bool is_listing;       /**< a listing of backend servers is in progress */
   bool is_list_outdated; /**< the relay that sent the last list could not reach
                               the platform */
+  bool is_base_outdated; /**< the listing that servers_watch continues was
+                              outdated */
   bool is_routes_watch_failing; /**< the last request of the watch on routes
                                      failed */
   uint64_t listing_count;       /**< listings of backend servers started */
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -473,6 +473,14 @@
       accept_outdated_list (serve, serve->servers_watch, now);
       return;
     }
+  /* An outdated list contains entries that were deleted before its version,
+     but not yet removed by the instance that sent it. */
+  if (serve->is_base_outdated && !serve->is_listing)
+    {
+      gbd_platform_watch_relist (serve->servers_watch);
+      return;
+    }
+  serve->is_base_outdated = false;
   /* An instance that starts does not know whether the platform was unreachable
      just before. */
   if (!serve->servers_confirmed_at)
@@ -513,6 +521,7 @@
   gbd_pool_set_platform_unreachable (pool, true, now);
   gbd_pool_end_listing (pool, now);
   serve->is_listing = false;
+  serve->is_base_outdated = watch == serve->servers_watch;
   if (serve->relay)
     gbd_relay_publish_outdated (serve->relay,
                                 gbd_platform_watch_get_version (watch), now);
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -168,6 +168,10 @@
  *  out soon unless its response is arriving. */
 void gbd_platform_watch_refresh (gbd_platform_watch_t *watch);
 
+/** List everything again with the next request, which is sent without a pause.
+ *  May be called from a callback of the watch. */
+void gbd_platform_watch_relist (gbd_platform_watch_t *watch);
+
 /** Whether a listing is complete, or the response to it has begun. */
 bool gbd_platform_watch_is_responding (const gbd_platform_watch_t *watch);
 
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -147,6 +147,13 @@
   gbd_breaker_report (&watch->platform->breaker, true, watch->platform->now);
 }
 
+void
+gbd_platform_watch_relist (gbd_platform_watch_t *watch)
+{
+  restart_listing (watch);
+  watch->retry_at = 0;
+}
+
 bool
 gbd_platform_watch_is_responding (const gbd_platform_watch_t *watch)
 {
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -43,6 +43,8 @@
                        gbd_time_t now);
 static void clear_superseded (gbd_pool_t *pool,
                               const gbd_pool_server_t *server);
+static void postpone_removals (gbd_pool_t *pool);
+static gbd_time_t get_removal_time (const gbd_pool_t *pool);
 static void remove_entry (gbd_pool_t *pool, gbd_pool_server_t *server,
                           gbd_time_t now);
 
@@ -124,9 +126,7 @@
   if (pool->is_platform_unreachable || now < pool->removal_grace_end)
     {
       if (server->removal_due == GBD_TIME_NEVER)
-        server->removal_due = pool->is_platform_unreachable
-                                  ? INT64_MAX
-                                  : pool->removal_grace_end;
+        server->removal_due = get_removal_time (pool);
       return;
     }
   remove_entry (pool, server, now);
@@ -157,9 +157,7 @@
           || server->removal_due == GBD_TIME_NEVER)
         continue;
       if (pool->is_platform_unreachable || now < pool->removal_grace_end)
-        server->removal_due = pool->is_platform_unreachable
-                                  ? INT64_MAX
-                                  : pool->removal_grace_end;
+        server->removal_due = get_removal_time (pool);
       else
         remove_entry (pool, server, now);
     }
@@ -173,22 +171,18 @@
   if (pool->is_platform_unreachable == is_platform_unreachable)
     return;
   pool->is_platform_unreachable = is_platform_unreachable;
-  if (is_platform_unreachable)
-    return;
-  pool->removal_grace_end = now + GBD_POOL_REMOVAL_GRACE;
-  for (uint32_t i = 0; i < pool->capacity; i++)
-    {
-      gbd_pool_server_t *server = &pool->servers[i];
-      if (server->is_used && server->removal_due != GBD_TIME_NEVER)
-        server->removal_due = pool->removal_grace_end;
-    }
+  if (!is_platform_unreachable)
+    pool->removal_grace_end = now + GBD_POOL_REMOVAL_GRACE;
+  postpone_removals (pool);
 }
 
 void
 gbd_pool_extend_removal_grace (gbd_pool_t *pool, gbd_time_t until)
 {
-  if (until > pool->removal_grace_end)
-    pool->removal_grace_end = until;
+  if (until <= pool->removal_grace_end)
+    return;
+  pool->removal_grace_end = until;
+  postpone_removals (pool);
 }
 
 gbd_time_t
@@ -413,6 +407,26 @@
     other->superseded_at = GBD_TIME_NEVER;
 }
 
+/* Postpones pending removals to the end of the removal grace period, or until
+   the platform is reachable again. */
+static void
+postpone_removals (gbd_pool_t *pool)
+{
+  for (uint32_t i = 0; i < pool->capacity; i++)
+    {
+      gbd_pool_server_t *server = &pool->servers[i];
+      if (server->is_used && server->removal_due != GBD_TIME_NEVER)
+        server->removal_due = get_removal_time (pool);
+    }
+}
+
+/* Returns when an entry whose removal is deferred will be removed. */
+static gbd_time_t
+get_removal_time (const gbd_pool_t *pool)
+{
+  return pool->is_platform_unreachable ? INT64_MAX : pool->removal_grace_end;
+}
+
 static void
 remove_entry (gbd_pool_t *pool, gbd_pool_server_t *server, gbd_time_t now)
 {
--- a/src/test_libgooseberrydrum/test_pool.c
+++ b/src/test_libgooseberrydrum/test_pool.c
@@ -63,6 +63,47 @@
   gbd_pool_delete (pool);
 }
 
+/* The platform is lost again in the grace period, so the entries that backend
+   servers wrote again have not arrived. */
+static void
+outage_in_the_grace_period_defers_removals (void **state)
+{
+  (void)state;
+  gbd_pool_t *pool = make_pool ();
+  gbd_time_t second_outage = START + 2 * GBD_SECOND;
+  gbd_time_t recovery_time = START + 9 * GBD_SECOND;
+  gbd_pool_set_platform_unreachable (pool, true, START);
+  gbd_pool_remove (pool, 1, START);
+  gbd_pool_set_platform_unreachable (pool, false, START + GBD_SECOND);
+  gbd_pool_set_platform_unreachable (pool, true, second_outage);
+  gbd_pool_tick (pool, recovery_time);
+  assert_true (find_by_id (pool, 1)->is_listed);
+  gbd_pool_set_platform_unreachable (pool, false, recovery_time);
+  gbd_pool_tick (pool, recovery_time + GBD_POOL_REMOVAL_GRACE - 1);
+  assert_true (find_by_id (pool, 1)->is_listed);
+  gbd_pool_tick (pool, recovery_time + GBD_POOL_REMOVAL_GRACE);
+  assert_false (find_by_id (pool, 1)->is_listed);
+  gbd_pool_delete (pool);
+}
+
+/* A relay reports a grace period that ends later than that of its reader. */
+static void
+extended_grace_period_applies_to_pending_removals (void **state)
+{
+  (void)state;
+  gbd_pool_t *pool = make_pool ();
+  gbd_pool_set_platform_unreachable (pool, true, START);
+  gbd_pool_set_platform_unreachable (pool, false, START);
+  gbd_pool_remove (pool, 1, START);
+  gbd_time_t until = START + GBD_POOL_REMOVAL_GRACE + GBD_SECOND;
+  gbd_pool_extend_removal_grace (pool, until);
+  gbd_pool_tick (pool, until - 1);
+  assert_true (find_by_id (pool, 1)->is_listed);
+  gbd_pool_tick (pool, until);
+  assert_false (find_by_id (pool, 1)->is_listed);
+  gbd_pool_delete (pool);
+}
+
 static void
 listing_in_the_grace_period_defers_removals (void **state)
 {
@@ -173,6 +214,8 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (full_listing_removes_missing_entries),
     cmocka_unit_test (entries_that_expire_in_an_outage_have_a_grace_period),
+    cmocka_unit_test (outage_in_the_grace_period_defers_removals),
+    cmocka_unit_test (extended_grace_period_applies_to_pending_removals),
     cmocka_unit_test (listing_in_the_grace_period_defers_removals),
     cmocka_unit_test (removed_server_is_found_during_the_retention_time),
     cmocka_unit_test (restart_clears_suspicion),
