Store restored from an older copy: positions of era and revision

The store may come back some seconds old: revisions go back and are given out again, its header Store-Era rises. Before, a watch took a lower version for a failure and waited until revisions had caught up, then went on from a revision that meant something else; relays and hints compared bare versions.

A position combines era and revision in one number that only rises, so every place that compares, stores, sends or logs versions works with it unchanged: client, watches, relay protocol (/v3/), hints, first lists, conditional writes. The era is read by the adapter's API table only. An answer of an earlier era is ignored; a first answer of a later one lists everything again, with the platform taken as unreachable until the list is complete, so nothing is reset, and removals wait for the grace period. In a restored list a server that was draining stays so, and one whose entry was removed gets trial flows only; older routes are neither installed nor passed on. Relays write the key again; the key that the group uses replaces another one. A relay that restarts leaves the key to the others for 2 s, except at the first start of a group.

Stand-in: switches save_copy and restore, header with the era, 410 for a watch from a later revision.

Tests: test_position, watch_lists_again_after_a_restore, response_of_an_earlier_era_is_ignored, restored_store_takes_nothing_back, key_in_use_wins_after_a_restore, restarted_relay_leaves_the_key_to_the_group.

Not done: keepers (its lists and tables use the native API, which has no eras), restores in the soak, a model check, replicas that lag behind an era beyond being ignored; an instance that started with another key keeps it until it restarts.

--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -80,6 +80,18 @@
 gbd_status_t gbd_pool_put (gbd_pool_t *pool, const gbd_pool_entry_t *entry,
                            gbd_time_t now);
 
+/** Correct an entry of a store that was restored from an older copy: a backend
+ *  server that was draining does not become ready again.  If its entry was
+ *  removed, it may have ended, so gbd_pool_suspect() should follow
+ *  gbd_pool_put().
+ *  @return whether its entry was removed. */
+bool gbd_pool_correct_restored (const gbd_pool_t *pool,
+                                gbd_pool_entry_t *entry);
+
+/** Make a backend server suspected, so that it gets trial flows only until it
+ *  responds. */
+void gbd_pool_suspect (gbd_pool_t *pool, gbd_backend_id_t id, gbd_time_t now);
+
 /** Remove an entry that was deleted, or replaced by an invalid one.  The
  *  removal is deferred while the platform is unreachable and during the
  *  removal grace period. */
--- a/include/gooseberrydrum/start.h
+++ b/include/gooseberrydrum/start.h
@@ -22,8 +22,10 @@
 
 GBD_BEGIN_DECLS
 
-/** Time for which only relays create the key.  If every instance of a new
- * group tried, all but one of these writes would be in vain. */
+/** Time for which only relays of a new group create the key.  If every
+ * instance tried, all but one of these writes would be in vain; and if the
+ * store was restored from a copy without the key, the relays that hold it
+ * write it again. */
 #define GBD_START_KEY_CREATION_DELAY (2 * GBD_SECOND)
 /** Time for which key and routes are left to the platform, whose responses
  * take milliseconds unless it is slow or unreachable. */
@@ -60,10 +62,11 @@
                                         bool has_platform_begun);
 
 /** Whether this instance may create the key if the platform has none.
+ *  @param is_first_start as in gbd_start_may_ask_relays()
  *  @param has_relays whether the group has relays besides this instance
  *  @param uptime     time since this instance started */
-bool gbd_start_may_create_key (bool is_relay, bool has_relays,
-                               gbd_time_t uptime);
+bool gbd_start_may_create_key (bool is_relay, bool is_first_start,
+                               bool has_relays, gbd_time_t uptime);
 
 /** Whether a holder announces itself to a relay.
  *  @param is_platform_unreachable otherwise the relay reads from the platform
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -84,12 +84,16 @@
   bool is_key_requested;    /**< a request for the key is in progress at the
                                  platform */
   bool has_key;
+  uint64_t key;
+  bool is_key_restored;       /**< the key was written again in this era */
   bool is_document_requested; /**< a request for a document is in progress */
   bool was_ready;
   bool is_listing;       /**< a listing of backend servers is in progress */
   bool is_list_outdated; /**< the relay that sent the last list could not reach
                               the platform */
   uint64_t list_version; /**< version of the list in the pool; 0: none */
+  bool is_restoring;     /**< the entries that arrive are those of a restored
+                              store, until the list is confirmed */
   bool is_base_outdated; /**< the listing that servers_watch continues was
                               outdated */
   bool is_routes_watch_failing; /**< the last request of the watch on routes
@@ -138,6 +142,10 @@
 /** Send the requests to the platform that are due. */
 void gbd_cookie_store_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
 
+/** Write the group's key again if the platform has lost it, or has another one
+ *  that an instance created since. */
+void gbd_cookie_store_restore_key (gbd_cookie_serve_t *serve, gbd_time_t now);
+
 /** Take key and routes from the documents of a relay's listing.
  *  @param documents as in gbd_platform_watch_callbacks_t */
 void gbd_cookie_store_add_documents (gbd_cookie_serve_t *serve,
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -4,6 +4,7 @@
 
 #include <glib.h>
 
+#include "gooseberrydrum/position.h"
 #include "relay_api.h"
 
 /* Wait of a relay's long poll for backend servers.  A relay must detect within
@@ -65,6 +66,7 @@
 static void accept_outdated_list (gbd_cookie_serve_t *serve,
                                   const gbd_platform_watch_t *watch,
                                   gbd_time_t now);
+static void servers_restored (void *data, uint64_t position, uint32_t era);
 static void servers_rejected (void *data, const json_t *body);
 static void servers_failed (void *data, gbd_time_t now);
 static void servers_relay_metadata (void *data, uint32_t removal_grace_ms,
@@ -102,6 +104,7 @@
   .failed = servers_failed,
   .relay_metadata = servers_relay_metadata,
   .documents = documents_received,
+  .restored = servers_restored,
 };
 
 bool
@@ -480,8 +483,11 @@
   gbd_status_t status = GBD_ERROR_NOT_FOUND;
   const gbd_platform_api_t *api
       = json_is_array (value) ? &gbd_platform_api_relay : serve->platform_api;
+  bool is_suspect = false;
   if (value)
     status = api->read_server (name, value, now, &entry, &problem);
+  if (status == GBD_OK && serve->is_restoring)
+    is_suspect = gbd_pool_correct_restored (pool, &entry);
   if (serve->relay && !(status == GBD_OK && is_unchanged (serve, &entry)))
     {
       json_t *description
@@ -509,6 +515,8 @@
                                  now);
       return;
     }
+  if (is_suspect)
+    gbd_pool_suspect (pool, entry.backend.id, now);
   gbd_event_log_emit (serve->event_log, GBD_EVENT_SERVER_LISTED, now,
                       json_pack ("{s:s, s:I, s:s, s:b}", "server", name,
                                  "version", (json_int_t)version, "state",
@@ -595,6 +603,7 @@
   if (!serve->servers_confirmed_at)
     gbd_pool_extend_removal_grace (pool, now + GBD_POOL_REMOVAL_GRACE);
   serve->servers_confirmed_at = now;
+  serve->is_restoring = false;
   gbd_pool_set_platform_unreachable (pool, false, now);
   if (serve->is_listing)
     gbd_pool_end_listing (pool, now);
@@ -640,6 +649,32 @@
       json_pack ("{s:i}", "servers", (int)gbd_pool_get_count (pool)));
 }
 
+/* The platform was restored from an older copy: nothing is removed or reset
+   because of it until backend servers have had time to write their entries
+   again. */
+static void
+servers_restored (void *data, uint64_t position, uint32_t era)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = serve->clock (NULL);
+  gbd_event_log_emit (
+      serve->event_log, GBD_EVENT_RESTORED, now,
+      json_pack (
+          "{s:i, s:I, s:i, s:i}", "era_before",
+          (int)gbd_position_get_era (position), "revision_before",
+          (json_int_t)gbd_position_get_revision (position), "era", (int)era,
+          "servers",
+          (int)gbd_pool_get_count (gbd_director_peek_pool (serve->director))));
+  serve->is_restoring = true;
+  if (!gbd_pool_is_platform_unreachable (
+          gbd_director_peek_pool (serve->director)))
+    serve->unreachable_since = now;
+  gbd_pool_set_platform_unreachable (gbd_director_get_pool (serve->director),
+                                     true, now);
+  if (serve->relay)
+    gbd_cookie_store_restore_key (serve, now);
+}
+
 static void
 servers_rejected (void *data, const json_t *body)
 {
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -43,6 +43,10 @@
                           const char *name, uint64_t version,
                           const json_t *value);
 static void create_key (gbd_cookie_serve_t *serve, gbd_time_t now);
+static void put_key (gbd_cookie_serve_t *serve, uint64_t key, uint64_t version,
+                     gbd_time_t now, gbd_platform_done_t done);
+static void handle_restored_key (void *data, gbd_status_t status,
+                                 uint64_t version, json_t *value);
 static void handle_key (gbd_cookie_serve_t *serve, uint64_t version,
                         json_t *value, const char *source, gbd_time_t now);
 static void install_routes (gbd_cookie_serve_t *serve, uint64_t version,
@@ -159,6 +163,38 @@
                     json_object_get (routes, "value"), "relay", now);
 }
 
+void
+gbd_cookie_store_restore_key (gbd_cookie_serve_t *serve, gbd_time_t now)
+{
+  serve->is_key_restored = false;
+  if (serve->has_key)
+    put_key (serve, serve->key, 0, now, handle_restored_key);
+}
+
+/* If the platform has another key, the group's key replaces it once. */
+static void
+handle_restored_key (void *data, gbd_status_t status, uint64_t version,
+                     json_t *value)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_time_t now = serve->clock (NULL);
+  const char *text = json_string_value (json_object_get (value, KEY_FIELD));
+  if (status == GBD_OK)
+    return;
+  if (status != GBD_ERROR_CONFLICT)
+    {
+      log_failure (serve, GBD_EVENT_PLATFORM_LOST, KEY_KIND, status, now);
+      return;
+    }
+  if (serve->is_key_restored
+      || (text && strtoull (text, NULL, HEX_BASE) == serve->key))
+    return;
+  serve->is_key_restored = true;
+  gbd_cookie_log_bad_object (serve, KEY_KIND, KEY_NAME, version,
+                             "it is not the key that the group uses", now);
+  put_key (serve, serve->key, version, now, handle_restored_key);
+}
+
 static uint64_t
 get_document_version (const json_t *document)
 {
@@ -191,6 +227,7 @@
   else if (status != GBD_ERROR_NOT_FOUND)
     log_failure (serve, GBD_EVENT_PLATFORM_LOST, KEY_KIND, status, now);
   else if (gbd_start_may_create_key (serve->relay,
+                                     serve->settings->first_start,
                                      gbd_cookie_servers_have_relays (serve),
                                      now - serve->started_at))
     create_key (serve, now);
@@ -209,7 +246,8 @@
                                  "the field \"key\" is missing", now);
       return;
     }
-  gbd_director_set_key (serve->director, strtoull (text, NULL, HEX_BASE));
+  serve->key = strtoull (text, NULL, HEX_BASE);
+  gbd_director_set_key (serve->director, serve->key);
   serve->has_key = true;
   set_document (serve, KEY_KIND, KEY_NAME, version, value);
   gbd_event_log_emit (serve->event_log, GBD_EVENT_KEY_KNOWN, now,
@@ -230,12 +268,19 @@
 static void
 create_key (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
-  char proposal[KEY_TEXT_SIZE];
-  snprintf (proposal, sizeof proposal, "%016" PRIx64, serve->random_value);
-  json_t *object = json_pack ("{s:s}", KEY_FIELD, proposal);
   serve->is_key_requested = true;
-  gbd_platform_put (serve->servers_platform, KEY_KIND, KEY_NAME, 0, object,
-                    now, handle_key_response, serve);
+  put_key (serve, serve->random_value, 0, now, handle_key_response);
+}
+
+static void
+put_key (gbd_cookie_serve_t *serve, uint64_t key, uint64_t version,
+         gbd_time_t now, gbd_platform_done_t done)
+{
+  char text[KEY_TEXT_SIZE];
+  snprintf (text, sizeof text, "%016" PRIx64, key);
+  json_t *object = json_pack ("{s:s}", KEY_FIELD, text);
+  gbd_platform_put (serve->servers_platform, KEY_KIND, KEY_NAME, version,
+                    object, now, done, serve);
   json_decref (object);
 }
 
@@ -317,7 +362,11 @@
   uint32_t count = gbd_routes_get_count (routes);
   serve->routes_object_version = MAX (serve->routes_object_version, version);
   serve->routes_stale_since = 0;
-  if (version == serve->routes_object_version)
+  const gbd_routes_t *installed = gbd_director_get_routes (serve->director);
+  /* A restored store may have older routes. */
+  bool is_older
+      = installed && gbd_routes_get_version (installed) > route_version;
+  if (version == serve->routes_object_version && !is_older)
     set_document (serve, serve->platform_api->routes_kind,
                   serve->platform_api->routes_name, version, value);
   if (serve->relay && version == serve->routes_object_version)
--- a/src/gooseberrydrum/platform_api.h
+++ b/src/gooseberrydrum/platform_api.h
@@ -54,6 +54,12 @@
    *  @return owned by the caller; NULL if the body has another form. */
   json_t *(*translate) (json_t *body);
 
+  /** Header of every response with the era of the store, in lower case and
+   * with its colon.  The era rises by one each time the store is restored from
+   * an older copy, and revisions then go back.  Versions are positions
+   *  (gooseberrydrum/position.h) outside the functions above.  NULL: the store
+   *  has no eras, and versions only rise */
+  const char *era_header;
   const char *servers_kind; /**< kind of the backend server objects */
   const char *routes_kind;  /**< kind of the object that contains all
                                 routes */
--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "gooseberrydrum/position.h"
+
 #define CALL_TIMEOUT_MS 2000
 #define MAX_BACKOFF_MS 1000
 /* Longest wait of a long poll; below the limit of the platform, 30 s. */
@@ -71,9 +73,13 @@
                     json_t *value);
 static void receive_response (void *data, const gbd_http_response_t *response);
 static void tick_call (call_t *call);
-static void decode_body (const gbd_platform_t *platform,
+static void decode_body (gbd_platform_t *platform,
                          const gbd_http_response_t *response, bool is_write,
                          gbd_platform_result_t *result);
+static bool record_era (gbd_platform_t *platform, uint64_t number,
+                        bool is_write, gbd_platform_result_t *result);
+static void convert_versions (json_t *body, uint32_t era);
+static void convert_version (json_t *object, uint32_t era);
 static const status_mapping_t *find_status_mapping (int http_status);
 
 gbd_platform_t *
@@ -98,6 +104,8 @@
   platform->settings.watch_wait_ms
       = MIN (settings->watch_wait_ms, WATCH_WAIT_MS_MAX);
   platform->http = http;
+  gbd_http_set_number_header (http,
+                              platform->settings.platform_api->era_header);
   platform->next_seed = settings->random_seed;
   platform->calls = g_ptr_array_new ();
   platform->watches = g_ptr_array_new ();
@@ -151,7 +159,9 @@
   call_t *call = call_new (platform, kind, name, now, done, data);
   gbd_platform_request_t *request = &call->request;
   call->is_write = true;
-  platform->settings.platform_api->put (kind, name, version, value, request);
+  platform->settings.platform_api->put (
+      kind, name, gbd_platform_get_request_version (platform, version), value,
+      request);
   if (!request->body)
     finish_later (call, GBD_ERROR_FORMAT);
   else if (strlen (request->body) > VALUE_BYTES_MAX)
@@ -167,8 +177,9 @@
 {
   call_t *call = call_new (platform, kind, name, now, done, data);
   call->is_write = true;
-  platform->settings.platform_api->remove (kind, name, version,
-                                           &call->request);
+  platform->settings.platform_api->remove (
+      kind, name, gbd_platform_get_request_version (platform, version),
+      &call->request);
   start_attempt (call);
 }
 
@@ -273,6 +284,15 @@
                                                      : GBD_ERROR_UNAVAILABLE;
 }
 
+uint64_t
+gbd_platform_get_request_version (const gbd_platform_t *platform,
+                                  uint64_t position)
+{
+  return platform->settings.platform_api->era_header
+             ? gbd_position_get_revision (position)
+             : position;
+}
+
 bool
 gbd_platform_record_version (gbd_platform_t *platform, const char *kind,
                              const char *name, uint64_t version)
@@ -429,17 +449,20 @@
 }
 
 static void
-decode_body (const gbd_platform_t *platform,
-             const gbd_http_response_t *response, bool is_write,
-             gbd_platform_result_t *result)
+decode_body (gbd_platform_t *platform, const gbd_http_response_t *response,
+             bool is_write, gbd_platform_result_t *result)
 {
   const status_mapping_t *mapping = find_status_mapping (response->status);
   result->status = is_write ? mapping->write : mapping->read;
   result->is_failure = mapping->is_failure;
   const gbd_platform_api_t *platform_api = platform->settings.platform_api;
+  if (platform_api->era_header
+      && !record_era (platform, response->number, is_write, result))
+    return;
   if (response->length > 0)
     result->body = platform_api->translate (
         platform_api->parse (response->body, response->length));
+  convert_versions (result->body, result->era);
   json_t *version = json_object_get (result->body, "version");
   bool has_version
       = json_is_integer (version) && json_integer_value (version) >= 0;
@@ -452,6 +475,52 @@
   result->is_failure = true;
 }
 
+/* Records the era of a response.
+   @return false, with the result set, if the response is from an earlier era:
+   it arrived late, or a replica has not been restored yet. */
+static bool
+record_era (gbd_platform_t *platform, uint64_t number, bool is_write,
+            gbd_platform_result_t *result)
+{
+  result->era = (uint32_t)MIN (number, GBD_POSITION_ERA_MAX);
+  if (result->era >= platform->era)
+    {
+      platform->era = result->era;
+      return true;
+    }
+  result->status = is_write ? GBD_ERROR_UNKNOWN : GBD_ERROR_UNAVAILABLE;
+  result->is_failure = true;
+  return false;
+}
+
+/* Converts the versions of a response to positions. */
+static void
+convert_versions (json_t *body, uint32_t era)
+{
+  static const char *const lists[] = { "items", "changes" };
+  if (era == 0)
+    return;
+  convert_version (body, era);
+  for (size_t i = 0; i < G_N_ELEMENTS (lists); i++)
+    {
+      size_t index;
+      json_t *object;
+      json_array_foreach (json_object_get (body, lists[i]), index, object)
+          convert_version (object, era);
+    }
+}
+
+static void
+convert_version (json_t *object, uint32_t era)
+{
+  const json_t *version = json_object_get (object, "version");
+  json_int_t revision = json_integer_value (version);
+  if (json_is_integer (version) && revision >= 0)
+    json_object_set_new (object, "version",
+                         json_integer ((json_int_t)gbd_position_make (
+                             era, (uint64_t)revision)));
+}
+
 static const status_mapping_t *
 find_status_mapping (int http_status)
 {
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -120,6 +120,12 @@
    *  relays do; called before the objects are reported.  May be NULL.
    *  @param documents {"KIND/NAME": {version, value}} */
   void (*documents) (void *data, const json_t *documents);
+  /** The store was restored from an older copy, as the response of a platform
+   *  or a relay shows; what the store has now follows, as a listing or as
+   *  changes, and then `confirmed`.  May be NULL.
+   *  @param position last position before that
+   *  @param era      new era of the store */
+  void (*restored) (void *data, uint64_t position, uint32_t era);
   /** The platform no longer stores the changes since the last response.  May
    *  be NULL.
    *  @return true to list everything again, which also happens without this
--- a/src/gooseberrydrum/platform_http.c
+++ b/src/gooseberrydrum/platform_http.c
@@ -15,6 +15,8 @@
 #define KEEPALIVE_INTERVAL_S 1
 #define KEEPALIVE_PROBES 2
 #define LENGTH_TEXT_BYTES 24
+#define NUMBER_TEXT_BYTES 24
+#define DECIMAL_BASE 10
 
 struct gbd_http
 {
@@ -22,7 +24,8 @@
   struct lws_vhost *vhost;
   char host[GBD_ADDRESS_TEXT_MAX];
   int port;
-  const char *token; /* NULL for none */
+  const char *token;         /* NULL for none */
+  const char *number_header; /* NULL for none */
   uint32_t open_count;
   uint64_t bytes_sent;
   uint64_t bytes_received;
@@ -36,6 +39,7 @@
   size_t body_length;
   GByteArray *response;
   int status;
+  uint64_t number; /* of the number header */
   bool is_starting;
   bool has_failed; /* the call failed while is_starting was set */
   bool is_sent;    /* the request may have been sent completely */
@@ -49,6 +53,7 @@
                              void *in, size_t length);
 static int add_headers (gbd_http_call_t *call, struct lws *wsi,
                         unsigned char **at, size_t length);
+static void read_number_header (gbd_http_call_t *call, struct lws *wsi);
 static int send_body (gbd_http_call_t *call, struct lws *wsi);
 static int read_response (struct lws *wsi);
 static int append_response (gbd_http_call_t *call, const char *bytes,
@@ -98,6 +103,12 @@
   http->token = token;
 }
 
+void
+gbd_http_set_number_header (gbd_http_t *http, const char *name)
+{
+  http->number_header = name;
+}
+
 void
 gbd_http_delete (gbd_http_t *http)
 {
@@ -207,6 +218,7 @@
       return send_body (call, wsi);
     case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
       call->status = (int)lws_http_client_http_response (wsi);
+      read_number_header (call, wsi);
       return 0;
     case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
       return read_response (wsi);
@@ -281,6 +293,21 @@
   return 0;
 }
 
+static void
+read_number_header (gbd_http_call_t *call, struct lws *wsi)
+{
+  char text[NUMBER_TEXT_BYTES];
+  const char *name = call->http->number_header;
+  if (!name
+      || lws_hdr_custom_copy (wsi, text, sizeof text, name, (int)strlen (name))
+             <= 0)
+    return;
+  char *end;
+  uint64_t number = strtoull (text, &end, DECIMAL_BASE);
+  if (*end == '\0')
+    call->number = number;
+}
+
 static int
 send_body (gbd_http_call_t *call, struct lws *wsi)
 {
@@ -334,7 +361,7 @@
 {
   gbd_http_response_t response
       = { outcome, call->status, (const char *)call->response->data,
-          call->response->len };
+          call->response->len, call->number };
   call->done (call->data, &response);
   call_free (call);
 }
--- a/src/gooseberrydrum/platform_http.h
+++ b/src/gooseberrydrum/platform_http.h
@@ -24,6 +24,8 @@
   int status;       /**< HTTP status, for GBD_HTTP_COMPLETED */
   const char *body; /**< not terminated by a NUL */
   size_t length;    /**< bytes of the body */
+  uint64_t number;  /**< value of the header of gbd_http_set_number_header();
+                         0 if it is missing or not a number */
 } gbd_http_response_t;
 
 /** Reports the end of a call. */
@@ -43,6 +45,10 @@
  *  @param token not copied, must outlive the client; NULL for none */
 void gbd_http_set_token (gbd_http_t *http, const char *token);
 
+/** Read a number from a header of each response.
+ *  @param name in lower case, with its colon; not copied */
+void gbd_http_set_number_header (gbd_http_t *http, const char *name);
+
 /** Delete a client; all its calls must have ended or been cancelled. */
 void gbd_http_delete (gbd_http_t *http);
 
--- a/src/gooseberrydrum/platform_private.h
+++ b/src/gooseberrydrum/platform_private.h
@@ -24,6 +24,7 @@
   gbd_time_t now; /* latest time that was passed to a function of the client */
   gbd_breaker_t breaker;
   gbd_retry_budget_t budget;
+  uint32_t era;                /* highest era of a response */
   uint64_t next_seed;          /* for the jitter of the next call or watch */
   GPtrArray *calls;            /* elements are call_t */
   GPtrArray *watches;          /* elements are gbd_platform_watch_t */
@@ -36,8 +37,10 @@
 typedef struct
 {
   gbd_status_t status;
-  bool is_failure; /**< counts as a failure for the circuit breaker */
-  uint64_t version;
+  bool is_failure;  /**< counts as a failure for the circuit breaker */
+  uint64_t version; /**< a position if the API has eras */
+  uint32_t era; /**< era of the store, also in a response without a version;
+                     0 if the API has none */
   json_t *body; /**< owned by the caller; NULL if there is none */
 } gbd_platform_result_t;
 
@@ -75,6 +78,10 @@
                                             gbd_http_call_t *http_call,
                                             bool is_write);
 
+/** The version of a request for a position. */
+uint64_t gbd_platform_get_request_version (const gbd_platform_t *platform,
+                                           uint64_t position);
+
 /** Record a version of an object.
  *  @return false if a newer version has been seen before. */
 bool gbd_platform_record_version (gbd_platform_t *platform, const char *kind,
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "gooseberrydrum/position.h"
+
 /* Limit for a page of a listing that keeps arriving. */
 #define LISTING_TIME_MAX (10 * GBD_SECOND)
 
@@ -12,8 +14,9 @@
   char *prefix;
   gbd_platform_watch_callbacks_t callbacks;
   void *data;
-  bool is_listed; /* the current listing is complete */
-  char *after;    /* last name of the previous page; NULL: first page */
+  bool is_listed;       /* the current listing is complete */
+  char *after;          /* last name of the previous page; NULL: first page */
+  uint32_t listing_era; /* era of the first page of the current listing */
   uint64_t oldest_page_version; /* lowest version among the pages of the
                                    current listing */
   bool has_listed_before;       /* at least one listing was completed */
@@ -41,6 +44,8 @@
 static void send_request (gbd_platform_watch_t *watch);
 static void extend_timeout (gbd_platform_watch_t *watch);
 static void receive_response (void *data, const gbd_http_response_t *response);
+static bool check_era (gbd_platform_watch_t *watch,
+                       const gbd_platform_result_t *result);
 static void apply_response (gbd_platform_watch_t *watch,
                             const gbd_platform_result_t *result);
 static void report_page (gbd_platform_watch_t *watch,
@@ -222,8 +227,10 @@
                            : !watch->has_listed_before
                                  && platform->settings.allow_stale_first_list;
   if (watch->is_listed)
-    platform_api->watch (watch->kind, watch->version, wait_ms,
-                         watch->allow_stale, &request);
+    platform_api->watch (
+        watch->kind,
+        gbd_platform_get_request_version (platform, watch->version), wait_ms,
+        watch->allow_stale, &request);
   else
     platform_api->list (watch->kind, watch->after, watch->allow_stale,
                         &request);
@@ -294,10 +301,44 @@
     send_request (watch);
 }
 
+/* Reports that the store was restored.  A list of the platform itself is then
+   requested again: the changes since a position of an earlier era are not
+   complete.  A relay has compared the two lists.
+   @return whether the response must not be applied. */
+static bool
+check_era (gbd_platform_watch_t *watch, const gbd_platform_result_t *result)
+{
+  bool has_eras = watch->platform->settings.platform_api->era_header;
+  uint32_t era
+      = has_eras ? result->era : gbd_position_get_era (result->version);
+  if (!watch->is_listed)
+    {
+      if (!watch->after || era <= watch->listing_era)
+        return false;
+      restart_listing (watch);
+      end_retries (watch);
+      watch->retry_at = 0;
+      return true;
+    }
+  if (era <= gbd_position_get_era (watch->version))
+    return false;
+  if (watch->callbacks.restored)
+    watch->callbacks.restored (watch->data, watch->version, era);
+  if (!has_eras)
+    return false;
+  end_retries (watch);
+  gbd_platform_watch_relist (watch);
+  if (result->is_failure)
+    back_off (watch);
+  return true;
+}
+
 static void
 apply_response (gbd_platform_watch_t *watch,
                 const gbd_platform_result_t *result)
 {
+  if (check_era (watch, result))
+    return;
   if (result->status == GBD_ERROR_STALE)
     {
       /* The platform no longer stores the changes since the last version. */
@@ -369,6 +410,7 @@
     {
       g_hash_table_remove_all (watch->reported_versions);
       watch->oldest_page_version = result->version;
+      watch->listing_era = result->era;
       if (watch->callbacks.reset)
         watch->callbacks.reset (watch->data);
     }
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -3,11 +3,11 @@
  *  the messages of relay_codec.h.  This reduces the load on the platform, and
  *  lets an instance start while the platform is unreachable.
  *
- *    GET /v2/KIND                          all objects
- *    GET /v2/KIND?since=VERSION&wait_ms=MS changes; long poll
- *    GET /v2/KIND/NAME                     one document
+ *    GET /v3/KIND                          all objects
+ *    GET /v3/KIND?since=VERSION&wait_ms=MS changes; long poll
+ *    GET /v3/KIND/NAME                     one document
  *
- *    GET /v2/holders/ADDRESS               announces a holder; a document that
+ *    GET /v3/holders/ADDRESS               announces a holder; a document that
  *                                          is true if the relay has a list
  *
  *  The first two accept the argument "from=ADDRESS": where the reader itself
@@ -20,10 +20,10 @@
  * that waits for changes, or one that announces itself because it got no
  * response from this relay, which may have restarted.
  *
- *  Versions are those of the platform, so a reader can switch between relays
- *  and the platform.  A reader whose version is higher than that of the relay
- *  keeps its version.  The status is 410 for a version older than the retained
- *  deletions.
+ *  Versions are those of the platform (positions), so a reader can switch
+ * between relays and the platform.  A reader whose version is higher than that
+ * of the relay keeps its version.  The status is 410 for a version older than
+ * the retained deletions.
  *
  *  While the relay cannot reach the platform, changes get the status 503 with
  *  a rejection that tells readers whether it is worth trying the platform
--- a/src/gooseberrydrum/relay_api.h
+++ b/src/gooseberrydrum/relay_api.h
@@ -13,7 +13,7 @@
 #include "platform_api.h"
 
 /** Path prefix of this version of the protocol. */
-#define GBD_RELAY_PREFIX "/v2/"
+#define GBD_RELAY_PREFIX "/v3/"
 
 /** Reads only; the kinds are those of the platform that the relay reads. */
 extern const gbd_platform_api_t gbd_platform_api_relay;
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -116,6 +116,29 @@
   return GBD_OK;
 }
 
+bool
+gbd_pool_correct_restored (const gbd_pool_t *pool, gbd_pool_entry_t *entry)
+{
+  gbd_pool_handle_t handle = find_backend (pool, entry->backend.id);
+  if (handle == GBD_POOL_NONE)
+    return false;
+  const gbd_pool_server_t *server = &pool->servers[handle];
+  if (server->entry.start_time_ms != entry->start_time_ms)
+    return false;
+  if (server->entry.backend.state == GBD_BACKEND_DRAINING)
+    entry->backend.state = GBD_BACKEND_DRAINING;
+  return !server->is_listed;
+}
+
+void
+gbd_pool_suspect (gbd_pool_t *pool, gbd_backend_id_t id, gbd_time_t now)
+{
+  gbd_pool_handle_t handle = find_backend (pool, id);
+  if (handle != GBD_POOL_NONE)
+    gbd_suspicion_record_failure (&pool->servers[handle].load.suspicion, now,
+                                  now);
+}
+
 void
 gbd_pool_remove (gbd_pool_t *pool, gbd_backend_id_t id, gbd_time_t now)
 {
--- a/src/libgooseberrydrum/start.c
+++ b/src/libgooseberrydrum/start.c
@@ -13,9 +13,11 @@
 }
 
 bool
-gbd_start_may_create_key (bool is_relay, bool has_relays, gbd_time_t uptime)
+gbd_start_may_create_key (bool is_relay, bool is_first_start, bool has_relays,
+                          gbd_time_t uptime)
 {
-  return is_relay || !has_relays || uptime >= GBD_START_KEY_CREATION_DELAY;
+  return (is_relay && is_first_start) || !has_relays
+         || uptime >= GBD_START_KEY_CREATION_DELAY;
 }
 
 bool
--- a/src/standins/platform_server.c
+++ b/src/standins/platform_server.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #define HEADER_BYTES 1024
+#define ERA_TEXT_BYTES 16
 /* Limit for reading a body: one byte more than the largest value, so that a
    body that is too long is detected. */
 #define BODY_MAX (PLATFORM_VALUE_MAX + 1)
@@ -338,6 +339,9 @@
   if (call->reply.flags & PLATFORM_REPLY_TRUNCATED)
     length /= 2;
   int status = call->reply.status;
+  char era[ERA_TEXT_BYTES];
+  int era_length = g_snprintf (era, sizeof era, "%u",
+                               platform_store_get_era (call->server->store));
   end_call (call);
 
   unsigned char header[LWS_PRE + HEADER_BYTES];
@@ -347,6 +351,9 @@
   int result = -1;
   if (lws_add_http_common_headers (wsi, (unsigned int)status,
                                    "application/json", length, &position, end)
+      || lws_add_http_header_by_name (
+          wsi, (const unsigned char *)"store-era:", (const unsigned char *)era,
+          era_length, &position, end)
       || lws_finalize_write_http_header (wsi, start, &position, end)
       || write_body (wsi, text, length))
     goto out;
--- a/src/standins/platform_store.c
+++ b/src/standins/platform_store.c
@@ -14,6 +14,8 @@
 struct platform_store
 {
   platform_state_t *current_state;
+  platform_state_t *saved_copy; /* NULL unless "save_copy" was set */
+  uint32_t era;
   platform_state_t *stale_snapshot; /* NULL unless "stale_reads" is set */
   /* For reads with allow_stale; NULL before the first of them. */
   platform_state_t *replica;
@@ -59,6 +61,7 @@
 get_read_state (platform_store_t *store, const platform_request_t *request);
 static void replace_snapshot (platform_store_t *store,
                               platform_state_t **snapshot, bool is_set);
+static void restore_copy (platform_store_t *store);
 static void increment_count (json_t *counts, const char *key);
 static void count_call (platform_store_t *store,
                         const platform_request_t *request);
@@ -72,6 +75,7 @@
 {
   platform_store_t *store = g_new0 (platform_store_t, 1);
   store->current_state = platform_state_new (PLATFORM_DELETED_MAX);
+  store->era = 1;
   store->calls = json_object ();
   store->stale_read_counts = json_object ();
   store->refused = json_object ();
@@ -90,6 +94,7 @@
   if (!store)
     return;
   platform_state_delete (store->current_state);
+  platform_state_delete (store->saved_copy);
   platform_state_delete (store->stale_snapshot);
   platform_state_delete (store->replica);
   json_decref (store->calls);
@@ -211,6 +216,8 @@
   int close_watches = store->is_closing_watches;
   int replay = store->is_replaying_watches;
   int compact = 0;
+  int save_copy = 0;
+  int is_restored = 0;
   json_int_t lag_ms = store->lag_ms;
   json_int_t slow_ms = store->slow_ms;
   json_int_t drop_count = store->drop_responses;
@@ -218,11 +225,11 @@
   json_error_t error;
   int failed = json_unpack_ex (
       (json_t *)switches, &error, JSON_STRICT,
-      "{s?b, s?I, s?I, s?b, s?b, s?b, s?I, s?I, s?b}", "down", &down,
+      "{s?b, s?I, s?I, s?b, s?b, s?b, s?I, s?I, s?b, s?b, s?b}", "down", &down,
       "slow_ms", &slow_ms, "lose_answers", &drop_count, "stale_reads",
       &stale_reads, "cut_watches", &close_watches, "replay_watches", &replay,
       "garble_answers", &truncate_count, "lag_ms", &lag_ms, "forget_history",
-      &compact);
+      &compact, "save_copy", &save_copy, "restore", &is_restored);
   if (failed || slow_ms < 0 || slow_ms > UINT32_MAX || drop_count < 0
       || drop_count > UINT32_MAX || truncate_count < 0
       || truncate_count > UINT32_MAX || lag_ms < 0 || lag_ms > UINT32_MAX)
@@ -236,11 +243,21 @@
   store->lag_ms = (uint32_t)lag_ms;
   if (compact)
     platform_state_compact (store->current_state);
+  if (save_copy)
+    replace_snapshot (store, &store->saved_copy, true);
+  if (is_restored && store->saved_copy)
+    restore_copy (store);
   if ((store->stale_snapshot != NULL) != (stale_reads != 0))
     replace_snapshot (store, &store->stale_snapshot, stale_reads);
   return GBD_OK;
 }
 
+uint32_t
+platform_store_get_era (const platform_store_t *store)
+{
+  return store->era;
+}
+
 json_t *
 platform_store_get_stats (const platform_store_t *store)
 {
@@ -284,7 +301,9 @@
               platform_reply_t *reply)
 {
   const platform_state_t *state = get_read_state (store, request);
-  if (request->version < platform_state_get_compacted_version (state))
+  if (request->version < platform_state_get_compacted_version (state)
+      || (!request->allow_stale
+          && request->version > platform_state_get_version (state)))
     {
       reply->status = 410;
       return;
@@ -413,6 +432,15 @@
   *snapshot = is_set ? platform_state_copy (store->current_state) : NULL;
 }
 
+static void
+restore_copy (platform_store_t *store)
+{
+  platform_state_delete (store->current_state);
+  store->current_state = platform_state_copy (store->saved_copy);
+  replace_snapshot (store, &store->replica, false);
+  store->era++;
+}
+
 static void
 increment_count (json_t *counts, const char *key)
 {
--- a/src/standins/platform_store.h
+++ b/src/standins/platform_store.h
@@ -111,11 +111,17 @@
  *                         N ms behind
  *  "forget_history": bool compact the history: watches from an older version
  *                         get status 410
+ *  "save_copy": bool      keep a copy of the present state
+ *  "restore": bool        restore the state from this copy: versions go back,
+ *                         and the era rises by one
  *  @return GBD_ERROR_FORMAT, with nothing changed, for any other member, type
  *  or number below 0 or above UINT32_MAX. */
 gbd_status_t platform_store_set_switches (platform_store_t *store,
                                           const json_t *switches);
 
+/** The era of the store: 1, and one more after each restore. */
+uint32_t platform_store_get_era (const platform_store_t *store);
+
 /** Get counts: calls by kind and verb, refused calls by status, and reads with
  *  allow_stale by kind ("lagging"; these count as calls too).
  *  @return a new reference. */
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -545,6 +545,89 @@
   close_group (&group);
 }
 
+/* The store is restored from a copy in which server 1 is still ready, server 2
+   has not ended yet, server SERVERS + 1 has not registered, the routes are old
+   and the key does not exist. */
+static void
+restored_store_takes_nothing_back (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  fixture_set_switches (&group.fixture, "{\"save_copy\":true}");
+  write_key (&group);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  gbd_cookie_serve_t *reader = start_reader (&group);
+  write_server (&group, 1, false);
+  delete_server (&group, 2);
+  write_server (&group, SERVERS + 1, true);
+  write_routes (&group, 2);
+  run_for (&group, 3 * GBD_SECOND);
+  uint64_t key = relay->key;
+  fixture_set_switches (&group.fixture, "{\"restore\":true}");
+  /* Revisions are given out again, beyond those before the restore. */
+  for (uint64_t i = 10; i < 40; i++)
+    write_server (&group, i, true);
+  run_for (&group, GBD_SECOND);
+
+  const gbd_cookie_serve_t *instances[] = { relay, reader };
+  for (size_t i = 0; i < G_N_ELEMENTS (instances); i++)
+    {
+      const gbd_cookie_serve_t *serve = instances[i];
+      assert_int_equal (get_routes_version (serve), 2);
+      assert_int_equal (find_server_of (serve, 1)->entry.backend.state,
+                        GBD_BACKEND_DRAINING);
+      assert_true (gbd_suspicion_is_suspected (
+          &find_server_of (serve, 2)->load.suspicion));
+      /* It may still write its entry again. */
+      assert_true (find_server_of (serve, SERVERS + 1)->is_listed);
+      assert_non_null (find_server_of (serve, 39));
+    }
+  json_t *stored
+      = fixture_read (&group.fixture, "gooseberrydrum", "cookie-key");
+  assert_non_null (stored);
+  assert_true (
+      strtoull (json_string_value (json_object_get (stored, "key")), NULL, 16)
+      == key);
+  json_decref (stored);
+
+  /* The operator writes the routes again; the server that does not is gone. */
+  write_routes (&group, 3);
+  run_for (&group, CONFIG_CHANGE_LIMIT);
+  for (size_t i = 0; i < G_N_ELEMENTS (instances); i++)
+    {
+      assert_int_equal (get_routes_version (instances[i]), 3);
+      assert_false (find_server_of (instances[i], SERVERS + 1)->is_listed);
+      assert_true (find_server_of (instances[i], 39)->is_listed);
+    }
+  close_group (&group);
+}
+
+/* After a restore without the key, an instance that had started with another
+   one has written that. */
+static void
+key_in_use_wins_after_a_restore (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  fixture_set_switches (&group.fixture, "{\"save_copy\":true}");
+  write_key (&group);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  uint64_t key = relay->key;
+  fixture_set_switches (&group.fixture, "{\"restore\":true}");
+  fixture_write (&group.fixture, "gooseberrydrum", "cookie-key",
+                 "{\"key\":\"2e\"}");
+  run_for (&group, 2 * GBD_SECOND);
+  json_t *stored
+      = fixture_read (&group.fixture, "gooseberrydrum", "cookie-key");
+  assert_true (
+      strtoull (json_string_value (json_object_get (stored, "key")), NULL, 16)
+      == key);
+  json_decref (stored);
+  close_group (&group);
+}
+
 /* The relay cannot reach the platform and has an old list, but the starting
    instance can: its list must be the platform's. */
 static void
@@ -788,6 +871,8 @@
     cmocka_unit_test (relay_starts_from_its_reader),
     cmocka_unit_test (state_survives_a_chain_of_short_lived_holders),
     cmocka_unit_test (outdated_list_is_not_the_base_of_later_changes),
+    cmocka_unit_test (restored_store_takes_nothing_back),
+    cmocka_unit_test (key_in_use_wins_after_a_restore),
     cmocka_unit_test (outdated_list_does_not_replace_that_of_the_platform),
     cmocka_unit_test (first_start_reads_little_from_the_platform),
     cmocka_unit_test (routes_arrive_in_time_despite_a_stale_replica),
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -12,6 +12,7 @@
 
 #include <glib.h>
 
+#include "gooseberrydrum/position.h"
 #include "gooseberrydrum/platform_client.h"
 #include "gooseberrydrum/platform_private.h"
 #include "platform/adapter.h"
@@ -322,6 +323,7 @@
   int resets;
   int changes;
   int confirmations;
+  int restores;
   gbd_time_t requested_at;
   bool refuses_relisting; /* `compacted` returns false */
   int failures;
@@ -356,10 +358,19 @@
   view->requested_at = requested_at;
 }
 
+static void
+record_restore (void *data, uint64_t position, uint32_t era)
+{
+  watch_view_t *view = data;
+  view->restores++;
+  assert_int_equal (era, gbd_position_get_era (position) + 1);
+}
+
 static const gbd_platform_watch_callbacks_t view_callbacks
     = { .reset = record_reset,
         .changed = record_change,
-        .confirmed = record_confirmation };
+        .confirmed = record_confirmation,
+        .restored = record_restore };
 
 static bool
 allow_relisting (void *data)
@@ -585,11 +596,78 @@
   assert_int_equal (json_integer_value (json_object_get (view.view, "a")), 2);
   assert_int_equal (json_integer_value (json_object_get (view.view, "f")), 2);
   assert_true (fixture_count_calls (&fixture, KIND, "list") >= 3);
-  assert_int_equal (gbd_platform_watch_get_version (watch), 7);
+  assert_true (gbd_platform_watch_get_version (watch)
+               == gbd_position_make (1, 7));
+  json_decref (view.view);
+  fixture_close (&fixture);
+}
+
+/* The store is restored from an older copy and revisions are given out again,
+   beyond the one that the watch had reached: the changes since that one are
+   not those since the copy. */
+static void
+watch_lists_again_after_a_restore (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  watch_view_t view = { .view = json_object () };
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  fixture_write (&fixture, KIND, "a", "1");
+  fixture_set_switches (&fixture, "{\"save_copy\":true}");
+  fixture_write (&fixture, KIND, "b", "1");
+  fixture_write (&fixture, KIND, "c", "1");
+  gbd_platform_watch_t *watch = gbd_platform_watch_new (
+      platform, KIND, "", fixture.now, &view_callbacks, &view);
+  step_until_confirmed (&fixture, &view);
+  uint64_t before = gbd_platform_watch_get_version (watch);
+  fixture_set_switches (&fixture, "{\"restore\":true}");
+  for (const char *name = "defghi"; *name; name++)
+    fixture_write (&fixture, KIND, (const char[]){ *name, '\0' }, "2");
+  while (view.resets < 2)
+    fixture_step (&fixture);
+  while (!json_object_get (view.view, "i"))
+    fixture_step (&fixture);
+  /* "b" and "c" are lost, and "d" has a revision that "b" had. */
+  assert_int_equal (json_object_size (view.view), 7);
+  assert_non_null (json_object_get (view.view, "d"));
+  assert_null (json_object_get (view.view, "b"));
+  assert_int_equal (view.restores, 1);
+  assert_true (gbd_platform_watch_get_version (watch) > before);
   json_decref (view.view);
   fixture_close (&fixture);
 }
 
+/* A response of an earlier era that arrives late has no effect. */
+static void
+response_of_an_earlier_era_is_ignored (void **state)
+{
+  (void)state;
+  fixture_t fixture;
+  fixture_open (&fixture, 0);
+  gbd_platform_t *platform = make_platform (&fixture);
+  static const char body[]
+      = "{\"meta\":{\"name\":\"a\",\"mod_revision\":9},\"spec\":1}";
+  gbd_http_response_t response = { .outcome = GBD_HTTP_COMPLETED,
+                                   .status = 200,
+                                   .body = body,
+                                   .length = strlen (body),
+                                   .number = 5 };
+  gbd_platform_result_t result;
+  gbd_platform_evaluate_response (platform, &response, false, &result);
+  assert_int_equal (result.status, GBD_OK);
+  assert_true (result.version == gbd_position_make (5, 9));
+  json_decref (result.body);
+  response.number = 4;
+  gbd_platform_evaluate_response (platform, &response, false, &result);
+  assert_int_equal (result.status, GBD_ERROR_UNAVAILABLE);
+  assert_null (result.body);
+  /* The write may have been done, and lost by the restore. */
+  gbd_platform_evaluate_response (platform, &response, true, &result);
+  assert_int_equal (result.status, GBD_ERROR_UNKNOWN);
+  fixture_close (&fixture);
+}
+
 /* Create or update the replica that serves stale reads. */
 static void
 refresh_stale_replica (fixture_t *fixture)
@@ -899,6 +977,8 @@
     cmocka_unit_test (watch_relists_after_compaction),
     cmocka_unit_test (watch_converges_to_the_state_of_the_platform),
     cmocka_unit_test (listing_spans_several_pages),
+    cmocka_unit_test (watch_lists_again_after_a_restore),
+    cmocka_unit_test (response_of_an_earlier_era_is_ignored),
     cmocka_unit_test (pages_of_different_versions_miss_no_change),
     cmocka_unit_test (watch_relists_when_its_version_was_compacted),
     cmocka_unit_test (retries_of_a_stale_watch_are_stale_reads),
--- a/src/test_libgooseberrydrum/test_start.c
+++ b/src/test_libgooseberrydrum/test_start.c
@@ -36,11 +36,23 @@
   uint32_t writers = 0;
   gbd_time_t uptime = GBD_START_KEY_CREATION_DELAY - 1;
   for (uint32_t i = 0; i < INSTANCES; i++)
-    writers += gbd_start_may_create_key (i < RELAYS, true, uptime);
+    writers += gbd_start_may_create_key (i < RELAYS, true, true, uptime);
   assert_int_equal (writers, RELAYS);
   /* The relays are gone. */
-  assert_true (gbd_start_may_create_key (false, true, uptime + 1));
-  assert_true (gbd_start_may_create_key (false, false, 0));
+  assert_true (gbd_start_may_create_key (false, true, true, uptime + 1));
+  assert_true (gbd_start_may_create_key (false, true, false, 0));
+}
+
+/* A relay restarts just after the store was restored from a copy without the
+   key, which the other relays write again. */
+static void
+restarted_relay_leaves_the_key_to_the_group (void **state)
+{
+  (void)state;
+  assert_false (gbd_start_may_create_key (true, false, true,
+                                          GBD_START_KEY_CREATION_DELAY - 1));
+  assert_true (gbd_start_may_create_key (true, false, true,
+                                         GBD_START_KEY_CREATION_DELAY));
 }
 
 static void
@@ -126,6 +138,7 @@
     cmocka_unit_test (list_of_a_connected_relay_is_used),
     cmocka_unit_test (outdated_list_is_used_only_until_the_platform_responds),
     cmocka_unit_test (only_relays_create_the_key_at_first),
+    cmocka_unit_test (restarted_relay_leaves_the_key_to_the_group),
     cmocka_unit_test (relays_are_asked_when_the_platform_is_late),
     cmocka_unit_test (holder_announces_itself_to_relays_that_restart),
     cmocka_unit_test (announcements_do_not_grow_with_the_group),
