Placement: response time of a backend server beside its peers

Hypothesis: flows that are placed on slow servers are lost to late responses, since placement counts pending flows only; a server whose estimated response time exceeds twice the harmonic mean of its service's servers costs the excess.

What is left there: requests on flows that were open before the server became slow, which stay where they are, and what each instance learns alone.

--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -248,6 +248,9 @@
       flow->last_response_at = now;
       tracker->last_response_at = now;
       gbd_suspicion_record_response (&server->load.suspicion, now);
+      if (!is_established_now && flow->is_waiting)
+        gbd_response_time_add (&server->load.response_time,
+                               now - flow->sent_at, now);
       if (!is_established_now)
         set_waiting (tracker, flow, false);
     }
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -24,8 +24,11 @@
 static class_t classify (const gbd_pool_server_t *server,
                          gbd_pool_handle_t handle,
                          const gbd_placement_t *placement, gbd_time_t now);
+static void find_peers (const gbd_pool_t *pool, gbd_service_id_t service,
+                        gbd_time_t now, gbd_peer_response_time_t *peers);
 static uint64_t compute_cost (const gbd_pool_server_t *server,
                               const gbd_placement_t *placement,
+                              const gbd_peer_response_time_t *peers,
                               gbd_time_t now);
 
 gbd_pool_handle_t
@@ -35,6 +38,8 @@
   gbd_pool_handle_t best = GBD_POOL_NONE;
   uint64_t best_cost = UINT64_MAX;
   uint32_t capacity = gbd_pool_get_capacity (pool);
+  gbd_peer_response_time_t peers = { 0 };
+  find_peers (pool, placement->service, now, &peers);
   for (uint32_t i = 0; i < capacity; i++)
     {
       gbd_pool_handle_t handle = (gbd_pool_handle_t)i;
@@ -45,7 +50,7 @@
       if (class == CLASS_NONE)
         continue;
       uint64_t cost
-          = class * CLASS_COST + compute_cost (server, placement, now);
+          = class * CLASS_COST + compute_cost (server, placement, &peers, now);
       if (cost < best_cost)
         {
           best = handle;
@@ -74,9 +79,26 @@
              : CLASS_SUSPECTED;
 }
 
+static void
+find_peers (const gbd_pool_t *pool, gbd_service_id_t service, gbd_time_t now,
+            gbd_peer_response_time_t *peers)
+{
+  uint32_t capacity = gbd_pool_get_capacity (pool);
+  for (uint32_t i = 0; i < capacity; i++)
+    {
+      const gbd_pool_server_t *server
+          = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
+      if (server->is_used && server->is_listed
+          && server->entry.service == service)
+        gbd_peer_response_time_add (
+            peers, gbd_response_time_get (&server->load.response_time, now));
+    }
+}
+
 static uint64_t
 compute_cost (const gbd_pool_server_t *server,
-              const gbd_placement_t *placement, gbd_time_t now)
+              const gbd_placement_t *placement,
+              const gbd_peer_response_time_t *peers, gbd_time_t now)
 {
   uint64_t slots = server->entry.slots;
   uint64_t pending_count = server->load.waiting;
@@ -85,6 +107,8 @@
       = queued * COST_UNIT / slots + pending_count * SPREAD_COST / slots;
   if (server->entry.backend.zone != placement->zone)
     cost += GBD_PLACEMENT_ZONE_COST;
+  cost += gbd_response_time_get_excess (
+      peers, gbd_response_time_get (&server->load.response_time, now));
   if (now < server->entry.warm_at)
     cost += GBD_PLACEMENT_WARM_UP_COST;
   if (placement->avoid != GBD_POOL_NONE
--- a/src/test_libgooseberrydrum/test_flow_tracker.c
+++ b/src/test_libgooseberrydrum/test_flow_tracker.c
@@ -34,6 +34,7 @@
   packet.payload_length = 0;
   route_packet (director, &packet, START + 40 * MS);
   assert_int_equal (load->waiting, 0);
+  assert_int_equal (load->response_time.average, 30 * MS);
 
   packet.kind = GBD_PACKET_CLOSING;
   route_packet (director, &packet, START + 41 * MS);
--- a/src/test_libgooseberrydrum/test_placement.c
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -52,6 +52,46 @@
   gbd_director_delete (director);
 }
 
+static void
+set_response_time (gbd_director_t *director, gbd_pool_handle_t handle,
+                   gbd_time_t duration, gbd_time_t now)
+{
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  for (uint32_t i = 0; i < GBD_RESPONSE_TIME_SAMPLES_MIN; i++)
+    gbd_response_time_add (&gbd_pool_get (pool, handle)->load.response_time,
+                           duration, now);
+}
+
+/* One of the three servers of the zone works five times slower.  New flows
+   avoid it while the others have room, and return to it when it has recovered,
+   or when nothing has been heard of it for a while. */
+static void
+slow_server_gets_flows_only_under_load (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  set_response_time (director, 0, 150 * GBD_MILLISECOND, START);
+  for (gbd_pool_handle_t i = 1; i < 3; i++)
+    set_response_time (director, i, 30 * GBD_MILLISECOND, START);
+  for (gbd_flow_hash_t hash = 0; hash < 100; hash++)
+    assert_int_not_equal (choose_server (director, hash, START), 0);
+
+  /* The queues of the others cost more than the slow server. */
+  for (gbd_pool_handle_t i = 1; i <= 3; i++)
+    gbd_pool_get (pool, i)->load.waiting = 10;
+  assert_int_equal (choose_server (director, 1, START), 0);
+  for (gbd_pool_handle_t i = 1; i <= 3; i++)
+    gbd_pool_get (pool, i)->load.waiting = 0;
+
+  gbd_time_t later = START + GBD_RESPONSE_TIME_VALIDITY + 1;
+  uint32_t count = 0;
+  for (gbd_flow_hash_t hash = 0; hash < 3000; hash++)
+    count += choose_server (director, hash * 0x9e3779b97f4a7c15u, later) == 0;
+  assert_in_range (count, 800, 1200);
+  gbd_director_delete (director);
+}
+
 static void
 suspected_servers_get_trial_flows_only (void **state)
 {
@@ -177,6 +217,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (flows_are_balanced_within_the_zone),
     cmocka_unit_test (full_zone_overflows_to_another_zone),
+    cmocka_unit_test (slow_server_gets_flows_only_under_load),
     cmocka_unit_test (suspected_servers_get_trial_flows_only),
     cmocka_unit_test (retransmission_prefers_a_recently_responsive_server),
     cmocka_unit_test (flows_leave_a_zone_whose_servers_are_suspected),
