--- a/src/standins/world.h
+++ b/src/standins/world.h
@@ -265,6 +265,11 @@
 
 /* world_servers.c */
 bool world_server_add (world_t *world, uint32_t service, gbd_time_t now);
+/** After a restore of the platform: running backend servers write their
+ *  entries again. */
+void world_servers_write_again (world_t *world);
+/** Delete the entries of backend servers that have ended. */
+void world_servers_expire_entries (world_t *world);
 bool world_server_write (world_t *world, world_server_t *server);
 /** Stop a server without a change of its entry, which expires later. */
 void world_server_crash (world_server_t *server, gbd_time_t now);
--- a/src/standins/world_faults.c
+++ b/src/standins/world_faults.c
@@ -16,12 +16,18 @@
 #define DRAIN_DURATION (5 * GBD_SECOND)
 #define LOSS_SHARE 0.04
 #define TIMEOUT_MS 300
+/* Times after a restore in which running backend servers write their entries
+   again, and in which the entries of others expire. */
+#define RESTORE_REWRITE_TIME GBD_SECOND
+#define RESTORE_EXPIRY_TIME (3600 * GBD_MILLISECOND)
 
 typedef struct
 {
   const char *name;
   uint32_t weight;
-  bool is_planned; /* whether it is a planned operation, not a failure */
+  bool is_planned;    /* whether it is a planned operation, not a failure */
+  bool is_on_request; /* only if its name is given, so that the faults of a
+                         seed stay the same */
   void (*begin) (world_t *world, gbd_time_t now, gbd_time_t until);
 } fault_t;
 
@@ -36,6 +42,9 @@
 static void stop_platform (world_t *world, gbd_time_t now, gbd_time_t until);
 static void slow_platform_down (world_t *world, gbd_time_t now,
                                 gbd_time_t until);
+static void restore_platform (world_t *world, gbd_time_t now,
+                              gbd_time_t until);
+static void tick_restore (world_t *world, gbd_time_t now);
 static void close_watches (world_t *world, gbd_time_t now, gbd_time_t until);
 static void compact_history (world_t *world, gbd_time_t now, gbd_time_t until);
 static void delay_replica (world_t *world, gbd_time_t now, gbd_time_t until);
@@ -59,23 +68,32 @@
 static gbd_time_t paused_until[WORLD_INSTANCES_MAX];
 static bool is_switch_set;
 
+/* Steps of a restore of the platform from a copy; 0: none. */
+static struct
+{
+  gbd_time_t restore_due;
+  gbd_time_t rewrite_due; /* servers and operator write again what was lost */
+  gbd_time_t expiry_due;  /* entries that nobody writes expire */
+} restore;
+
 static const fault_t faults[] = {
-  { "kill", 3, false, kill_instance },
-  { "kill all", 1, false, kill_all_instances },
-  { "stop", 4, true, stop_instance },
-  { "pause", 3, false, pause_instance },
-  { "reload", 2, true, reload_instance },
-  { "cut from the platform", 4, false, break_platform_connection },
-  { "platform down", 2, false, stop_platform },
-  { "platform slow", 1, false, slow_platform_down },
-  { "watches cut", 1, false, close_watches },
-  { "history forgotten", 1, false, compact_history },
-  { "copies lag", 2, false, delay_replica },
-  { "packets lost", 2, false, lose_packets },
-  { "server crash", 3, false, crash_server },
-  { "server drain", 4, true, drain_server },
-  { "server added", 4, true, add_server },
-  { "routes", 4, true, change_routes },
+  { "kill", 3, false, false, kill_instance },
+  { "kill all", 1, false, false, kill_all_instances },
+  { "stop", 4, true, false, stop_instance },
+  { "pause", 3, false, false, pause_instance },
+  { "reload", 2, true, false, reload_instance },
+  { "cut from the platform", 4, false, false, break_platform_connection },
+  { "platform down", 2, false, false, stop_platform },
+  { "platform slow", 1, false, false, slow_platform_down },
+  { "watches cut", 1, false, false, close_watches },
+  { "history forgotten", 1, false, false, compact_history },
+  { "copies lag", 2, false, false, delay_replica },
+  { "packets lost", 2, false, false, lose_packets },
+  { "server crash", 3, false, false, crash_server },
+  { "server drain", 4, true, false, drain_server },
+  { "server added", 4, true, false, add_server },
+  { "routes", 4, true, false, change_routes },
+  { "platform restored", 4, false, true, restore_platform },
 };
 #define FAULT_COUNT (sizeof faults / sizeof faults[0])
 
@@ -83,6 +101,7 @@
 world_faults_tick (world_t *world, gbd_time_t now)
 {
   end_faults (world, now);
+  tick_restore (world, now);
   if (!world->has_faults || now < world->next_fault_at
       || now >= world->faults_end_at)
     return;
@@ -133,7 +152,8 @@
 static uint32_t
 get_fault_weight (const world_t *world, const fault_t *fault)
 {
-  if (world->is_planned && !fault->is_planned)
+  if ((world->is_planned && !fault->is_planned)
+      || (fault->is_on_request && !world->fault_names))
     return 0;
   if (world->fault_names
       && !g_strv_contains ((const gchar *const *)world->fault_names,
@@ -208,6 +228,42 @@
   set_switch (world, "{\"slow_ms\":200}", now, until);
 }
 
+/* Keeps a copy, from which the platform is restored later. */
+static void
+restore_platform (world_t *world, gbd_time_t now, gbd_time_t until)
+{
+  if (restore.restore_due || restore.rewrite_due || restore.expiry_due
+      || !set_switch (world, "{\"save_copy\":true}", now, now))
+    return;
+  restore.restore_due = until;
+}
+
+static void
+tick_restore (world_t *world, gbd_time_t now)
+{
+  if (restore.restore_due && now >= restore.restore_due
+      && set_switch (world, "{\"restore\":true}", now,
+                     now + RESTORE_REWRITE_TIME))
+    {
+      restore.restore_due = 0;
+      restore.rewrite_due = now + RESTORE_REWRITE_TIME;
+      restore.expiry_due = now + RESTORE_EXPIRY_TIME;
+    }
+  if (restore.rewrite_due && now >= restore.rewrite_due)
+    {
+      restore.rewrite_due = 0;
+      world_routes_write (world, now);
+      world_servers_write_again (world);
+      world->platform_disturbed_at = now;
+    }
+  if (restore.expiry_due && now >= restore.expiry_due)
+    {
+      restore.expiry_due = 0;
+      world_servers_expire_entries (world);
+      world->platform_disturbed_at = now;
+    }
+}
+
 static void
 close_watches (world_t *world, gbd_time_t now, gbd_time_t until)
 {
--- a/src/standins/world_servers.c
+++ b/src/standins/world_servers.c
@@ -104,6 +104,35 @@
   return is_written;
 }
 
+void
+world_servers_write_again (world_t *world)
+{
+  for (uint32_t i = 0; i < world->server_count; i++)
+    {
+      world_server_t *server = &world->servers[i];
+      if (server->state == SERVER_READY || server->state == SERVER_DRAINING)
+        world_server_write (world, server);
+    }
+}
+
+void
+world_servers_expire_entries (world_t *world)
+{
+  for (uint32_t number = 0; number < world->next_server; number++)
+    {
+      char name[GBD_NAME_MAX + 1];
+      bool is_in_use = false;
+      world->object_format->format_server_name (SERVER_NUMBER_FIRST + number,
+                                                name, sizeof name);
+      for (uint32_t i = 0; i < world->server_count; i++)
+        is_in_use = is_in_use
+                    || (world->servers[i].state != SERVER_FREE
+                        && strcmp (world->servers[i].name, name) == 0);
+      if (!is_in_use)
+        put_object (world, world->object_format->servers_kind, name, NULL);
+    }
+}
+
 bool
 world_routes_write (world_t *world, gbd_time_t now)
 {
