--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -13,6 +13,8 @@
                                   const gbd_packet_t *packet,
                                   const gbd_director_decision_t *decision,
                                   gbd_time_t now);
+static void add_age (json_t *fields, const char *name, gbd_time_t read_at,
+                     gbd_time_t now);
 static json_int_t get_ms_since_response (const gbd_suspicion_t *suspicion,
                                          gbd_time_t now);
 static void add_probe_result (json_t *fields, const gbd_suspicion_t *suspicion,
@@ -155,13 +157,11 @@
 {
   char flow[FLOW_TEXT_MAX];
   format_flow (packet, flow);
-  json_t *fields = json_pack (
-      "{s:s, s:s, s:I, s:I, s:I}", "flow", flow, "rule",
-      gbd_director_rule_strings[decision->rule], "version",
-      (json_int_t)decision->version, "version_age_ms",
-      (json_int_t)((now - serve->routes_read_at) / GBD_MILLISECOND),
-      "list_age_ms",
-      (json_int_t)((now - serve->servers_confirmed_at) / GBD_MILLISECOND));
+  json_t *fields = json_pack ("{s:s, s:s, s:I}", "flow", flow, "rule",
+                              gbd_director_rule_strings[decision->rule],
+                              "version", (json_int_t)decision->version);
+  add_age (fields, "version_age_ms", serve->routes_read_at, now);
+  add_age (fields, "list_age_ms", serve->servers_confirmed_at, now);
   if (decision->server != GBD_POOL_NONE)
     {
       const gbd_pool_server_t *server = gbd_pool_peek (
@@ -171,6 +171,12 @@
                            json_integer (server->load.waiting));
       json_object_set_new (fields, "unanswered",
                            json_integer (server->load.suspicion.unanswered));
+      gbd_time_t response_time
+          = gbd_response_time_get (&server->load.response_time, now);
+      if (response_time)
+        json_object_set_new (
+            fields, "response_ms",
+            json_integer ((json_int_t)(response_time / GBD_MILLISECOND)));
       if (decision->rule == GBD_DIRECTOR_RULE_SERVER_DOWN)
         add_probe_result (fields, &server->load.suspicion, now);
     }
@@ -184,6 +190,17 @@
   return fields;
 }
 
+/* Adds the age of a state, unless it has not arrived yet.
+   @param read_at when the state arrived; 0: never */
+static void
+add_age (json_t *fields, const char *name, gbd_time_t read_at, gbd_time_t now)
+{
+  if (read_at)
+    json_object_set_new (
+        fields, name,
+        json_integer ((json_int_t)((now - read_at) / GBD_MILLISECOND)));
+}
+
 /* Returns the time in ms since the last response of the backend server, or -1
    if this instance has received none from it. */
 static json_int_t
@@ -406,20 +423,19 @@
   const gbd_routes_t *routes = gbd_director_get_routes (serve->director);
   const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
   gbd_time_t now = serve->clock (NULL);
-  return json_pack (
-      "{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:i, s:I, s:i, s:I, s:s}", "name",
+  json_t *status = json_pack (
+      "{s:s, s:s, s:s, s:b, s:b, s:b, s:I, s:i, s:i, s:s}", "name",
       serve->settings->name, "zone", serve->settings->zone, "policy",
       serve->settings->policy, "ready", is_ready (serve), "stopping",
       serve->is_stopping, "platform_away",
       gbd_pool_is_platform_unreachable (pool), "routes_version",
       routes ? (json_int_t)gbd_routes_get_version (routes) : (json_int_t)0,
       "routes", routes ? (int)gbd_routes_get_count (routes) : 0,
-      "routes_age_ms",
-      (json_int_t)((now - serve->routes_read_at) / GBD_MILLISECOND),
-      "backend_servers", (int)gbd_pool_get_count (pool), "list_age_ms",
-      (json_int_t)((now - serve->servers_confirmed_at) / GBD_MILLISECOND),
-      "list_from",
+      "backend_servers", (int)gbd_pool_get_count (pool), "list_from",
       gbd_cookie_servers_use_platform (serve) ? "platform" : "relay");
+  add_age (status, "routes_age_ms", serve->routes_read_at, now);
+  add_age (status, "list_age_ms", serve->servers_confirmed_at, now);
+  return status;
 }
 
 static json_t *
--- a/src/test_gooseberrydrum/test_cookie_report.c
+++ b/src/test_gooseberrydrum/test_cookie_report.c
@@ -51,6 +51,36 @@
   close (ends[1]);
 }
 
+/* An instance that starts drops packets before anything has arrived. */
+static void
+state_that_never_arrived_has_no_age (void **state)
+{
+  (void)state;
+  int ends[2];
+  char text[READ_BYTES] = "";
+  assert_int_equal (pipe (ends), 0);
+  gbd_cookie_serve_t serve = { .director = make_director (),
+                               .event_log = gbd_event_log_new (
+                                   ends[1], "entry-1", LOG_INFO, START) };
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 40001);
+  gbd_director_decision_t decision
+      = route_packet (serve.director, &packet, START);
+  gbd_flow_observation_t observation = { .is_established = false };
+  gbd_cookie_report_decision (&serve, &packet, &decision, &observation, START);
+  gbd_event_log_flush (serve.event_log);
+  assert_true (read (ends[0], text, sizeof text - 1) > 0);
+  json_t *line = json_loads (text, 0, NULL);
+  assert_string_equal (json_string_value (json_object_get (line, "rule")),
+                       "not_ready");
+  assert_null (json_object_get (line, "version_age_ms"));
+  assert_null (json_object_get (line, "list_age_ms"));
+  json_decref (line);
+  gbd_event_log_delete (serve.event_log);
+  gbd_director_delete (serve.director);
+  close (ends[0]);
+  close (ends[1]);
+}
+
 static gbd_time_t
 read_clock (void *data)
 {
@@ -114,6 +144,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (flow_event_contains_the_decision_inputs_and_their_ages),
+    cmocka_unit_test (state_that_never_arrived_has_no_age),
     cmocka_unit_test (explain_includes_a_flow_open_at_this_instance)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
