--- a/bench/bench_floor.c
+++ b/bench/bench_floor.c
@@ -12,7 +12,7 @@
 #define PARTS_MAX 8
 #define WINDOW_S 2.0
 #define WINDOWS 4
-#define STEP_S 0.001
+#define STEPS 2000 /* of a window */
 #define ATTEMPTS 3 /* a caller retries twice */
 #define ATTEMPT_S 1.4
 #define RESPONSE_S 0.036 /* median on calm days of the site baridnet */
@@ -99,9 +99,10 @@
       double start = first + window * WINDOW_S;
       double earned = 0;
       double owed = 0;
-      for (double at = start; at < start + WINDOW_S; at += STEP_S)
+      for (int step = 0; step < STEPS; step++)
         for (size_t k = 0; k < KINDS; k++)
           {
+            double at = start + step * WINDOW_S / STEPS;
             double weight = kinds[k].share * kinds[k].worth;
             owed += weight;
             earned += weight * get_worth (&outage, &kinds[k], at, at, 0);
--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -506,7 +506,9 @@
       size_t index;
       json_t *object;
       json_array_foreach (json_object_get (body, lists[i]), index, object)
-          convert_version (object, era);
+      {
+        convert_version (object, era);
+      }
     }
 }
 
--- a/src/test_gooseberrydrum/test_platform_http.c
+++ b/src/test_gooseberrydrum/test_platform_http.c
@@ -15,6 +15,7 @@
 /* Iterations of the event loop in which a request over loopback completes. */
 #define LOOP_COUNT 200
 #define REQUEST_BYTES 4096
+#define CHUNKED "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 
 /* A server that sends the same bytes on each connection and closes it. */
 typedef struct
@@ -152,9 +153,8 @@
   (void)state;
   static const char *const responses[] = {
     "HTTP/1.1 200 OK\r\nContent-Length: 90\r\n\r\n{\"items\":[]}",
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nb\r\n{\"item",
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-    "a\r\n{\"items\":[\r\n",
+    CHUNKED "b\r\n{\"item",
+    CHUNKED "a\r\n{\"items\":[\r\n",
     "HTTP/1.1 200 OK\r\nContent-Le",
     "",
   };
