Holders in a file of their own; each watch that sees a restore wakes the other

A restore that one watch sees makes the other send a request at once instead of at the end of its long poll.

--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -176,6 +176,15 @@
                                 const char *name, uint64_t version,
                                 const char *problem, gbd_time_t now);
 
+/* cookie_holders.c: list, key and routes from other instances while the
+   platform is unreachable; see start.h */
+
+void gbd_cookie_holders_init (gbd_cookie_serve_t *serve);
+/** Announce this instance to relays if it is a holder and it is time. */
+void gbd_cookie_holders_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+/** Another instance has announced itself; a gbd_relay_holder_callback_t. */
+void gbd_cookie_holder_seen (void *data, const gbd_address_t *holder);
+
 /* cookie_report.c */
 
 extern const gbd_admin_callbacks_t gbd_cookie_admin_callbacks;
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -46,12 +46,6 @@
 static void request_list_from_holder (gbd_cookie_serve_t *serve,
                                       gbd_time_t now);
 static bool start_peer_server (gbd_cookie_serve_t *serve, const char **error);
-static void set_relay_argument (gbd_cookie_serve_t *serve);
-static bool is_complete (const gbd_cookie_serve_t *serve);
-static void holder_seen (void *data, const gbd_address_t *holder);
-static void announce (gbd_cookie_serve_t *serve, gbd_time_t now);
-static void announcement_done (void *data, gbd_status_t status,
-                               uint64_t version, json_t *value);
 static void documents_received (void *data, const json_t *documents);
 static void fill_listing (void *data);
 static void refresh_watches (gbd_cookie_serve_t *serve);
@@ -118,10 +112,7 @@
   if (!is_relay && serve->settings->relay_listen.family
       && !start_peer_server (serve, error))
     return false;
-  set_relay_argument (serve);
-  serve->holder_asked_at = GBD_TIME_NEVER;
-  for (uint32_t i = 0; i < GBD_SOURCES_MAX; i++)
-    serve->announcements[i].announced_at = GBD_TIME_NEVER;
+  gbd_cookie_holders_init (serve);
   gbd_sources_init (&serve->sources, relay_count + 1, platform_index,
                     serve->settings->first_start, serve->random_value, now);
   /* The first list of a relay must not be a stale read, because it is served
@@ -148,7 +139,8 @@
                            serve->platform_api->servers_kind, error);
       if (!serve->relay)
         return false;
-      gbd_relay_set_holder_callback (serve->relay, holder_seen, serve);
+      gbd_relay_set_holder_callback (serve->relay, gbd_cookie_holder_seen,
+                                     serve);
     }
   serve->servers_watch = gbd_platform_watch_new (
       serve->clients[serve->sources.current],
@@ -175,8 +167,7 @@
   serve->last_tick_at = now;
   if (serve->is_peer_due || serve->is_holder_due)
     request_list_from_holder (serve, now);
-  set_relay_argument (serve);
-  announce (serve, now);
+  gbd_cookie_holders_tick (serve, now);
   for (uint32_t i = 0; i < serve->sources.count; i++)
     gbd_platform_tick (serve->clients[i], now);
   if (serve->peer)
@@ -298,84 +289,11 @@
   if (!serve->peer_server)
     return false;
   gbd_relay_set_fill (serve->peer_server, fill_listing, serve);
-  gbd_relay_set_holder_callback (serve->peer_server, holder_seen, serve);
+  gbd_relay_set_holder_callback (serve->peer_server, gbd_cookie_holder_seen,
+                                 serve);
   return true;
 }
 
-static void
-set_relay_argument (gbd_cookie_serve_t *serve)
-{
-  bool has_documents
-      = serve->has_key && gbd_director_get_routes (serve->director);
-  char from[GBD_ADDRESS_TEXT_MAX + sizeof "from="] = "";
-  if (serve->peer_server)
-    {
-      char address[GBD_ADDRESS_TEXT_MAX];
-      gbd_address_format (&serve->settings->relay_listen, address);
-      g_snprintf (from, sizeof from, "from=%s", address);
-    }
-  g_snprintf (serve->relay_argument, sizeof serve->relay_argument, "%s%s%s",
-              has_documents ? "" : "documents=1",
-              !has_documents && from[0] ? "&" : "", from);
-}
-
-/* Whether this instance has list, key and routes. */
-static bool
-is_complete (const gbd_cookie_serve_t *serve)
-{
-  return serve->list_version && gbd_director_is_ready (serve->director);
-}
-
-static void
-holder_seen (void *data, const gbd_address_t *holder)
-{
-  gbd_cookie_serve_t *serve = data;
-  if (!gbd_start_may_ask_holder (is_complete (serve), serve->holder_asked_at,
-                                 serve->clock (NULL)))
-    return;
-  serve->holder = *holder;
-  serve->is_holder_due = true;
-}
-
-/* Announces this instance to relays that have not responded: they may start
-   again without a list while the platform is unreachable. */
-static void
-announce (gbd_cookie_serve_t *serve, gbd_time_t now)
-{
-  const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
-  uint32_t reader_count
-      = (uint32_t)(serve->sources.probe_interval / GBD_SOURCES_PROBE_SPACING);
-  if (!is_complete (serve) || !serve->settings->relay_listen.family)
-    return;
-  for (uint32_t i = 0; i < serve->sources.count; i++)
-    {
-      gbd_announcement_t *announcement = &serve->announcements[i];
-      if (i == serve->sources.platform || announcement->is_requested
-          || !gbd_start_may_announce (gbd_pool_is_platform_unreachable (pool),
-                                      !announcement->is_unanswered,
-                                      reader_count, announcement->announced_at,
-                                      now))
-        continue;
-      char address[GBD_ADDRESS_TEXT_MAX];
-      gbd_address_format (&serve->settings->relay_listen, address);
-      announcement->is_requested = true;
-      announcement->announced_at = now;
-      gbd_platform_get (serve->clients[i], GBD_RELAY_HOLDERS_KIND, address,
-                        false, now, announcement_done, announcement);
-    }
-}
-
-static void
-announcement_done (void *data, gbd_status_t status, uint64_t version,
-                   json_t *value)
-{
-  (void)version;
-  (void)value;
-  gbd_announcement_t *announcement = data;
-  announcement->is_requested = false;
-  announcement->is_unanswered = status == GBD_ERROR_UNAVAILABLE;
-}
-
 static void
 documents_received (void *data, const json_t *documents)
 {
@@ -657,20 +575,18 @@
 {
   gbd_cookie_serve_t *serve = data;
   gbd_time_t now = serve->clock (NULL);
+  gbd_pool_t *pool = gbd_director_get_pool (serve->director);
   gbd_event_log_emit (
       serve->event_log, GBD_EVENT_RESTORED, now,
-      json_pack (
-          "{s:i, s:I, s:i, s:i}", "era_before",
-          (int)gbd_position_get_era (position), "revision_before",
-          (json_int_t)gbd_position_get_revision (position), "era", (int)era,
-          "servers",
-          (int)gbd_pool_get_count (gbd_director_peek_pool (serve->director))));
+      json_pack ("{s:i, s:I, s:i, s:i}", "era_before",
+                 (int)gbd_position_get_era (position), "revision_before",
+                 (json_int_t)gbd_position_get_revision (position), "era",
+                 (int)era, "servers", (int)gbd_pool_get_count (pool)));
   serve->is_restoring = true;
-  if (!gbd_pool_is_platform_unreachable (
-          gbd_director_peek_pool (serve->director)))
+  if (!gbd_pool_is_platform_unreachable (pool))
     serve->unreachable_since = now;
-  gbd_pool_set_platform_unreachable (gbd_director_get_pool (serve->director),
-                                     true, now);
+  gbd_pool_set_platform_unreachable (pool, true, now);
+  gbd_platform_watch_refresh (serve->routes_watch);
   if (serve->relay)
     gbd_cookie_store_restore_key (serve, now);
 }
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -61,11 +61,13 @@
                             json_t *value);
 static void routes_confirmed (void *data, gbd_time_t requested_at);
 static void routes_failed (void *data, gbd_time_t now);
+static void routes_restored (void *data, uint64_t position, uint32_t era);
 
 static const gbd_platform_watch_callbacks_t routes_callbacks = {
   .changed = routes_changed,
   .confirmed = routes_confirmed,
   .failed = routes_failed,
+  .restored = routes_restored,
 };
 
 gbd_platform_t *
@@ -401,6 +403,17 @@
       json_pack ("{s:s}", "watch", serve->platform_api->routes_kind));
 }
 
+/* The watch on backend servers reports the restore when it sees it too. */
+static void
+routes_restored (void *data, uint64_t position, uint32_t era)
+{
+  (void)position;
+  (void)era;
+  gbd_cookie_serve_t *serve = data;
+  if (gbd_cookie_servers_use_platform (serve))
+    gbd_platform_watch_refresh (serve->servers_watch);
+}
+
 static void
 log_failure (gbd_cookie_serve_t *serve, gbd_event_t event, const char *kind,
              gbd_status_t status, gbd_time_t now)
