Placement: recent flows spread over servers with free slots

Hypothesis: a server that fails requests at once has no pending flows, so a choice by pending flows sends it more than its share; counting recent flows while a server has free slots evens this out.

--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -12,6 +12,7 @@
 
 #include "gooseberrydrum/decls.h"
 #include "gooseberrydrum/cookie.h"
+#include "gooseberrydrum/recent_flows.h"
 #include "gooseberrydrum/response_time.h"
 #include "gooseberrydrum/suspicion.h"
 #include "gooseberrydrum/table.h"
@@ -44,6 +45,7 @@
 {
   gbd_suspicion_t suspicion;
   gbd_response_time_t response_time;
+  gbd_recent_flows_t recent_flows;
   uint32_t waiting;    /**< flows waiting for a response */
   uint32_t open;       /**< flows established through this instance */
   uint64_t placed;     /**< new flows sent to it */
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -213,6 +213,7 @@
   if (flow->phase != GBD_FLOW_OPENING || flow->server != server)
     {
       gbd_suspicion_record_placement (&new_server->load.suspicion, now);
+      gbd_recent_flows_add (&new_server->load.recent_flows, now);
       new_server->load.placed++;
     }
   flow->server = server;
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -4,6 +4,10 @@
 /* Cost of one pending flow at a server with one slot, divided by the number of
    its slots; balances the load while slots are free. */
 #define SPREAD_COST 200u
+/* Cost of a recent flow at a server with free slots, and its limit, at which
+   an unequal distribution is accepted in place of a queue. */
+#define RECENT_FLOW_COST 30
+#define RECENT_FLOWS_COST_MAX 200u
 /* Exceeds all other costs, so that the class of a candidate always decides. */
 #define CLASS_COST ((uint64_t)1 << 32)
 /* Bits of the hash that break ties; less than any relevant difference of
@@ -26,6 +30,8 @@
                          const gbd_placement_t *placement, gbd_time_t now);
 static void find_peers (const gbd_pool_t *pool, gbd_service_id_t service,
                         gbd_time_t now, gbd_peer_response_time_t *peers);
+static uint64_t compute_recent_cost (const gbd_pool_server_t *server,
+                                     gbd_time_t now);
 static uint64_t compute_cost (const gbd_pool_server_t *server,
                               const gbd_placement_t *placement,
                               const gbd_peer_response_time_t *peers,
@@ -95,6 +101,17 @@
     }
 }
 
+/* Spreads flows over servers with free slots, also if the flows of some of
+   them never wait. */
+static uint64_t
+compute_recent_cost (const gbd_pool_server_t *server, gbd_time_t now)
+{
+  uint64_t cost
+      = (uint64_t)(gbd_recent_flows_get (&server->load.recent_flows, now)
+                   * RECENT_FLOW_COST);
+  return cost < RECENT_FLOWS_COST_MAX ? cost : RECENT_FLOWS_COST_MAX;
+}
+
 static uint64_t
 compute_cost (const gbd_pool_server_t *server,
               const gbd_placement_t *placement,
@@ -105,6 +122,8 @@
   uint64_t queued = pending_count + 1 > slots ? pending_count + 1 - slots : 0;
   uint64_t cost
       = queued * COST_UNIT / slots + pending_count * SPREAD_COST / slots;
+  if (queued == 0)
+    cost += compute_recent_cost (server, now);
   if (server->entry.backend.zone != placement->zone)
     cost += GBD_PLACEMENT_ZONE_COST;
   cost += gbd_response_time_get_excess (
--- a/src/test_libgooseberrydrum/test_placement.c
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -52,6 +52,35 @@
   gbd_director_delete (director);
 }
 
+/* A server fails its requests at once, so none of its flows ever waits.  Each
+   flow of the other two servers of the zone waits 50 ms; 20 arrive a second.
+ */
+static void
+server_that_fails_at_once_attracts_no_flows (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  uint32_t counts[5] = { 0 };
+  gbd_pool_handle_t previous = GBD_POOL_NONE;
+  gbd_time_t now = START;
+  for (gbd_flow_hash_t i = 0; i < 600; i++, now += 50 * GBD_MILLISECOND)
+    {
+      gbd_pool_handle_t handle
+          = choose_server (director, i * 0x9e3779b97f4a7c15u, now);
+      gbd_pool_load_t *load = &gbd_pool_get (pool, handle)->load;
+      if (previous != GBD_POOL_NONE)
+        gbd_pool_get (pool, previous)->load.waiting--;
+      previous = handle == 0 ? GBD_POOL_NONE : handle;
+      if (previous != GBD_POOL_NONE)
+        load->waiting++;
+      gbd_recent_flows_add (&load->recent_flows, now);
+      counts[handle]++;
+    }
+  assert_in_range (counts[0], 100, 250);
+  gbd_director_delete (director);
+}
+
 static void
 set_response_time (gbd_director_t *director, gbd_pool_handle_t handle,
                    gbd_time_t duration, gbd_time_t now)
@@ -217,6 +246,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (flows_are_balanced_within_the_zone),
     cmocka_unit_test (full_zone_overflows_to_another_zone),
+    cmocka_unit_test (server_that_fails_at_once_attracts_no_flows),
     cmocka_unit_test (slow_server_gets_flows_only_under_load),
     cmocka_unit_test (suspected_servers_get_trial_flows_only),
     cmocka_unit_test (retransmission_prefers_a_recently_responsive_server),
