--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -8,6 +8,11 @@
  *  the backend server with the shortest wait, which is in another zone if the
  *  wait in the local zone exceeds the delay between zones.
  *
+ *  A backend server that is slow beside its peers gets flows only when they
+ *  would wait longer elsewhere (response_time.h).  While servers have free
+ *  slots, flows are also spread by how many each got recently, because the
+ *  flows of a server that fails at once never wait (recent_flows.h).
+ *
  *  Suspected backend servers get only trial flows, unless all backend servers
  *  of the service are suspected.  When many fail at once, a retransmitted
  *  opening packet preferably goes to a backend server that has responded
