--- a/src/gooseberrydrum/platform_client.c
+++ b/src/gooseberrydrum/platform_client.c
@@ -475,14 +475,16 @@
   result->is_failure = true;
 }
 
-/* Records the era of a response.
+/* Records the era of a response.  One without the header is taken for one of
+   the current era.
    @return false, with the result set, if the response is from an earlier era:
    it arrived late, or a replica has not been restored yet. */
 static bool
 record_era (gbd_platform_t *platform, uint64_t number, bool is_write,
             gbd_platform_result_t *result)
 {
-  result->era = (uint32_t)MIN (number, GBD_POSITION_ERA_MAX);
+  result->era
+      = number ? (uint32_t)MIN (number, GBD_POSITION_ERA_MAX) : platform->era;
   if (result->era >= platform->era)
     {
       platform->era = result->era;
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -27,6 +27,8 @@
                          gbd_director_rule_t rule, gbd_drop_t cause);
 static void decide_reset (gbd_director_decision_t *decision,
                           gbd_director_rule_t rule);
+static bool has_failed_after_removal (const gbd_pool_server_t *server,
+                                      gbd_time_t now);
 static bool is_terminated (const gbd_director_t *director,
                            const gbd_pool_server_t *server, gbd_time_t now);
 static bool is_down (const gbd_director_t *director,
@@ -284,6 +286,18 @@
   decision->rule = rule;
 }
 
+/* Whether responses of a backend server that is no longer listed are missing,
+   enough of them to consider it stopped. */
+static bool
+has_failed_after_removal (const gbd_pool_server_t *server, gbd_time_t now)
+{
+  const gbd_suspicion_t *suspicion = &server->load.suspicion;
+  if (server->entry.backend.state == GBD_BACKEND_DRAINING)
+    return gbd_suspicion_count_failures (suspicion, now)
+           >= GBD_DIRECTOR_FAILURES_DRAINED;
+  return suspicion->unanswered >= GBD_DIRECTOR_FAILURES_REMOVED;
+}
+
 /* Whether a backend server is no longer listed and is considered stopped, so
    that a reset should make its callers open another flow at once. */
 static bool
@@ -294,16 +308,10 @@
     return false;
   const gbd_suspicion_t *suspicion = &server->load.suspicion;
   gbd_probe_result_t probe = gbd_suspicion_get_probe (suspicion, now);
-  bool is_draining = server->entry.backend.state == GBD_BACKEND_DRAINING;
-  uint32_t failures = is_draining
-                          ? gbd_suspicion_count_failures (suspicion, now)
-                          : suspicion->unanswered;
-  bool is_confirmed
-      = probe == GBD_PROBE_REFUSED
-        || failures >= (is_draining ? GBD_DIRECTOR_FAILURES_DRAINED
-                                    : GBD_DIRECTOR_FAILURES_REMOVED);
   bool is_running = suspicion->last_response_at > server->removed_at
                     || probe == GBD_PROBE_ACCEPTED;
+  bool is_confirmed
+      = probe == GBD_PROBE_REFUSED || has_failed_after_removal (server, now);
   if (!is_confirmed && is_running)
     return false;
   gbd_time_t delay = is_confirmed ? GBD_DIRECTOR_CONFIRMED_RESET_DELAY
--- a/src/test_gooseberrydrum/test_platform_client.c
+++ b/src/test_gooseberrydrum/test_platform_client.c
@@ -658,6 +658,10 @@
   assert_int_equal (result.status, GBD_OK);
   assert_true (result.version == gbd_position_make (5, 9));
   json_decref (result.body);
+  response.number = 0;
+  gbd_platform_evaluate_response (platform, &response, false, &result);
+  assert_true (result.version == gbd_position_make (5, 9));
+  json_decref (result.body);
   response.number = 4;
   gbd_platform_evaluate_response (platform, &response, false, &result);
   assert_int_equal (result.status, GBD_ERROR_UNAVAILABLE);
