--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -61,7 +61,8 @@
     false,
     "Whether all instances of the group start for the first time and no "
     "packets arrive yet.  The instances then wait for the relays instead of "
-    "reading from the platform." },
+    "reading from the platform, and the relays create the group's key at once "
+    "instead of after two seconds." },
   { "platform-form", &gbd_kind_choice, FIELD (platform_form), "own", "", 0, 0,
     platform_form_choices, false,
     "Object API of the platform; objects is only for the policy cookie." },
