--- a/src/test_gooseberrydrum/test_platform_http.c
+++ b/src/test_gooseberrydrum/test_platform_http.c
@@ -77,7 +77,8 @@
   record->outcome = response->outcome;
   record->status = response->status;
   record->number = response->number;
-  memcpy (record->body, response->body, length);
+  if (length > 0)
+    memcpy (record->body, response->body, length);
 }
 
 /* Sends a request, and these bytes in response. */
