Flow tracker: idle time-out from the configuration, waiting from response times

Both were figures of the deployments known so far (12 s idle, 0.5 s for the longest processing time). The idle time-out is now the limit that the accepted configuration states, else the longest duration of a flow; a flow stops counting as waiting after eight average response times, and not before a caller would have retransmitted twice (0.6 s, platform contract).

eviction_keeps_load_counters_consistent ticks at the new default after the last packet instead of at 60 s; its checks are the same. New: idle_timeout_of_the_configuration_applies, waiting_follows_the_response_times, idle_timeout_is_read_from_the_limits.

--- a/include/gooseberrydrum/flow_tracker.h
+++ b/include/gooseberrydrum/flow_tracker.h
@@ -14,18 +14,21 @@
 
 GBD_BEGIN_DECLS
 
-/** A flow stops counting as waiting this long after its last packet.  By then
- *  the backend server has responded, although this instance does not see the
- *  response, or the caller has given up: the longest processing time in the
- *  site specifications is 230 ms, plus queueing. */
-#define GBD_FLOW_TRACKER_RESPONSE_TIMEOUT (500 * GBD_MILLISECOND)
+/** A flow stops counting as waiting when it has had no packet for this many
+ *  average response times of the tracked flows: by then the backend server has
+ *  responded, although this instance does not see the response, or the caller
+ *  has given up. */
+#define GBD_FLOW_TRACKER_RESPONSE_TIMES 8
+/** The least such time, used until response times are known: a caller whose
+ *  packet was lost has retransmitted it twice by then (platform contract). */
+#define GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN (600 * GBD_MILLISECOND)
 /** Retransmissions sooner than this after the first transmission are ignored.
  *  Callers retransmit after 200 ms at the earliest (platform contract); the
  *  difference allows for jitter on the path. */
 #define GBD_FLOW_TRACKER_RETRANSMIT_MIN (150 * GBD_MILLISECOND)
-/** Flows without packets are removed after this time, the shortest idle
- *  time-out in the site specifications. */
-#define GBD_FLOW_TRACKER_IDLE_TIMEOUT (12 * GBD_SECOND)
+/** Flows without packets are removed after this time if the configuration does
+ *  not state an idle time-out: the longest duration of a flow. */
+#define GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT GBD_POOL_RETENTION_TIME
 
 typedef enum
 {
@@ -58,6 +61,11 @@
 gbd_flow_tracker_t *gbd_flow_tracker_new (gbd_pool_t *pool, uint32_t capacity);
 void gbd_flow_tracker_delete (gbd_flow_tracker_t *tracker);
 
+/** Set the time after which flows without packets are removed; 0 sets the
+ *  default. */
+void gbd_flow_tracker_set_idle_timeout (gbd_flow_tracker_t *tracker,
+                                        gbd_time_t idle_timeout);
+
 /** @return NULL if the flow is not tracked. */
 const gbd_tracked_flow_t *
 gbd_flow_tracker_find (const gbd_flow_tracker_t *tracker,
--- a/include/gooseberrydrum/routes.h
+++ b/include/gooseberrydrum/routes.h
@@ -49,6 +49,13 @@
 gbd_service_id_t gbd_route_choose (const gbd_route_t *route,
                                    gbd_flow_hash_t hash);
 
+/** Set the time after which an idle flow may be discarded, as the
+ *  configuration states it. */
+void gbd_routes_set_idle_timeout (gbd_routes_t *routes,
+                                  gbd_time_t idle_timeout);
+/** @return 0 if the configuration does not state it. */
+gbd_time_t gbd_routes_get_idle_timeout (const gbd_routes_t *routes);
+
 uint64_t gbd_routes_get_version (const gbd_routes_t *routes);
 uint32_t gbd_routes_get_count (const gbd_routes_t *routes);
 
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -10,9 +10,13 @@
   uint32_t capacity;
   uint32_t count;
   gbd_time_t last_response_at;
+  gbd_time_t idle_timeout;
+  gbd_response_time_t response_time; /* of all backend servers */
   gbd_tracked_flow_t flows[];
 };
 
+static gbd_time_t get_response_timeout (const gbd_flow_tracker_t *tracker,
+                                        gbd_time_t now);
 static gbd_tracked_flow_t *find_entry (gbd_flow_tracker_t *tracker,
                                        gbd_flow_hash_t hash);
 static gbd_tracked_flow_t *allocate_entry (gbd_flow_tracker_t *tracker,
@@ -44,6 +48,7 @@
     return NULL;
   tracker->pool = pool;
   tracker->capacity = capacity;
+  gbd_flow_tracker_set_idle_timeout (tracker, 0);
   return tracker;
 }
 
@@ -53,6 +58,14 @@
   free (tracker);
 }
 
+void
+gbd_flow_tracker_set_idle_timeout (gbd_flow_tracker_t *tracker,
+                                   gbd_time_t idle_timeout)
+{
+  tracker->idle_timeout
+      = idle_timeout ? idle_timeout : GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT;
+}
+
 const gbd_tracked_flow_t *
 gbd_flow_tracker_find (const gbd_flow_tracker_t *tracker, gbd_flow_hash_t hash)
 {
@@ -117,16 +130,16 @@
 void
 gbd_flow_tracker_tick (gbd_flow_tracker_t *tracker, gbd_time_t now)
 {
+  gbd_time_t response_timeout = get_response_timeout (tracker, now);
   for (uint32_t i = 0; i < tracker->capacity; i++)
     {
       gbd_tracked_flow_t *flow = &tracker->flows[i];
       if (flow->phase == GBD_FLOW_UNUSED)
         continue;
-      if (now - flow->last_packet_at > GBD_FLOW_TRACKER_IDLE_TIMEOUT)
+      if (now - flow->last_packet_at > tracker->idle_timeout)
         release_entry (tracker, flow);
       else if (flow->is_waiting
-               && now - flow->last_packet_at
-                      > GBD_FLOW_TRACKER_RESPONSE_TIMEOUT)
+               && now - flow->last_packet_at > response_timeout)
         set_waiting (tracker, flow, false);
     }
 }
@@ -137,6 +150,16 @@
   return tracker->count;
 }
 
+static gbd_time_t
+get_response_timeout (const gbd_flow_tracker_t *tracker, gbd_time_t now)
+{
+  gbd_time_t timeout = GBD_FLOW_TRACKER_RESPONSE_TIMES
+                       * gbd_response_time_get (&tracker->response_time, now);
+  return timeout > GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN
+             ? timeout
+             : GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN;
+}
+
 static gbd_tracked_flow_t *
 find_entry (gbd_flow_tracker_t *tracker, gbd_flow_hash_t hash)
 {
@@ -250,8 +273,11 @@
       tracker->last_response_at = now;
       gbd_suspicion_record_response (&server->load.suspicion, now);
       if (!is_established_now && flow->is_waiting)
-        gbd_response_time_add (&server->load.response_time,
-                               now - flow->sent_at, now);
+        {
+          gbd_time_t duration = now - flow->sent_at;
+          gbd_response_time_add (&server->load.response_time, duration, now);
+          gbd_response_time_add (&tracker->response_time, duration, now);
+        }
       if (!is_established_now)
         set_waiting (tracker, flow, false);
     }
--- a/src/libgooseberrydrum/routes.c
+++ b/src/libgooseberrydrum/routes.c
@@ -8,6 +8,7 @@
 struct gbd_routes
 {
   uint64_t version;
+  gbd_time_t idle_timeout;
   uint32_t count;
   uint32_t capacity;
   gbd_route_t *routes; /* sorted by address */
@@ -86,6 +87,18 @@
   return route->targets[0].service;
 }
 
+void
+gbd_routes_set_idle_timeout (gbd_routes_t *routes, gbd_time_t idle_timeout)
+{
+  routes->idle_timeout = idle_timeout;
+}
+
+gbd_time_t
+gbd_routes_get_idle_timeout (const gbd_routes_t *routes)
+{
+  return routes->idle_timeout;
+}
+
 uint64_t
 gbd_routes_get_version (const gbd_routes_t *routes)
 {
--- a/src/test_gooseberrydrum/test_adapter.c
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <cmocka.h>
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -268,6 +269,42 @@
   json_decref (value);
 }
 
+typedef struct
+{
+  const char *limits;
+  gbd_time_t idle_timeout;
+} limits_case_t;
+
+static const limits_case_t limits_cases[] = {
+  { "{\"idle_timeout_ms\":15000}", 15 * GBD_SECOND },
+  { "{}", 0 },
+  { "null", 0 },
+  { "{\"idle_timeout_ms\":-1}", 0 },
+  { "{\"idle_timeout_ms\":\"15 s\"}", 0 },
+  { "{\"idle_timeout_ms\":9223372036854775807}", 0 },
+};
+
+static void
+idle_timeout_is_read_from_the_limits (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof limits_cases / sizeof limits_cases[0]; i++)
+    {
+      char text[128];
+      const char *problem = NULL;
+      snprintf (text, sizeof text,
+                "{\"version\":7,\"routes\":[],\"limits\":%s}",
+                limits_cases[i].limits);
+      json_t *value = parse_json (text);
+      gbd_routes_t *routes = platform_api->read_routes (value, &problem);
+      assert_non_null (routes);
+      assert_int_equal (gbd_routes_get_idle_timeout (routes),
+                        limits_cases[i].idle_timeout);
+      gbd_routes_delete (routes);
+      json_decref (value);
+    }
+}
+
 typedef struct
 {
   const char *kind;
@@ -463,6 +500,7 @@
     cmocka_unit_test (route_kinds_tell_which_requests_may_be_repeated),
     cmocka_unit_test (responses_are_translated_to_the_native_api),
     cmocka_unit_test (requests_are_built_as_documented),
+    cmocka_unit_test (idle_timeout_is_read_from_the_limits),
     cmocka_unit_test (changed_responses_are_decoded_or_refused),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/test_libgooseberrydrum/test_flow_tracker.c
+++ b/src/test_libgooseberrydrum/test_flow_tracker.c
@@ -76,6 +76,14 @@
   gbd_director_delete (director);
 }
 
+static uint32_t
+count_flows (const gbd_director_t *director)
+{
+  gbd_director_stats_t stats;
+  gbd_director_get_stats (director, &stats);
+  return stats.tracked_flows;
+}
+
 static void
 idle_flow_stops_waiting_and_is_removed (void **state)
 {
@@ -84,14 +92,62 @@
   gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
   gbd_director_decision_t opening = route_packet (director, &packet, START);
   const gbd_pool_load_t *load = get_load (director, opening.server);
-  gbd_director_tick (director, START + GBD_FLOW_TRACKER_RESPONSE_TIMEOUT);
+  gbd_director_tick (director, START + GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN);
   assert_int_equal (load->waiting, 1);
-  gbd_director_tick (director, START + GBD_FLOW_TRACKER_RESPONSE_TIMEOUT + 1);
+  gbd_director_tick (director,
+                     START + GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN + 1);
   assert_int_equal (load->waiting, 0);
-  gbd_director_tick (director, START + GBD_FLOW_TRACKER_IDLE_TIMEOUT + 1);
-  gbd_director_stats_t stats;
-  gbd_director_get_stats (director, &stats);
-  assert_int_equal (stats.tracked_flows, 0);
+  assert_int_equal (count_flows (director), 1);
+  gbd_director_tick (director, START + GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT);
+  assert_int_equal (count_flows (director), 1);
+  gbd_director_tick (director,
+                     START + GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT + 1);
+  assert_int_equal (count_flows (director), 0);
+  gbd_director_delete (director);
+}
+
+/* The configuration states another idle time-out. */
+static void
+idle_timeout_of_the_configuration_applies (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_routes_t *routes = make_routes (2, "web");
+  gbd_routes_set_idle_timeout (routes, 15 * GBD_SECOND);
+  assert_int_equal (gbd_director_set_routes (director, routes), GBD_OK);
+  open_flow (director, 1, START);
+  gbd_director_tick (director, START + 15 * GBD_SECOND);
+  assert_int_equal (count_flows (director), 1);
+  gbd_director_tick (director, START + 15 * GBD_SECOND + 11 * MS);
+  assert_int_equal (count_flows (director), 0);
+  gbd_director_delete (director);
+}
+
+/* Requests take 0.5 s, as on a deployment with much work for each: a flow
+   still waits when others of it would have been given up. */
+static void
+waiting_follows_the_response_times (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_time_t now = START;
+  for (uint16_t port = 1; port <= GBD_RESPONSE_TIME_SAMPLES_MIN; port++)
+    {
+      gbd_director_decision_t opening = open_flow (director, port, START);
+      gbd_packet_t packet = make_data (&opening, port);
+      route_packet (director, &packet, START + 20 * MS);
+      now = START + 520 * MS;
+      packet.acknowledgment += 1000;
+      packet.payload_length = 0;
+      route_packet (director, &packet, now);
+    }
+  gbd_director_decision_t opening = open_flow (director, 9, now);
+  const gbd_pool_load_t *load = get_load (director, opening.server);
+  gbd_packet_t packet = make_data (&opening, 9);
+  route_packet (director, &packet, now);
+  gbd_director_tick (director,
+                     now + GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN + 1);
+  assert_int_equal (load->waiting, 1);
   gbd_director_delete (director);
 }
 
@@ -110,7 +166,8 @@
   for (gbd_pool_handle_t handle = 0; handle < 5; handle++)
     open += get_load (director, handle)->open;
   assert_int_equal (open, stats.tracked_flows);
-  gbd_director_tick (director, START + 60 * GBD_SECOND);
+  gbd_director_tick (director, START + (5 * FLOWS + 11) * MS
+                                   + GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT);
   for (gbd_pool_handle_t handle = 0; handle < 5; handle++)
     assert_int_equal (get_load (director, handle)->open
                           + get_load (director, handle)->waiting,
@@ -126,6 +183,8 @@
     cmocka_unit_test (retransmitted_data_raises_suspicion),
     cmocka_unit_test (early_retransmission_is_ignored),
     cmocka_unit_test (idle_flow_stops_waiting_and_is_removed),
+    cmocka_unit_test (idle_timeout_of_the_configuration_applies),
+    cmocka_unit_test (waiting_follows_the_response_times),
     cmocka_unit_test (eviction_keeps_load_counters_consistent),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
