Placement: cost of another zone from observed set-up times

The cost was a constant worked out from the distances and the work of the deployments known so far. It is now two round trips, from the set-up times of flows in either zone, over the processing time, from the response times of the service's servers; until both are known, the processing time of one request. The response time of a server in another zone is compared without its distance.

Two comments with figures of deployments are reworded.

--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -26,10 +26,6 @@
 
 GBD_BEGIN_DECLS
 
-/** Cost of another zone, in thousandths of the processing time of one request:
- *  four crossings between zones of about 5 ms each against 15 to 20 ms of
- *  processing (site specifications). */
-#define GBD_PLACEMENT_ZONE_COST 1000
 /** Cost of a backend server in its warm-up, in which requests take up to 1.6
  *  times as long (site specifications). */
 #define GBD_PLACEMENT_WARM_UP_COST 600
--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -16,6 +16,7 @@
 #include "gooseberrydrum/response_time.h"
 #include "gooseberrydrum/suspicion.h"
 #include "gooseberrydrum/table.h"
+#include "gooseberrydrum/zone_delays.h"
 
 GBD_BEGIN_DECLS
 
@@ -138,6 +139,10 @@
 const gbd_pool_server_t *gbd_pool_peek (const gbd_pool_t *pool,
                                         gbd_pool_handle_t handle);
 
+/** What this instance has observed of the availability zones. */
+gbd_zone_delays_t *gbd_pool_get_zone_delays (gbd_pool_t *pool);
+const gbd_zone_delays_t *gbd_pool_peek_zone_delays (const gbd_pool_t *pool);
+
 /** @return number of listed backend servers. */
 uint32_t gbd_pool_get_count (const gbd_pool_t *pool);
 
--- a/include/gooseberrydrum/response_time.h
+++ b/include/gooseberrydrum/response_time.h
@@ -57,6 +57,9 @@
 void gbd_peer_response_time_add (gbd_peer_response_time_t *peers,
                                  gbd_time_t estimate);
 
+/** @return the response time of the peers; 0 if it is not known. */
+gbd_time_t gbd_peer_response_time_get (const gbd_peer_response_time_t *peers);
+
 /** @return how much longer a server takes than its peers, in thousandths of
  *  their time; 0 if it is not slow, or if either is not known. */
 uint64_t gbd_response_time_get_excess (const gbd_peer_response_time_t *peers,
--- a/src/gooseberrydrum/cookie_store.c
+++ b/src/gooseberrydrum/cookie_store.c
@@ -9,9 +9,8 @@
 #include "platform/adapter.h"
 
 /* A connection may stop delivering without a reset.  A watch on it is
-   abandoned after WATCH_WAIT_MS + CALL_TIMEOUT_MS, which is within the time
-   in which an instance must have reconnected and applied a change (7 s on the
-   smallest sites). */
+   abandoned after WATCH_WAIT_MS + CALL_TIMEOUT_MS, so that the instance
+   reconnects and applies a change in a few seconds. */
 #define WATCH_WAIT_MS 4000
 /* Changes that occur within this time are read in one response.  The delay for
    backend servers is a tenth of the shortest limit on draining.  The delay for
--- a/src/gooseberrydrum/event_log.c
+++ b/src/gooseberrydrum/event_log.c
@@ -18,9 +18,8 @@
    that lines about single flows do not leave lines about a start, a stop or a
    lost dependency without space. */
 #define RESERVED_BYTES 4096
-/* Lines per second of one event.  It admits a line for each new flow under
-   ordinary load (up to 60 a second per instance by the site specifications); a
-   line takes about 10 us. */
+/* Lines per second of one event.  A line takes about 10 us, so an event takes
+   at most a thousandth of a core. */
 #define RATE_PER_SECOND 100
 #define BURST 200
 #define LINE_END_BYTES 2 /* closing brace and newline */
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -263,6 +263,11 @@
       server->load.open++;
       observation->is_established = true;
       observation->setup_time = now - flow->sent_at;
+      /* After a retransmission, the response may be to the first copy. */
+      if (flow->acknowledgment == 0)
+        gbd_zone_delays_add (gbd_pool_get_zone_delays (tracker->pool),
+                             server->entry.backend.zone,
+                             observation->setup_time);
     }
   if (has_advanced)
     {
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -25,16 +25,28 @@
   CLASS_NONE         /* accepts no new flows */
 } class_t;
 
+/* What this instance has observed, the same for all candidates. */
+typedef struct
+{
+  const gbd_zone_delays_t *zone_delays;
+  gbd_peer_response_time_t peers;
+} observations_t;
+
 static class_t classify (const gbd_pool_server_t *server,
                          gbd_pool_handle_t handle,
                          const gbd_placement_t *placement, gbd_time_t now);
-static void find_peers (const gbd_pool_t *pool, gbd_service_id_t service,
-                        gbd_time_t now, gbd_peer_response_time_t *peers);
+static void find_peers (const gbd_pool_t *pool,
+                        const gbd_placement_t *placement, gbd_time_t now,
+                        observations_t *observations);
+static gbd_time_t get_response_time (const gbd_pool_server_t *server,
+                                     const gbd_placement_t *placement,
+                                     const observations_t *observations,
+                                     gbd_time_t now);
 static uint64_t compute_recent_cost (const gbd_pool_server_t *server,
                                      gbd_time_t now);
 static uint64_t compute_cost (const gbd_pool_server_t *server,
                               const gbd_placement_t *placement,
-                              const gbd_peer_response_time_t *peers,
+                              const observations_t *observations,
                               gbd_time_t now);
 
 gbd_pool_handle_t
@@ -44,8 +56,9 @@
   gbd_pool_handle_t best = GBD_POOL_NONE;
   uint64_t best_cost = UINT64_MAX;
   uint32_t capacity = gbd_pool_get_capacity (pool);
-  gbd_peer_response_time_t peers = { 0 };
-  find_peers (pool, placement->service, now, &peers);
+  observations_t observations
+      = { .zone_delays = gbd_pool_peek_zone_delays (pool) };
+  find_peers (pool, placement, now, &observations);
   for (uint32_t i = 0; i < capacity; i++)
     {
       gbd_pool_handle_t handle = (gbd_pool_handle_t)i;
@@ -55,8 +68,8 @@
       class_t class = classify (server, handle, placement, now);
       if (class == CLASS_NONE)
         continue;
-      uint64_t cost
-          = class * CLASS_COST + compute_cost (server, placement, &peers, now);
+      uint64_t cost = class * CLASS_COST
+                      + compute_cost (server, placement, &observations, now);
       if (cost < best_cost)
         {
           best = handle;
@@ -86,8 +99,8 @@
 }
 
 static void
-find_peers (const gbd_pool_t *pool, gbd_service_id_t service, gbd_time_t now,
-            gbd_peer_response_time_t *peers)
+find_peers (const gbd_pool_t *pool, const gbd_placement_t *placement,
+            gbd_time_t now, observations_t *observations)
 {
   uint32_t capacity = gbd_pool_get_capacity (pool);
   for (uint32_t i = 0; i < capacity; i++)
@@ -95,12 +108,27 @@
       const gbd_pool_server_t *server
           = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
       if (server->is_used && server->is_listed
-          && server->entry.service == service)
+          && server->entry.service == placement->service)
         gbd_peer_response_time_add (
-            peers, gbd_response_time_get (&server->load.response_time, now));
+            &observations->peers,
+            get_response_time (server, placement, observations, now));
     }
 }
 
+/* Returns the response time of a backend server as if it were in the local
+   zone, or 0. */
+static gbd_time_t
+get_response_time (const gbd_pool_server_t *server,
+                   const gbd_placement_t *placement,
+                   const observations_t *observations, gbd_time_t now)
+{
+  gbd_time_t response_time
+      = gbd_response_time_get (&server->load.response_time, now);
+  gbd_time_t delay = gbd_zone_delays_get_round_trip (
+      observations->zone_delays, placement->zone, server->entry.backend.zone);
+  return response_time > delay ? response_time - delay : 0;
+}
+
 /* Spreads flows over servers with free slots, also if the flows of some of
    them never wait. */
 static uint64_t
@@ -115,7 +143,7 @@
 static uint64_t
 compute_cost (const gbd_pool_server_t *server,
               const gbd_placement_t *placement,
-              const gbd_peer_response_time_t *peers, gbd_time_t now)
+              const observations_t *observations, gbd_time_t now)
 {
   uint64_t slots = server->entry.slots;
   uint64_t pending_count = server->load.waiting;
@@ -124,10 +152,12 @@
       = queued * COST_UNIT / slots + pending_count * SPREAD_COST / slots;
   if (queued == 0)
     cost += compute_recent_cost (server, now);
-  if (server->entry.backend.zone != placement->zone)
-    cost += GBD_PLACEMENT_ZONE_COST;
+  cost += gbd_zone_delays_get_cost (
+      observations->zone_delays, placement->zone, server->entry.backend.zone,
+      gbd_peer_response_time_get (&observations->peers));
   cost += gbd_response_time_get_excess (
-      peers, gbd_response_time_get (&server->load.response_time, now));
+      &observations->peers,
+      get_response_time (server, placement, observations, now));
   if (now < server->entry.warm_at)
     cost += GBD_PLACEMENT_WARM_UP_COST;
   if (placement->avoid != GBD_POOL_NONE
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -19,6 +19,7 @@
                                     of the memory block of `index` */
   uint32_t index_capacity;       /* entries of each hash table, a power of
                                     two */
+  gbd_zone_delays_t zone_delays;
   bool is_synced;
   bool is_platform_unreachable;
   gbd_time_t removal_grace_end; /* removals before this time are deferred
@@ -284,6 +285,18 @@
   return &pool->servers[handle];
 }
 
+gbd_zone_delays_t *
+gbd_pool_get_zone_delays (gbd_pool_t *pool)
+{
+  return &pool->zone_delays;
+}
+
+const gbd_zone_delays_t *
+gbd_pool_peek_zone_delays (const gbd_pool_t *pool)
+{
+  return &pool->zone_delays;
+}
+
 uint32_t
 gbd_pool_get_count (const gbd_pool_t *pool)
 {
--- a/src/libgooseberrydrum/response_time.c
+++ b/src/libgooseberrydrum/response_time.c
@@ -37,6 +37,12 @@
   peers->count++;
 }
 
+gbd_time_t
+gbd_peer_response_time_get (const gbd_peer_response_time_t *peers)
+{
+  return peers->count ? (gbd_time_t)(peers->count / peers->inverse_sum) : 0;
+}
+
 uint64_t
 gbd_response_time_get_excess (const gbd_peer_response_time_t *peers,
                               gbd_time_t estimate)
--- a/src/test_libgooseberrydrum/test_placement.c
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -121,6 +121,43 @@
   gbd_director_delete (director);
 }
 
+/* The local servers are busy: how many flows wait there before one goes to
+   another zone depends on how far that is, in processing times. */
+static uint32_t
+count_flows_before_another_zone (gbd_time_t setup_time_elsewhere,
+                                 gbd_time_t response_time)
+{
+  gbd_director_t *director = make_ready_director ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  gbd_zone_delays_t *delays = gbd_pool_get_zone_delays (pool);
+  gbd_zone_delays_add (delays, gbd_zone_from_name ("a"), GBD_MILLISECOND);
+  gbd_zone_delays_add (delays, gbd_zone_from_name ("b"), setup_time_elsewhere);
+  for (gbd_pool_handle_t i = 0; i < 3; i++)
+    set_response_time (director, i, response_time, START);
+  uint32_t flows = 0;
+  while (choose_server (director, flows, START) < 3 && flows < 100)
+    gbd_pool_get (pool, choose_server (director, flows++, START))
+        ->load.waiting++;
+  gbd_director_delete (director);
+  return flows;
+}
+
+static void
+near_zones_share_a_burst_and_far_zones_queue_it (void **state)
+{
+  (void)state;
+  uint32_t near = count_flows_before_another_zone (2 * GBD_MILLISECOND,
+                                                   500 * GBD_MILLISECOND);
+  uint32_t far = count_flows_before_another_zone (121 * GBD_MILLISECOND,
+                                                  61 * GBD_MILLISECOND);
+  /* A near zone is as good as the local one: only the first flows, which cost
+     nothing there, stay. */
+  assert_in_range (near, 1, 6);
+  /* Two round trips of 120 ms are four requests of 60 ms for each of the six
+     slots. */
+  assert_in_range (far, 6 + 6 * 3, 6 + 6 * 5);
+}
+
 static void
 suspected_servers_get_trial_flows_only (void **state)
 {
@@ -248,6 +285,7 @@
     cmocka_unit_test (full_zone_overflows_to_another_zone),
     cmocka_unit_test (server_that_fails_at_once_attracts_no_flows),
     cmocka_unit_test (slow_server_gets_flows_only_under_load),
+    cmocka_unit_test (near_zones_share_a_burst_and_far_zones_queue_it),
     cmocka_unit_test (suspected_servers_get_trial_flows_only),
     cmocka_unit_test (retransmission_prefers_a_recently_responsive_server),
     cmocka_unit_test (flows_leave_a_zone_whose_servers_are_suspected),
