--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -26,21 +26,19 @@
 
 GBD_BEGIN_DECLS
 
-/** Cost of a backend server in its warm-up, in which requests take up to 1.6
- *  times as long (site specifications). */
-#define GBD_PLACEMENT_WARM_UP_COST 600
 /** Cost, for a retransmitted opening packet, of a backend server that has not
- *  responded within GBD_PLACEMENT_RESPONSE_WINDOW: higher than the cost of
- *  another zone, lower than that of a full queue. */
+ *  responded within GBD_PLACEMENT_RESPONSE_WINDOW, in thousandths of the
+ *  processing time of one request: the caller rather waits for three requests
+ *  than for its second retransmission. */
 #define GBD_PLACEMENT_NO_RESPONSE_COST 3000
-/** Time for which a response of a backend server counts as recent.  At 20
- *  requests a second, an instance of the largest sites receives responses from
- *  about fifteen of 150 backend servers a second (site specifications). */
+/** Time for which a response of a backend server counts as recent.  An
+ * instance that receives few responses knows few such servers, and chooses
+ * among them. */
 #define GBD_PLACEMENT_RESPONSE_WINDOW GBD_SECOND
 /** How long after its removal an entry that was not draining may still be
- *  chosen if the service has no other backend server; shorter than every drain
- *  time of the sites. */
-#define GBD_PLACEMENT_LAST_RESORT (2 * GBD_SECOND)
+ *  chosen if the service has no other backend server: a running one has
+ * written its entry again by then. */
+#define GBD_PLACEMENT_LAST_RESORT GBD_POOL_REMOVAL_GRACE
 
 /** Inputs of a selection besides the pool. */
 typedef struct
--- a/include/gooseberrydrum/zone_delays.h
+++ b/include/gooseberrydrum/zone_delays.h
@@ -17,10 +17,11 @@
 
 /** Zones beyond this number are treated as not observed. */
 #define GBD_ZONE_DELAYS_MAX 16
-/** Cost of a zone that is not observed yet, in thousandths of the processing
- *  time of one request: a flow stays in its zone unless it would wait for a
- *  whole request. */
-#define GBD_ZONE_DELAYS_COST_PRIOR 1000
+/** Least cost of another zone, in thousandths of the processing time of one
+ *  request, also used for a zone that is not observed yet.  A flow stays in
+ * its zone unless it would wait for a whole request there, because an instance
+ *  places most flows of its zone's servers, and so knows their load better. */
+#define GBD_ZONE_DELAYS_COST_MIN 1000
 /** Highest cost of a zone. */
 #define GBD_ZONE_DELAYS_COST_MAX 100000
 
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -158,8 +158,6 @@
   cost += gbd_response_time_get_excess (
       &observations->peers,
       get_response_time (server, placement, observations, now));
-  if (now < server->entry.warm_at)
-    cost += GBD_PLACEMENT_WARM_UP_COST;
   if (placement->avoid != GBD_POOL_NONE
       && now - server->load.suspicion.last_response_at
              > GBD_PLACEMENT_RESPONSE_WINDOW)
--- a/src/libgooseberrydrum/zone_delays.c
+++ b/src/libgooseberrydrum/zone_delays.c
@@ -53,11 +53,13 @@
   if (zone == local_zone)
     return 0;
   if (!local || !other || response_time <= local)
-    return GBD_ZONE_DELAYS_COST_PRIOR;
+    return GBD_ZONE_DELAYS_COST_MIN;
   gbd_time_t delay
       = ROUND_TRIPS
         * gbd_zone_delays_get_round_trip (delays, local_zone, zone);
   uint64_t cost = (uint64_t)(delay * COST_UNIT / (response_time - local));
+  if (cost < GBD_ZONE_DELAYS_COST_MIN)
+    return GBD_ZONE_DELAYS_COST_MIN;
   return cost < GBD_ZONE_DELAYS_COST_MAX ? cost : GBD_ZONE_DELAYS_COST_MAX;
 }
 
