Routes: priority, goal, time limit and warm-up figures; group view

The configuration states for each route how urgent its requests are and how long callers wait, and for each service what a server bears that has just started; none of it was read. The adapter reads it now, and a value out of range rejects the configuration like any other bad route. The director takes a view of the group. Nothing uses them yet, so decisions are unchanged.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -17,6 +17,7 @@
 #include "gooseberrydrum/decls.h"
 #include "gooseberrydrum/engine.h"
 #include "gooseberrydrum/flow_tracker.h"
+#include "gooseberrydrum/group_view.h"
 #include "gooseberrydrum/placement.h"
 #include "gooseberrydrum/routes.h"
 
@@ -105,6 +106,12 @@
 gbd_status_t gbd_director_set_routes (gbd_director_t *director,
                                       gbd_routes_t *routes);
 
+/** Set what is known of the other instances. */
+void gbd_director_set_group (gbd_director_t *director,
+                             const gbd_group_view_t *group);
+const gbd_group_view_t *
+gbd_director_get_group (const gbd_director_t *director);
+
 gbd_pool_t *gbd_director_get_pool (gbd_director_t *director);
 const gbd_pool_t *gbd_director_peek_pool (const gbd_director_t *director);
 /** @return NULL if no routes are installed. */
--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -22,6 +22,7 @@
 #define GOOSEBERRYDRUM_PLACEMENT_H
 
 #include "gooseberrydrum/decls.h"
+#include "gooseberrydrum/group_view.h"
 #include "gooseberrydrum/pool.h"
 
 GBD_BEGIN_DECLS
@@ -48,6 +49,9 @@
   gbd_flow_hash_t hash;    /**< breaks ties in the same way on all instances */
   gbd_pool_handle_t avoid; /**< backend server that did not respond to this
                                 flow, or GBD_POOL_NONE */
+  gbd_group_view_t group;  /**< other instances, if known */
+  bool is_idempotent;      /**< callers may retry the requests of the route */
+  bool is_room_short;      /**< the service has turned requests away lately */
 } gbd_placement_t;
 
 /** Choose a backend server; has no side effects.
--- a/include/gooseberrydrum/routes.h
+++ b/include/gooseberrydrum/routes.h
@@ -24,10 +24,30 @@
 {
   gbd_address_t address;
   bool is_idempotent; /**< callers may retry its requests after any failure */
+  uint32_t priority;  /**< 0 is the most urgent */
+  gbd_time_t response_goal; /**< time within which callers want a response; 0:
+                                 not stated */
+  gbd_time_t time_limit;    /**< time after which callers give up; 0: not
+                                 stated */
   uint32_t target_count;
   gbd_route_target_t targets[GBD_ROUTE_TARGETS_MAX];
 } gbd_route_t;
 
+/** Highest values that a configuration may state. */
+#define GBD_ROUTE_PRIORITY_MAX 1000
+#define GBD_ROUTE_TIME_MAX (86400 * GBD_SECOND)
+#define GBD_WARM_UP_TIME_MAX (600 * GBD_SECOND)
+#define GBD_WARM_UP_RATE_MAX 1e6
+
+/** What a backend server of one service bears after its start.
+ *  Zero-initialized: not stated. */
+typedef struct
+{
+  gbd_time_t duration; /**< time for which a server is cold */
+  double rate; /**< requests per second that a cold server bears; 0: no limit
+                    is stated */
+} gbd_warm_up_limits_t;
+
 typedef struct gbd_routes gbd_routes_t;
 
 /** @param version version of the accepted configuration; each newer
@@ -56,6 +76,15 @@
 /** @return 0 if the configuration does not state it. */
 gbd_time_t gbd_routes_get_idle_timeout (const gbd_routes_t *routes);
 
+/** Set what cold backend servers of a service bear.
+ *  @return GBD_ERROR_RANGE for values above the limits; GBD_ERROR_MEMORY. */
+gbd_status_t gbd_routes_set_warm_up (gbd_routes_t *routes,
+                                     gbd_service_id_t service,
+                                     const gbd_warm_up_limits_t *limits);
+/** @return zeros if the configuration states nothing for the service. */
+gbd_warm_up_limits_t gbd_routes_get_warm_up (const gbd_routes_t *routes,
+                                             gbd_service_id_t service);
+
 uint64_t gbd_routes_get_version (const gbd_routes_t *routes);
 uint32_t gbd_routes_get_count (const gbd_routes_t *routes);
 
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -8,6 +8,7 @@
   gbd_pool_t *pool;
   gbd_flow_tracker_t *tracker;
   gbd_routes_t *routes; /* NULL until routes are installed */
+  gbd_group_view_t group;
   uint64_t key;
   bool has_key;
   uint64_t rules[GBD_DIRECTOR_RULE_COUNT];
@@ -87,6 +88,19 @@
   return GBD_OK;
 }
 
+void
+gbd_director_set_group (gbd_director_t *director,
+                        const gbd_group_view_t *group)
+{
+  director->group = *group;
+}
+
+const gbd_group_view_t *
+gbd_director_get_group (const gbd_director_t *director)
+{
+  return &director->group;
+}
+
 gbd_pool_t *
 gbd_director_get_pool (gbd_director_t *director)
 {
@@ -212,6 +226,8 @@
     .zone = director->settings.zone,
     .hash = decision->hash,
     .avoid = GBD_POOL_NONE,
+    .group = director->group,
+    .is_idempotent = route->is_idempotent,
   };
   const gbd_tracked_flow_t *flow
       = gbd_flow_tracker_find (director->tracker, decision->hash);
--- a/src/libgooseberrydrum/routes.c
+++ b/src/libgooseberrydrum/routes.c
@@ -5,6 +5,12 @@
 
 #define INITIAL_CAPACITY 16
 
+typedef struct
+{
+  gbd_service_id_t service;
+  gbd_warm_up_limits_t warm_up;
+} service_t;
+
 struct gbd_routes
 {
   uint64_t version;
@@ -12,6 +18,8 @@
   uint32_t count;
   uint32_t capacity;
   gbd_route_t *routes; /* sorted by address */
+  uint32_t service_count;
+  service_t *services;
 };
 
 static int compare_addresses (const gbd_address_t *a, const gbd_address_t *b);
@@ -35,6 +43,7 @@
   if (!routes)
     return;
   free (routes->routes);
+  free (routes->services);
   free (routes);
 }
 
@@ -99,6 +108,42 @@
   return routes->idle_timeout;
 }
 
+gbd_status_t
+gbd_routes_set_warm_up (gbd_routes_t *routes, gbd_service_id_t service,
+                        const gbd_warm_up_limits_t *limits)
+{
+  if (!(limits->rate >= 0 && limits->rate <= GBD_WARM_UP_RATE_MAX)
+      || limits->duration < 0 || limits->duration > GBD_WARM_UP_TIME_MAX)
+    return GBD_ERROR_RANGE;
+  uint32_t index = 0;
+  while (index < routes->service_count
+         && routes->services[index].service != service)
+    index++;
+  if (index == routes->service_count)
+    {
+      service_t *resized
+          = realloc (routes->services, (index + 1) * sizeof *routes->services);
+      if (!resized)
+        return GBD_ERROR_MEMORY;
+      routes->services = resized;
+      routes->service_count++;
+    }
+  routes->services[index]
+      = (service_t){ .service = service, .warm_up = *limits };
+  return GBD_OK;
+}
+
+gbd_warm_up_limits_t
+gbd_routes_get_warm_up (const gbd_routes_t *routes, gbd_service_id_t service)
+{
+  for (uint32_t i = 0; i < routes->service_count; i++)
+    {
+      if (routes->services[i].service == service)
+        return routes->services[i].warm_up;
+    }
+  return (gbd_warm_up_limits_t){ .duration = 0 };
+}
+
 uint64_t
 gbd_routes_get_version (const gbd_routes_t *routes)
 {
--- a/src/test_gooseberrydrum/test_adapter.c
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -223,6 +223,29 @@
 static const entry_case_t routes_cases[] = {
   { "valid", NULL, "{'version':7,'routes':[" ROUTE_A "," ROUTE_B "]}", true },
   { "empty list", NULL, "{'version':7,'routes':[]}", true },
+  { "warm-up", NULL,
+    "{'version':7,'routes':[],'backends':[{'name':'web','warmup_s':2.0,"
+    "'warmup_per_s':12.5}]}",
+    true },
+  { "negative warm-up rate", NULL,
+    "{'version':7,'routes':[],'backends':[{'name':'web','warmup_per_s':-1}]}",
+    false },
+  { "warm-up that is too long", NULL,
+    "{'version':7,'routes':[],'backends':[{'name':'web','warmup_s':601}]}",
+    false },
+  { "warm-up that is no number", NULL,
+    "{'version':7,'routes':[],'backends':[{'name':'web','warmup_s':'2'}]}",
+    false },
+  { "service without a name", NULL,
+    "{'version':7,'routes':[],'backends':[{'warmup_s':2}]}", false },
+  { "negative priority", NULL,
+    "{'version':7,'routes':[{'host':'198.18.0.1','path_prefix':'/1/',"
+    "'backend':'web','priority':-1}]}",
+    false },
+  { "time limit that is no number", NULL,
+    "{'version':7,'routes':[{'host':'198.18.0.1','path_prefix':'/1/',"
+    "'backend':'web','timeout_ms':true}]}",
+    false },
   { "no version", NULL, "{'routes':[]}", false },
   { "no routes", NULL, "{'version':7}", false },
   { "duplicate address", NULL,
@@ -486,6 +509,35 @@
     }
 }
 
+static void
+priority_times_and_warm_up_are_read (void **state)
+{
+  (void)state;
+  const char *problem = NULL;
+  gbd_address_t address;
+  gbd_address_parse ("198.18.0.1:443", &address);
+  json_t *value = parse_json (
+      "{'version':7,'routes':[{'host':'198.18.0.1','path_prefix':'/443/',"
+      "'backend':'web','priority':2,'target_latency_ms':500,"
+      "'timeout_ms':2500}],'backends':[{'name':'web','warmup_s':2.0,"
+      "'warmup_per_s':12.5},{'name':'mail'}]}");
+  gbd_routes_t *routes = platform_api->read_routes (value, &problem);
+  assert_non_null (routes);
+  const gbd_route_t *route = gbd_routes_find (routes, &address);
+  assert_int_equal (route->priority, 2);
+  assert_int_equal (route->response_goal, 500 * GBD_MILLISECOND);
+  assert_int_equal (route->time_limit, 2500 * GBD_MILLISECOND);
+  gbd_warm_up_limits_t limits
+      = gbd_routes_get_warm_up (routes, gbd_id_from_name ("web"));
+  assert_int_equal (limits.duration, 2 * GBD_SECOND);
+  assert_float_equal (limits.rate, 12.5, 0);
+  limits = gbd_routes_get_warm_up (routes, gbd_id_from_name ("mail"));
+  assert_int_equal (limits.duration, 0);
+  assert_float_equal (limits.rate, 0, 0);
+  gbd_routes_delete (routes);
+  json_decref (value);
+}
+
 int
 main (void)
 {
@@ -498,6 +550,7 @@
     cmocka_unit_test (entry_fields_are_decoded),
     cmocka_unit_test (invalid_routes_are_rejected_with_a_reason),
     cmocka_unit_test (route_kinds_tell_which_requests_may_be_repeated),
+    cmocka_unit_test (priority_times_and_warm_up_are_read),
     cmocka_unit_test (responses_are_translated_to_the_native_api),
     cmocka_unit_test (requests_are_built_as_documented),
     cmocka_unit_test (idle_timeout_is_read_from_the_limits),
