Room: detect full backend servers from short responses

The flow tracker reports the first advance of the acknowledgment after each request. Placement gets it as is_room_short.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -19,6 +19,7 @@
 #include "gooseberrydrum/flow_tracker.h"
 #include "gooseberrydrum/group_view.h"
 #include "gooseberrydrum/placement.h"
+#include "gooseberrydrum/room.h"
 #include "gooseberrydrum/routes.h"
 
 GBD_BEGIN_DECLS
@@ -114,6 +115,8 @@
 
 gbd_pool_t *gbd_director_get_pool (gbd_director_t *director);
 const gbd_pool_t *gbd_director_peek_pool (const gbd_director_t *director);
+/** What was observed of full backend servers. */
+const gbd_room_t *gbd_director_peek_room (const gbd_director_t *director);
 /** @return NULL if no routes are installed. */
 const gbd_routes_t *gbd_director_get_routes (const gbd_director_t *director);
 
--- a/include/gooseberrydrum/flow_tracker.h
+++ b/include/gooseberrydrum/flow_tracker.h
@@ -11,6 +11,7 @@
 
 #include "gooseberrydrum/decls.h"
 #include "gooseberrydrum/pool.h"
+#include "gooseberrydrum/room.h"
 
 GBD_BEGIN_DECLS
 
@@ -29,6 +30,11 @@
 /** Flows without packets are removed after this time if the configuration does
  *  not state an idle time-out: the longest duration of a flow. */
 #define GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT GBD_POOL_RETENTION_TIME
+/** A flow that has had neither a second packet nor a copy of its opening
+ * packet for this time was reset by its backend server, if this one responds
+ * to others.  Callers send a copy after 200 ms if there is no response
+ * (platform contract); the rest allows for jitter on the path. */
+#define GBD_FLOW_TRACKER_LIMITED_MIN (400 * GBD_MILLISECOND)
 
 typedef enum
 {
@@ -51,14 +57,19 @@
   uint32_t acknowledgment;     /**< highest acknowledgment number sent by the
                                     caller */
   gbd_pool_handle_t server;
+  gbd_room_route_t route;
   uint8_t phase; /**< gbd_flow_phase_t */
   bool is_waiting;
+  bool is_limited; /**< counted as reset by a backend server at its connection
+                        limit */
 } gbd_tracked_flow_t;
 
 typedef struct gbd_flow_tracker gbd_flow_tracker_t;
 
-/** @param capacity number of flows, a power of two */
-gbd_flow_tracker_t *gbd_flow_tracker_new (gbd_pool_t *pool, uint32_t capacity);
+/** @param room gets the evidence of full backend servers
+ *  @param capacity number of flows, a power of two */
+gbd_flow_tracker_t *gbd_flow_tracker_new (gbd_pool_t *pool, gbd_room_t *room,
+                                          uint32_t capacity);
 void gbd_flow_tracker_delete (gbd_flow_tracker_t *tracker);
 
 /** Set the time after which flows without packets are removed; 0 sets the
--- a/include/gooseberrydrum/routes.h
+++ b/include/gooseberrydrum/routes.h
@@ -87,6 +87,9 @@
 
 uint64_t gbd_routes_get_version (const gbd_routes_t *routes);
 uint32_t gbd_routes_get_count (const gbd_routes_t *routes);
+/** @param index below gbd_routes_get_count(); the order is that of the
+ *  addresses */
+const gbd_route_t *gbd_routes_get (const gbd_routes_t *routes, uint32_t index);
 
 GBD_END_DECLS
 #endif
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -6,6 +6,7 @@
 {
   gbd_director_settings_t settings;
   gbd_pool_t *pool;
+  gbd_room_t *room;
   gbd_flow_tracker_t *tracker;
   gbd_routes_t *routes; /* NULL until routes are installed */
   gbd_group_view_t group;
@@ -44,9 +45,10 @@
     return NULL;
   director->settings = *settings;
   director->pool = gbd_pool_new ();
-  if (director->pool)
-    director->tracker
-        = gbd_flow_tracker_new (director->pool, settings->flow_capacity);
+  director->room = gbd_room_new ();
+  if (director->pool && director->room)
+    director->tracker = gbd_flow_tracker_new (director->pool, director->room,
+                                              settings->flow_capacity);
   if (director->tracker)
     return director;
   gbd_director_delete (director);
@@ -59,6 +61,7 @@
   if (!director)
     return;
   gbd_flow_tracker_delete (director->tracker);
+  gbd_room_delete (director->room);
   gbd_pool_delete (director->pool);
   gbd_routes_delete (director->routes);
   free (director);
@@ -83,6 +86,7 @@
     }
   gbd_routes_delete (director->routes);
   director->routes = routes;
+  gbd_room_set_routes (director->room, routes);
   gbd_flow_tracker_set_idle_timeout (director->tracker,
                                      gbd_routes_get_idle_timeout (routes));
   return GBD_OK;
@@ -113,6 +117,12 @@
   return director->pool;
 }
 
+const gbd_room_t *
+gbd_director_peek_room (const gbd_director_t *director)
+{
+  return director->room;
+}
+
 const gbd_routes_t *
 gbd_director_get_routes (const gbd_director_t *director)
 {
@@ -229,6 +239,8 @@
     .group = director->group,
     .is_idempotent = route->is_idempotent,
   };
+  placement.is_room_short
+      = gbd_room_is_short (director->room, placement.service, now);
   const gbd_tracked_flow_t *flow
       = gbd_flow_tracker_find (director->tracker, decision->hash);
   bool is_tracked = flow && flow->phase == GBD_FLOW_OPENING
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -7,6 +7,7 @@
 struct gbd_flow_tracker
 {
   gbd_pool_t *pool;
+  gbd_room_t *room;
   uint32_t capacity;
   uint32_t count;
   gbd_time_t last_response_at;
@@ -25,6 +26,8 @@
                            gbd_tracked_flow_t *flow);
 static void set_waiting (gbd_flow_tracker_t *tracker, gbd_tracked_flow_t *flow,
                          bool is_waiting);
+static void check_limit (gbd_flow_tracker_t *tracker, gbd_tracked_flow_t *flow,
+                         gbd_time_t now);
 static void record_opening (gbd_flow_tracker_t *tracker,
                             gbd_tracked_flow_t *flow,
                             const gbd_packet_t *packet,
@@ -40,13 +43,14 @@
                                    gbd_flow_observation_t *observation);
 
 gbd_flow_tracker_t *
-gbd_flow_tracker_new (gbd_pool_t *pool, uint32_t capacity)
+gbd_flow_tracker_new (gbd_pool_t *pool, gbd_room_t *room, uint32_t capacity)
 {
   gbd_flow_tracker_t *tracker
       = calloc (1, sizeof *tracker + capacity * sizeof tracker->flows[0]);
   if (!tracker)
     return NULL;
   tracker->pool = pool;
+  tracker->room = room;
   tracker->capacity = capacity;
   gbd_flow_tracker_set_idle_timeout (tracker, 0);
   return tracker;
@@ -90,6 +94,9 @@
     {
       flow = allocate_entry (tracker, hash);
       flow->server = server;
+      flow->route = gbd_room_find_route (
+          tracker->room, &packet->flow.service,
+          gbd_pool_peek (tracker->pool, server)->entry.service);
       flow->sequence = packet->sequence;
       flow->acknowledgment = packet->acknowledgment;
       flow->sent_at = now;
@@ -136,6 +143,7 @@
       gbd_tracked_flow_t *flow = &tracker->flows[i];
       if (flow->phase == GBD_FLOW_UNUSED)
         continue;
+      check_limit (tracker, flow, now);
       if (now - flow->last_packet_at > tracker->idle_timeout)
         release_entry (tracker, flow);
       else if (flow->is_waiting
@@ -216,6 +224,23 @@
     server->load.waiting--;
 }
 
+/* Detects that a backend server at its connection limit has reset a flow. */
+static void
+check_limit (gbd_flow_tracker_t *tracker, gbd_tracked_flow_t *flow,
+             gbd_time_t now)
+{
+  if (flow->phase != GBD_FLOW_OPENING || flow->is_limited
+      || flow->acknowledgment > 0
+      || now - flow->last_packet_at < GBD_FLOW_TRACKER_LIMITED_MIN)
+    return;
+  const gbd_suspicion_t *suspicion
+      = &gbd_pool_peek (tracker->pool, flow->server)->load.suspicion;
+  flow->is_limited = true;
+  if (!gbd_suspicion_is_suspected (suspicion)
+      && suspicion->last_response_at > flow->sent_at)
+    gbd_room_record_limited_flow (tracker->room, flow->route, now);
+}
+
 static void
 record_opening (gbd_flow_tracker_t *tracker, gbd_tracked_flow_t *flow,
                 const gbd_packet_t *packet, gbd_pool_handle_t server,
@@ -241,6 +266,7 @@
     }
   flow->server = server;
   flow->phase = GBD_FLOW_OPENING;
+  flow->is_limited = false;
   flow->sequence = packet->sequence;
   flow->acknowledgment = packet->acknowledgment;
   flow->sent_at = now;
@@ -273,6 +299,7 @@
     {
       observation->has_recovered
           = gbd_suspicion_is_suspected (&server->load.suspicion);
+      uint32_t advance = packet->acknowledgment - flow->acknowledgment;
       flow->acknowledgment = packet->acknowledgment;
       flow->last_response_at = now;
       tracker->last_response_at = now;
@@ -280,6 +307,8 @@
       if (!is_established_now && flow->is_waiting)
         {
           gbd_time_t duration = now - flow->sent_at;
+          gbd_room_record_response (tracker->room, flow->route, advance,
+                                    duration, now);
           gbd_response_time_add (&server->load.response_time, duration, now);
           gbd_response_time_add (&tracker->response_time, duration, now);
         }
--- a/src/libgooseberrydrum/routes.c
+++ b/src/libgooseberrydrum/routes.c
@@ -156,6 +156,12 @@
   return routes->count;
 }
 
+const gbd_route_t *
+gbd_routes_get (const gbd_routes_t *routes, uint32_t index)
+{
+  return &routes->routes[index];
+}
+
 static int
 compare_addresses (const gbd_address_t *a, const gbd_address_t *b)
 {
