Director: turn new flows away when their service has no room

The rule no_room resets only a first opening packet of a flow that is not tracked: a copy, or a duplicate of an opening packet that was forwarded, may belong to a flow that is opening.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -15,6 +15,7 @@
 #define GOOSEBERRYDRUM_DIRECTOR_H
 
 #include "gooseberrydrum/decls.h"
+#include "gooseberrydrum/admission.h"
 #include "gooseberrydrum/engine.h"
 #include "gooseberrydrum/flow_tracker.h"
 #include "gooseberrydrum/group_view.h"
@@ -63,11 +64,13 @@
                                     server */
   GBD_DIRECTOR_RULE_SERVER_REMOVED, /**< the flow's backend server was
                                          removed */
-  GBD_DIRECTOR_RULE_SERVER_DOWN /**< the flow's backend server, usually still
-                                     listed, has stopped or does not
-                                     respond */
+  GBD_DIRECTOR_RULE_SERVER_DOWN, /**< the flow's backend server, usually still
+                                      listed, has stopped or does not
+                                      respond */
+  GBD_DIRECTOR_RULE_NO_ROOM /**< the service is short of room, and more urgent
+                                 flows go first (admission.h) */
 } gbd_director_rule_t;
-#define GBD_DIRECTOR_RULE_COUNT 10
+#define GBD_DIRECTOR_RULE_COUNT 11
 extern const char *const gbd_director_rule_strings[GBD_DIRECTOR_RULE_COUNT];
 
 /** Decision on one packet. */
@@ -80,6 +83,8 @@
   gbd_pool_handle_t previous; /**< previously chosen backend server of a
                                    retransmitted opening packet, else
                                    GBD_POOL_NONE */
+  gbd_room_route_t route;     /**< route of a new flow that is subject to
+                                   admission, else GBD_ROOM_ROUTE_NONE */
   gbd_cookie_t cookie;        /**< cookie to write into the packet */
   gbd_flow_hash_t hash;
   uint64_t version; /**< version of the routes used; 0 if no routes are
@@ -117,6 +122,9 @@
 const gbd_pool_t *gbd_director_peek_pool (const gbd_director_t *director);
 /** What was observed of full backend servers. */
 const gbd_room_t *gbd_director_peek_room (const gbd_director_t *director);
+/** Which flows are turned away. */
+const gbd_admission_control_t *
+gbd_director_peek_admission (const gbd_director_t *director);
 /** @return NULL if no routes are installed. */
 const gbd_routes_t *gbd_director_get_routes (const gbd_director_t *director);
 
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -7,6 +7,7 @@
   gbd_director_settings_t settings;
   gbd_pool_t *pool;
   gbd_room_t *room;
+  gbd_admission_control_t *admission;
   gbd_flow_tracker_t *tracker;
   gbd_routes_t *routes; /* NULL until routes are installed */
   gbd_group_view_t group;
@@ -16,8 +17,9 @@
 };
 
 const char *const gbd_director_rule_strings[GBD_DIRECTOR_RULE_COUNT]
-    = { "not_ready", "no_route", "no_server", "placed",      "same",
-        "moved",     "cookie",   "no_cookie", "server_gone", "server_down" };
+    = { "not_ready",   "no_route",    "no_server", "placed",
+        "same",        "moved",       "cookie",    "no_cookie",
+        "server_gone", "server_down", "no_room" };
 
 static void route_opening (const gbd_director_t *director,
                            const gbd_packet_t *packet, gbd_time_t now,
@@ -46,7 +48,9 @@
   director->settings = *settings;
   director->pool = gbd_pool_new ();
   director->room = gbd_room_new ();
-  if (director->pool && director->room)
+  if (director->room)
+    director->admission = gbd_admission_new (director->room);
+  if (director->pool && director->admission)
     director->tracker = gbd_flow_tracker_new (director->pool, director->room,
                                               settings->flow_capacity);
   if (director->tracker)
@@ -61,6 +65,7 @@
   if (!director)
     return;
   gbd_flow_tracker_delete (director->tracker);
+  gbd_admission_delete (director->admission);
   gbd_room_delete (director->room);
   gbd_pool_delete (director->pool);
   gbd_routes_delete (director->routes);
@@ -87,6 +92,7 @@
   gbd_routes_delete (director->routes);
   director->routes = routes;
   gbd_room_set_routes (director->room, routes);
+  gbd_admission_update_routes (director->admission);
   gbd_flow_tracker_set_idle_timeout (director->tracker,
                                      gbd_routes_get_idle_timeout (routes));
   return GBD_OK;
@@ -123,6 +129,12 @@
   return director->room;
 }
 
+const gbd_admission_control_t *
+gbd_director_peek_admission (const gbd_director_t *director)
+{
+  return director->admission;
+}
+
 const gbd_routes_t *
 gbd_director_get_routes (const gbd_director_t *director)
 {
@@ -145,6 +157,7 @@
     .kind = GBD_ACTION_BACKEND,
     .server = GBD_POOL_NONE,
     .previous = GBD_POOL_NONE,
+    .route = GBD_ROOM_ROUTE_NONE,
     .hash = gbd_flow_hash (&packet->flow, director->key),
   };
   if (director->routes)
@@ -187,6 +200,10 @@
                      const gbd_director_decision_t *decision, gbd_time_t now)
 {
   director->rules[decision->rule]++;
+  bool is_admitted = decision->kind == GBD_ACTION_BACKEND;
+  if (is_admitted || decision->rule == GBD_DIRECTOR_RULE_NO_ROOM)
+    gbd_admission_record (director->admission, decision->route,
+                          &packet->flow.caller, is_admitted, now);
   if (decision->kind != GBD_ACTION_BACKEND)
     {
       if (decision->rule == GBD_DIRECTOR_RULE_SERVER_REMOVED
@@ -202,6 +219,7 @@
 gbd_director_tick (gbd_director_t *director, gbd_time_t now)
 {
   gbd_flow_tracker_tick (director->tracker, now);
+  gbd_admission_tick (director->admission, now);
   gbd_pool_tick (director->pool, now);
 }
 
@@ -270,6 +288,18 @@
                      GBD_DROP_NOT_JOINED);
       return;
     }
+  /* The first transmission of a copy, and the packets of a tracked flow, may
+     have been forwarded, so that a reset might end an open flow. */
+  if (!flow && packet->acknowledgment == 0)
+    decision->route = gbd_room_find_route (
+        director->room, &packet->flow.service, placement.service);
+  if (!gbd_admission_admits (director->admission, decision->route,
+                             &packet->flow.caller, now))
+    {
+      decision->server = GBD_POOL_NONE;
+      decide_reset (decision, GBD_DIRECTOR_RULE_NO_ROOM);
+      return;
+    }
   const gbd_pool_server_t *server
       = gbd_pool_peek (director->pool, decision->server);
   decision->cookie
