--- a/include/gooseberrydrum/routes.h
+++ b/include/gooseberrydrum/routes.h
@@ -76,6 +76,15 @@
 /** @return 0 if the configuration does not state it. */
 gbd_time_t gbd_routes_get_idle_timeout (const gbd_routes_t *routes);
 
+/** Set the name of a service, for reports.
+ *  @param name truncated to GBD_NAME_MAX bytes
+ *  @return GBD_ERROR_MEMORY if memory is exhausted. */
+gbd_status_t gbd_routes_set_service_name (gbd_routes_t *routes,
+                                          const char *name);
+/** @return NULL if it is not known. */
+const char *gbd_routes_get_service_name (const gbd_routes_t *routes,
+                                         gbd_service_id_t service);
+
 /** Set what cold backend servers of a service bear.
  *  @return GBD_ERROR_RANGE for values above the limits; GBD_ERROR_MEMORY. */
 gbd_status_t gbd_routes_set_warm_up (gbd_routes_t *routes,
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -184,6 +184,7 @@
     json_object_set_new (
         fields, "former",
         json_string (get_server_name (serve, decision->previous)));
+  gbd_cookie_room_add_fields (fields, serve->director, decision, now);
   if (decision->kind == GBD_ACTION_DROP)
     json_object_set_new (fields, "cause",
                          json_string (gbd_drop_strings[decision->drop]));
@@ -279,6 +280,8 @@
   add_decision_counters (counters, serve);
   add_setup_time_counters (counters, serve);
   add_state_counters (counters, serve);
+  gbd_cookie_room_add_counters (counters, serve->director,
+                                serve->clock (NULL));
   char *text = gbd_counters_format (counters);
   gbd_counters_delete (counters);
   return text;
@@ -435,6 +438,8 @@
       gbd_cookie_servers_use_platform (serve) ? "platform" : "relay");
   add_age (status, "routes_age_ms", serve->routes_read_at, now);
   add_age (status, "list_age_ms", serve->servers_confirmed_at, now);
+  json_object_set_new (status, "room",
+                       gbd_cookie_room_describe (serve->director, now));
   return status;
 }
 
--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -345,6 +345,7 @@
   gbd_cookie_store_tick (serve, now);
   gbd_cookie_servers_tick (serve, now);
   gbd_director_tick (serve->director, now);
+  gbd_cookie_room_tick (&serve->room, serve->director, serve->event_log, now);
   if (serve->prober)
     gbd_prober_tick (serve->prober, now);
   check_readiness (serve, now);
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -7,6 +7,7 @@
 
 #include "admin.h"
 #include "cookie_datapath.h"
+#include "cookie_room.h"
 #include "event_log.h"
 #include "gooseberrydrum/retry.h"
 #include "gooseberrydrum/sources.h"
@@ -37,6 +38,7 @@
   gbd_event_log_t *event_log;
   gbd_director_t *director;
   gbd_cookie_datapath_t *datapath;
+  gbd_cookie_room_t room;   /**< reported shortages */
   gbd_prober_t *prober;     /**< NULL if probes are disabled */
   gbd_platform_t *platform; /**< client for the routes and the group's key */
   gbd_platform_t *servers_platform; /**< client for the backend servers */
--- a/src/libgooseberrydrum/routes.c
+++ b/src/libgooseberrydrum/routes.c
@@ -1,5 +1,6 @@
 #include "gooseberrydrum/routes.h"
 
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -9,6 +10,7 @@
 {
   gbd_service_id_t service;
   gbd_warm_up_limits_t warm_up;
+  char name[GBD_NAME_MAX + 1];
 } service_t;
 
 struct gbd_routes
@@ -22,6 +24,9 @@
   service_t *services;
 };
 
+static service_t *add_service (gbd_routes_t *routes, gbd_service_id_t id);
+static const service_t *find_service (const gbd_routes_t *routes,
+                                      gbd_service_id_t id);
 static int compare_addresses (const gbd_address_t *a, const gbd_address_t *b);
 static uint32_t find_lower_bound (const gbd_routes_t *routes,
                                   const gbd_address_t *address);
@@ -115,33 +120,36 @@
   if (!(limits->rate >= 0 && limits->rate <= GBD_WARM_UP_RATE_MAX)
       || limits->duration < 0 || limits->duration > GBD_WARM_UP_TIME_MAX)
     return GBD_ERROR_RANGE;
-  uint32_t index = 0;
-  while (index < routes->service_count
-         && routes->services[index].service != service)
-    index++;
-  if (index == routes->service_count)
-    {
-      service_t *resized
-          = realloc (routes->services, (index + 1) * sizeof *routes->services);
-      if (!resized)
-        return GBD_ERROR_MEMORY;
-      routes->services = resized;
-      routes->service_count++;
-    }
-  routes->services[index]
-      = (service_t){ .service = service, .warm_up = *limits };
+  service_t *entry = add_service (routes, service);
+  if (!entry)
+    return GBD_ERROR_MEMORY;
+  entry->warm_up = *limits;
   return GBD_OK;
 }
 
 gbd_warm_up_limits_t
 gbd_routes_get_warm_up (const gbd_routes_t *routes, gbd_service_id_t service)
 {
-  for (uint32_t i = 0; i < routes->service_count; i++)
-    {
-      if (routes->services[i].service == service)
-        return routes->services[i].warm_up;
-    }
-  return (gbd_warm_up_limits_t){ .duration = 0 };
+  const service_t *entry = find_service (routes, service);
+  return entry ? entry->warm_up : (gbd_warm_up_limits_t){ .duration = 0 };
+}
+
+gbd_status_t
+gbd_routes_set_service_name (gbd_routes_t *routes, const char *name)
+{
+  service_t *entry = add_service (routes, gbd_id_from_name (name));
+  if (!entry)
+    return GBD_ERROR_MEMORY;
+  snprintf (entry->name, sizeof entry->name, "%s", name);
+  return GBD_OK;
+}
+
+const char *
+gbd_routes_get_service_name (const gbd_routes_t *routes,
+                             gbd_service_id_t service)
+{
+  const service_t *entry = find_service (routes, service);
+  return entry && entry->name[0] ? entry->name : NULL;
 }
 
 uint64_t
@@ -162,6 +170,36 @@
   return &routes->routes[index];
 }
 
+/* Returns the entry of a service, after adding it if there is none, or NULL if
+   memory is exhausted. */
+static service_t *
+add_service (gbd_routes_t *routes, gbd_service_id_t id)
+{
+  service_t *found = (service_t *)find_service (routes, id);
+  if (found)
+    return found;
+  uint32_t index = routes->service_count;
+  service_t *resized
+      = realloc (routes->services, (index + 1) * sizeof *routes->services);
+  if (!resized)
+    return NULL;
+  routes->services = resized;
+  routes->service_count++;
+  routes->services[index] = (service_t){ .service = id };
+  return &routes->services[index];
+}
+
+static const service_t *
+find_service (const gbd_routes_t *routes, gbd_service_id_t id)
+{
+  for (uint32_t i = 0; i < routes->service_count; i++)
+    {
+      if (routes->services[i].service == id)
+        return &routes->services[i];
+    }
+  return NULL;
+}
+
 static int
 compare_addresses (const gbd_address_t *a, const gbd_address_t *b)
 {
--- a/src/test_libgooseberrydrum/overload_fixture.h
+++ b/src/test_libgooseberrydrum/overload_fixture.h
@@ -136,7 +136,7 @@
 {
   replay->random
       = replay->random * 6364136223846793005u + 1442695040888963407u;
-  return (uint32_t)((replay->random >> 33) % limit);
+  return limit ? (uint32_t)((replay->random >> 33) % limit) : 0;
 }
 
 static inline gbd_time_t
