--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -2,6 +2,9 @@
 
 #include <stdlib.h>
 
+/* After a longer time between two ticks, the process was paused, and packets
+   of flows that seem to have ended may still be in the socket's buffer. */
+#define TICK_MAX (250 * GBD_MILLISECOND)
 #define WAYS 4 /* associativity: number of entries in a set */
 
 struct gbd_flow_tracker
@@ -11,6 +14,7 @@
   uint32_t capacity;
   uint32_t count;
   gbd_time_t last_response_at;
+  gbd_time_t ticked_at;
   gbd_time_t idle_timeout;
   gbd_response_time_t response_time; /* of all backend servers */
   gbd_tracked_flow_t flows[];
@@ -138,12 +142,15 @@
 gbd_flow_tracker_tick (gbd_flow_tracker_t *tracker, gbd_time_t now)
 {
   gbd_time_t response_timeout = get_response_timeout (tracker, now);
+  bool was_paused = now - tracker->ticked_at > TICK_MAX;
+  tracker->ticked_at = now;
   for (uint32_t i = 0; i < tracker->capacity; i++)
     {
       gbd_tracked_flow_t *flow = &tracker->flows[i];
       if (flow->phase == GBD_FLOW_UNUSED)
         continue;
-      check_limit (tracker, flow, now);
+      if (!was_paused)
+        check_limit (tracker, flow, now);
       if (now - flow->last_packet_at > tracker->idle_timeout)
         release_entry (tracker, flow);
       else if (flow->is_waiting
