Placement: windows of servers while a service is short of room

Instances that each see a small part of the flows filled the queues of some servers while others had free slots. In a shortage, and with a known group, each instance now prefers a window of each zone's servers (subset.h); others cost two requests more. The pool numbers the servers at most once a tick, when the list has changed; the window of a candidate takes constant time. Without a shortage or a view, decisions are unchanged.

--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -36,6 +36,11 @@
  * instance that receives few responses knows few such servers, and chooses
  * among them. */
 #define GBD_PLACEMENT_RESPONSE_WINDOW GBD_SECOND
+/** Cost, while a service is short of room, of a backend server outside the
+ *  window of this instance (subset.h), in thousandths of the processing time
+ * of one request: a flow goes there when it would wait for more than two
+ * requests inside. */
+#define GBD_PLACEMENT_OUTSIDE_COST 2000
 /** How long after its removal an entry that was not draining may still be
  *  chosen if the service has no other backend server: a running one has
  * written its entry again by then. */
--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -14,6 +14,7 @@
 #include "gooseberrydrum/cookie.h"
 #include "gooseberrydrum/recent_flows.h"
 #include "gooseberrydrum/response_time.h"
+#include "gooseberrydrum/subset.h"
 #include "gooseberrydrum/suspicion.h"
 #include "gooseberrydrum/table.h"
 #include "gooseberrydrum/zone_delays.h"
@@ -58,6 +59,7 @@
   gbd_pool_entry_t entry;
   gbd_pool_load_t load;
   gbd_fingerprint_t fingerprint;
+  gbd_subset_position_t position; /**< as of the last tick */
   bool is_used;
   bool is_listed;
   gbd_time_t removed_at;  /**< when its entry was removed; GBD_TIME_NEVER while
@@ -119,7 +121,7 @@
 gbd_time_t gbd_pool_get_removal_grace (const gbd_pool_t *pool, gbd_time_t now);
 
 /** Carry out removals that are due; delete entries whose retention time is
- *  over. */
+ *  over; number the ready servers (subset.h) if the list has changed. */
 void gbd_pool_tick (gbd_pool_t *pool, gbd_time_t now);
 
 /** Whether a full listing was applied. */
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -29,6 +29,7 @@
 typedef struct
 {
   const gbd_zone_delays_t *zone_delays;
+  bool has_windows; /* servers in the windows of this instance are preferred */
   gbd_peer_response_time_t peers;
 } observations_t;
 
@@ -57,7 +58,9 @@
   uint64_t best_cost = UINT64_MAX;
   uint32_t capacity = gbd_pool_get_capacity (pool);
   observations_t observations
-      = { .zone_delays = gbd_pool_peek_zone_delays (pool) };
+      = { .zone_delays = gbd_pool_peek_zone_delays (pool),
+          .has_windows = placement->is_room_short
+                         && gbd_subset_has_windows (&placement->group) };
   find_peers (pool, placement, now, &observations);
   for (uint32_t i = 0; i < capacity; i++)
     {
@@ -162,6 +165,9 @@
       && now - server->load.suspicion.last_response_at
              > GBD_PLACEMENT_RESPONSE_WINDOW)
     cost += GBD_PLACEMENT_NO_RESPONSE_COST;
+  if (observations->has_windows
+      && !gbd_subset_contains (&placement->group, &server->position))
+    cost += GBD_PLACEMENT_OUTSIDE_COST;
   uint64_t tie
       = gbd_rendezvous_weight (server->entry.backend.id, placement->hash)
         & TIE_BREAK_MASK;
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -20,6 +20,7 @@
   uint32_t index_capacity;       /* entries of each hash table, a power of
                                     two */
   gbd_zone_delays_t zone_delays;
+  bool are_positions_outdated;
   bool is_synced;
   bool is_platform_unreachable;
   gbd_time_t removal_grace_end; /* removals before this time are deferred
@@ -48,6 +49,7 @@
 static gbd_time_t get_removal_time (const gbd_pool_t *pool);
 static void remove_entry (gbd_pool_t *pool, gbd_pool_server_t *server,
                           gbd_time_t now);
+static void update_positions (gbd_pool_t *pool);
 
 gbd_pool_t *
 gbd_pool_new (void)
@@ -99,6 +101,11 @@
                                              &entry->backend.address);
   if (!server->is_listed)
     pool->listed_count++;
+  if (!server->is_listed || server->superseded_at != GBD_TIME_NEVER
+      || server->entry.service != entry->service
+      || server->entry.backend.zone != entry->backend.zone
+      || server->entry.backend.state != entry->backend.state)
+    pool->are_positions_outdated = true;
   server->entry = *entry;
   server->fingerprint = fingerprint;
   server->is_used = true;
@@ -236,6 +243,8 @@
     }
   if (has_changed)
     build_index (pool);
+  if (pool->are_positions_outdated)
+    update_positions (pool);
 }
 
 bool
@@ -428,7 +437,10 @@
       gbd_pool_server_t *earlier = other_ms < start_time_ms ? other : server;
       if (other_ms != start_time_ms
           && earlier->superseded_at == GBD_TIME_NEVER)
-        earlier->superseded_at = now;
+        {
+          earlier->superseded_at = now;
+          pool->are_positions_outdated = true;
+        }
     }
 }
 
@@ -473,4 +485,34 @@
   server->removed_at = now;
   gbd_suspicion_record_removal (&server->load.suspicion, now);
   pool->listed_count--;
+  pool->are_positions_outdated = true;
+}
+
+/* Without memory, the previous positions stay until the next tick. */
+static void
+update_positions (gbd_pool_t *pool)
+{
+  gbd_subset_member_t *members
+      = malloc ((pool->listed_count + 1) * sizeof *members);
+  if (!members)
+    return;
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < pool->capacity; i++)
+    {
+      gbd_pool_server_t *server = &pool->servers[i];
+      server->position = (gbd_subset_position_t){ .count = 0 };
+      if (server->is_used && server->is_listed
+          && server->superseded_at == GBD_TIME_NEVER
+          && server->entry.backend.state == GBD_BACKEND_READY)
+        members[count++]
+            = (gbd_subset_member_t){ .service = server->entry.service,
+                                     .id = server->entry.backend.id,
+                                     .zone = server->entry.backend.zone,
+                                     .handle = (uint16_t)i };
+    }
+  gbd_subset_number (members, count);
+  for (uint32_t i = 0; i < count; i++)
+    pool->servers[members[i].handle].position = members[i].position;
+  free (members);
+  pool->are_positions_outdated = false;
 }
--- a/src/test_libgooseberrydrum/test_placement.c
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -258,6 +258,117 @@
   gbd_director_delete (director);
 }
 
+static gbd_pool_handle_t
+choose_in_group (gbd_director_t *director, const gbd_group_view_t *group,
+                 bool is_room_short, gbd_flow_hash_t hash)
+{
+  gbd_placement_t placement = { .service = gbd_id_from_name ("web"),
+                                .zone = gbd_zone_from_name ("a"),
+                                .hash = hash * 0x9e3779b97f4a7c15u,
+                                .avoid = GBD_POOL_NONE,
+                                .group = *group,
+                                .is_room_short = is_room_short };
+  return gbd_placement_choose (gbd_director_get_pool (director), &placement,
+                               START);
+}
+
+/* A director with twelve servers in zone a and two in zone b. */
+static gbd_director_t *
+make_director_for_windows (void)
+{
+  gbd_director_t *director = make_ready_director ();
+  for (gbd_backend_id_t id = 6; id <= 15; id++)
+    {
+      gbd_pool_entry_t entry = make_entry (id, "web", id == 15 ? "b" : "a");
+      put_entry (director, &entry, START);
+    }
+  gbd_pool_tick (gbd_director_get_pool (director), START);
+  return director;
+}
+
+/* Guards against another distribution where room is not short, or where the
+   other instances are not known. */
+static void
+decisions_without_shortage_or_view_are_unchanged (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_director_for_windows ();
+  gbd_group_view_t unknown = { .total = 0 };
+  gbd_group_view_t alone = { .total = 3, .zone_count = 1 };
+  gbd_group_view_t group = { .total = 12, .zone_count = 6, .zone_rank = 3 };
+  for (gbd_flow_hash_t hash = 0; hash < 200; hash++)
+    {
+      gbd_pool_handle_t expected
+          = choose_in_group (director, &unknown, false, hash);
+      assert_int_equal (choose_in_group (director, &group, false, hash),
+                        expected);
+      assert_int_equal (choose_in_group (director, &unknown, true, hash),
+                        expected);
+      assert_int_equal (choose_in_group (director, &alone, true, hash),
+                        expected);
+      gbd_pool_get (gbd_director_get_pool (director), expected)
+          ->load.waiting++;
+    }
+  gbd_director_delete (director);
+}
+
+/* Guards against a window that has no effect, or that holds flows although
+   they would wait for more than two requests in it. */
+static void
+short_room_keeps_flows_in_the_window (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_director_for_windows ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  /* Four of the twelve servers: numbers 6 to 9. */
+  gbd_group_view_t group = { .total = 12, .zone_count = 6, .zone_rank = 3 };
+  uint32_t count = 0;
+  gbd_pool_handle_t handle;
+  while (
+      (handle = choose_in_group (director, &group, true, count))
+          != GBD_POOL_NONE
+      && gbd_subset_contains (&group, &gbd_pool_peek (pool, handle)->position)
+      && count < 100)
+    {
+      gbd_pool_get (pool, handle)->load.waiting++;
+      count++;
+    }
+  /* Zone b has a window of both its servers; then each of the six slots more
+     has one to two waiting requests. */
+  assert_in_range (count, 12, 12 + 2 * 12);
+  gbd_director_delete (director);
+}
+
+/* Guards against numbers that instances disagree on: draining, superseded and
+   removed servers take part in no window, and a new list is used after the
+   next tick. */
+static void
+positions_follow_the_list (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_director_for_windows ();
+  gbd_pool_t *pool = gbd_director_get_pool (director);
+  assert_int_equal (gbd_pool_peek (pool, 0)->position.count, 12);
+  assert_int_equal (gbd_pool_peek (pool, 0)->position.number, 0);
+  assert_int_equal (gbd_pool_peek (pool, 3)->position.count, 2);
+  assert_int_equal (gbd_pool_peek (pool, 4)->position.count, 1);
+  gbd_pool_remove (pool, 1, START);
+  gbd_pool_entry_t entry = make_entry (2, "web", "a");
+  entry.backend.state = GBD_BACKEND_DRAINING;
+  put_entry (director, &entry, START);
+  entry = make_entry (16, "web", "a");
+  entry.backend.address = parse_address ("10.1.64.3:8000");
+  entry.start_time_ms = 2;
+  put_entry (director, &entry, START);
+  assert_int_equal (gbd_pool_peek (pool, 5)->position.number, 3);
+  gbd_pool_tick (pool, START);
+  for (gbd_pool_handle_t i = 0; i < 3; i++)
+    assert_int_equal (gbd_pool_peek (pool, i)->position.count, 0);
+  assert_int_equal (gbd_pool_peek (pool, 5)->position.number, 0);
+  assert_int_equal (gbd_pool_peek (pool, 5)->position.count, 10);
+  gbd_director_delete (director);
+}
+
 int
 main (void)
 {
@@ -272,6 +383,9 @@
     cmocka_unit_test (flows_leave_a_zone_whose_servers_are_suspected),
     cmocka_unit_test (draining_servers_get_no_new_flows),
     cmocka_unit_test (recently_removed_server_is_the_last_resort),
+    cmocka_unit_test (decisions_without_shortage_or_view_are_unchanged),
+    cmocka_unit_test (short_room_keeps_flows_in_the_window),
+    cmocka_unit_test (positions_follow_the_list),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
