Placement: requests that must not run twice go to proven servers

With servers down and up by turns, commands were lost at servers that had just returned. Where a service has routes of both kinds, a request that must not run twice now goes to servers with an unbroken record, up to four requests' wait more, and trial flows are repeatable requests unless one has been due for 1.6 s. The routes know which services have both kinds; elsewhere decisions are as before. If less than a quarter of the slots in use has an unbroken record, the preference is off.

--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -41,6 +41,20 @@
  * of one request: a flow goes there when it would wait for more than two
  * requests inside. */
 #define GBD_PLACEMENT_OUTSIDE_COST 2000
+/** Cost, for a request that must not run twice, of a backend server without an
+ *  unbroken record, in thousandths of the processing time of one request: the
+ *  caller loses the request if the server fails, and rather waits for four
+ *  requests.  A server at which it would wait longer has no room. */
+#define GBD_PLACEMENT_UNPROVEN_COST 4000
+/** Time without failure, recovery or new listing after which a record is
+ *  unbroken.  A server that fails and returns by turns does so within seconds;
+ *  this is also the longest interval between trial flows three times. */
+#define GBD_PLACEMENT_RECORD_TIME (5 * GBD_SECOND)
+/** Servers with an unbroken record are preferred only if they have at least
+ *  this part of the slots that are in use: if most servers have failed within
+ *  that time, the cause is rather in the network, and few servers would get
+ * the requests of all instances. */
+#define GBD_PLACEMENT_PROVEN_PART_MIN 4
 /** How long after its removal an entry that was not draining may still be
  *  chosen if the service has no other backend server: a running one has
  * written its entry again by then. */
@@ -56,6 +70,8 @@
                                 flow, or GBD_POOL_NONE */
   gbd_group_view_t group;  /**< other instances, if known */
   bool is_idempotent;      /**< callers may retry the requests of the route */
+  bool has_both_kinds;     /**< the service has routes that are idempotent and
+                                routes that are not */
   bool is_room_short;      /**< the service has turned requests away lately */
 } gbd_placement_t;
 
--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -62,6 +62,8 @@
   gbd_subset_position_t position; /**< as of the last tick */
   bool is_used;
   bool is_listed;
+  gbd_time_t listed_at;   /**< when it was first listed, listed again after a
+                               removal, or listed with another start time */
   gbd_time_t removed_at;  /**< when its entry was removed; GBD_TIME_NEVER while
                                it is listed or in the removal grace period */
   gbd_time_t removal_due; /**< time of a pending removal; GBD_TIME_NEVER:
--- a/include/gooseberrydrum/routes.h
+++ b/include/gooseberrydrum/routes.h
@@ -64,6 +64,11 @@
 const gbd_route_t *gbd_routes_find (const gbd_routes_t *routes,
                                     const gbd_address_t *address);
 
+/** Whether a service has routes that are idempotent and routes that are not.
+ *  Targets of weight 0 do not count. */
+bool gbd_routes_has_both_kinds (const gbd_routes_t *routes,
+                                gbd_service_id_t service);
+
 /** Choose the service of a new flow by weight; equal hashes give equal
  *  services. */
 gbd_service_id_t gbd_route_choose (const gbd_route_t *route,
--- a/include/gooseberrydrum/suspicion.h
+++ b/include/gooseberrydrum/suspicion.h
@@ -72,6 +72,8 @@
                                   had a result */
   uint32_t probe_count;      /**< consecutive probes whose result was
                                   `probe` */
+  gbd_time_t failed_at;      /**< last missing response, reset of its flows, or
+                                  response that ended the suspicion; 0: none */
   bool is_removed;           /**< the platform no longer lists it */
 } gbd_suspicion_t;
 
@@ -90,8 +92,17 @@
 void gbd_suspicion_record_removal (gbd_suspicion_t *suspicion, gbd_time_t now);
 void gbd_suspicion_record_listing (gbd_suspicion_t *suspicion);
 
+/** Record that a flow of the backend server was reset because the server has
+ *  stopped or does not respond. */
+void gbd_suspicion_record_reset (gbd_suspicion_t *suspicion, gbd_time_t now);
+
 bool gbd_suspicion_is_suspected (const gbd_suspicion_t *suspicion);
 
+/** Whether the backend server is suspected, or has failed or recovered within
+ *  a time. */
+bool gbd_suspicion_has_failed (const gbd_suspicion_t *suspicion,
+                               gbd_time_t within, gbd_time_t now);
+
 bool gbd_suspicion_is_probe_due (const gbd_suspicion_t *suspicion,
                                  gbd_time_t now);
 void gbd_suspicion_begin_probe (gbd_suspicion_t *suspicion, gbd_time_t now);
@@ -116,6 +127,11 @@
 bool gbd_suspicion_accepts_flow (const gbd_suspicion_t *suspicion,
                                  gbd_time_t now);
 
+/** Whether a trial flow has been due for GBD_SUSPICION_LONGEST_TRIAL: no flow
+ *  whose loss does less harm has come by for it. */
+bool gbd_suspicion_is_trial_overdue (const gbd_suspicion_t *suspicion,
+                                     gbd_time_t now);
+
 /** Record a new flow; while the backend server is suspected, this flow is the
  *  trial flow. */
 void gbd_suspicion_record_placement (gbd_suspicion_t *suspicion,
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -181,7 +181,12 @@
     {
       if (decision->rule == GBD_DIRECTOR_RULE_SERVER_REMOVED
           || decision->rule == GBD_DIRECTOR_RULE_SERVER_DOWN)
-        gbd_flow_tracker_remove (director->tracker, decision->hash);
+        {
+          gbd_flow_tracker_remove (director->tracker, decision->hash);
+          gbd_suspicion_record_reset (
+              &gbd_pool_get (director->pool, decision->server)->load.suspicion,
+              now);
+        }
       return (gbd_flow_observation_t){ .is_newly_suspected = false };
     }
   return gbd_flow_tracker_record (director->tracker, packet, decision->hash,
@@ -229,6 +234,8 @@
     .group = director->group,
     .is_idempotent = route->is_idempotent,
   };
+  placement.has_both_kinds
+      = gbd_routes_has_both_kinds (director->routes, placement.service);
   const gbd_tracked_flow_t *flow
       = gbd_flow_tracker_find (director->tracker, decision->hash);
   bool is_tracked = flow && flow->phase == GBD_FLOW_OPENING
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -29,6 +29,7 @@
 typedef struct
 {
   const gbd_zone_delays_t *zone_delays;
+  bool prefers_proven; /* servers with an unbroken record are preferred */
   bool has_windows; /* servers in the windows of this instance are preferred */
   gbd_peer_response_time_t peers;
 } observations_t;
@@ -36,6 +37,10 @@
 static class_t classify (const gbd_pool_server_t *server,
                          gbd_pool_handle_t handle,
                          const gbd_placement_t *placement, gbd_time_t now);
+static bool spares_requests (const gbd_placement_t *placement);
+static bool is_proven (const gbd_pool_server_t *server, gbd_time_t now);
+static bool prefers_proven (const gbd_pool_t *pool,
+                            const gbd_placement_t *placement, gbd_time_t now);
 static void find_peers (const gbd_pool_t *pool,
                         const gbd_placement_t *placement, gbd_time_t now,
                         observations_t *observations);
@@ -59,6 +64,7 @@
   uint32_t capacity = gbd_pool_get_capacity (pool);
   observations_t observations
       = { .zone_delays = gbd_pool_peek_zone_delays (pool),
+          .prefers_proven = prefers_proven (pool, placement, now),
           .has_windows = placement->is_room_short
                          && gbd_subset_has_windows (&placement->group) };
   find_peers (pool, placement, now, &observations);
@@ -96,9 +102,62 @@
     return CLASS_LAST_RESORT;
   if (handle == placement->avoid)
     return CLASS_AVOIDED;
-  return gbd_suspicion_accepts_flow (&server->load.suspicion, now)
-             ? CLASS_HEALTHY
-             : CLASS_SUSPECTED;
+  const gbd_suspicion_t *suspicion = &server->load.suspicion;
+  /* Trial flows are repeatable requests as long as there are any. */
+  if (!gbd_suspicion_accepts_flow (suspicion, now)
+      || (spares_requests (placement) && gbd_suspicion_is_suspected (suspicion)
+          && !gbd_suspicion_is_trial_overdue (suspicion, now)))
+    return CLASS_SUSPECTED;
+  return CLASS_HEALTHY;
+}
+
+/* Whether the request must not run twice while others of its service may. */
+static bool
+spares_requests (const gbd_placement_t *placement)
+{
+  return placement->has_both_kinds && !placement->is_idempotent;
+}
+
+/* Whether a backend server has an unbroken record.  A trial flow that is
+   overdue is sent in the same way as to a proven server, because the server
+   would get none otherwise. */
+static bool
+is_proven (const gbd_pool_server_t *server, gbd_time_t now)
+{
+  const gbd_suspicion_t *suspicion = &server->load.suspicion;
+  if (gbd_suspicion_is_trial_overdue (suspicion, now))
+    return true;
+  /* INT64_MAX: a listing is under way, or the platform is unreachable. */
+  bool is_removal_pending = server->removal_due != GBD_TIME_NEVER
+                            && server->removal_due != INT64_MAX;
+  return !is_removal_pending && server->entry.warm_at <= now
+         && now - server->listed_at >= GBD_PLACEMENT_RECORD_TIME
+         && !gbd_suspicion_has_failed (suspicion, GBD_PLACEMENT_RECORD_TIME,
+                                       now);
+}
+
+static bool
+prefers_proven (const gbd_pool_t *pool, const gbd_placement_t *placement,
+                gbd_time_t now)
+{
+  if (!spares_requests (placement))
+    return false;
+  uint64_t slots = 0;
+  uint64_t proven_slots = 0;
+  uint32_t capacity = gbd_pool_get_capacity (pool);
+  for (uint32_t i = 0; i < capacity; i++)
+    {
+      gbd_pool_handle_t handle = (gbd_pool_handle_t)i;
+      const gbd_pool_server_t *server = gbd_pool_peek (pool, handle);
+      if (!server->is_used || server->entry.service != placement->service
+          || classify (server, handle, placement, now) != CLASS_HEALTHY)
+        continue;
+      slots += server->entry.slots;
+      if (is_proven (server, now))
+        proven_slots += server->entry.slots;
+    }
+  return proven_slots > 0
+         && proven_slots * GBD_PLACEMENT_PROVEN_PART_MIN >= slots;
 }
 
 static void
@@ -168,6 +227,8 @@
   if (observations->has_windows
       && !gbd_subset_contains (&placement->group, &server->position))
     cost += GBD_PLACEMENT_OUTSIDE_COST;
+  if (observations->prefers_proven && !is_proven (server, now))
+    cost += GBD_PLACEMENT_UNPROVEN_COST;
   uint64_t tie
       = gbd_rendezvous_weight (server->entry.backend.id, placement->hash)
         & TIE_BREAK_MASK;
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -96,6 +96,9 @@
      earlier evidence of a failure is outdated. */
   if (server->is_used && server->entry.start_time_ms != entry->start_time_ms)
     memset (&server->load.suspicion, 0, sizeof server->load.suspicion);
+  if (!server->is_listed
+      || server->entry.start_time_ms != entry->start_time_ms)
+    server->listed_at = now;
   bool has_moved = !is_new
                    && !gbd_address_is_equal (&server->entry.backend.address,
                                              &entry->backend.address);
--- a/src/libgooseberrydrum/routes.c
+++ b/src/libgooseberrydrum/routes.c
@@ -9,6 +9,8 @@
 {
   gbd_service_id_t service;
   gbd_warm_up_limits_t warm_up;
+  bool has_idempotent; /* routes */
+  bool has_other;
 } service_t;
 
 struct gbd_routes
@@ -19,7 +21,7 @@
   uint32_t capacity;
   gbd_route_t *routes; /* sorted by address */
   uint32_t service_count;
-  service_t *services;
+  service_t *services; /* sorted by identifier */
 };
 
 static int compare_addresses (const gbd_address_t *a, const gbd_address_t *b);
@@ -27,6 +29,11 @@
                                   const gbd_address_t *address);
 static bool matches_at (const gbd_routes_t *routes, uint32_t index,
                         const gbd_address_t *address);
+static bool find_service (const gbd_routes_t *routes, gbd_service_id_t service,
+                          uint32_t *index);
+static service_t *add_service (gbd_routes_t *routes, gbd_service_id_t service);
+static gbd_status_t record_kind (gbd_routes_t *routes,
+                                 const gbd_route_t *route);
 
 gbd_routes_t *
 gbd_routes_new (uint64_t version)
@@ -55,6 +62,9 @@
   uint32_t index = find_lower_bound (routes, &route->address);
   if (matches_at (routes, index, &route->address))
     return GBD_ERROR_CONFLICT;
+  gbd_status_t status = record_kind (routes, route);
+  if (status != GBD_OK)
+    return status;
   if (routes->count == routes->capacity)
     {
       uint32_t capacity
@@ -80,6 +90,16 @@
   return matches_at (routes, index, address) ? &routes->routes[index] : NULL;
 }
 
+bool
+gbd_routes_has_both_kinds (const gbd_routes_t *routes,
+                           gbd_service_id_t service)
+{
+  uint32_t index;
+  return find_service (routes, service, &index)
+         && routes->services[index].has_idempotent
+         && routes->services[index].has_other;
+}
+
 gbd_service_id_t
 gbd_route_choose (const gbd_route_t *route, gbd_flow_hash_t hash)
 {
@@ -115,32 +135,19 @@
   if (!(limits->rate >= 0 && limits->rate <= GBD_WARM_UP_RATE_MAX)
       || limits->duration < 0 || limits->duration > GBD_WARM_UP_TIME_MAX)
     return GBD_ERROR_RANGE;
-  uint32_t index = 0;
-  while (index < routes->service_count
-         && routes->services[index].service != service)
-    index++;
-  if (index == routes->service_count)
-    {
-      service_t *resized
-          = realloc (routes->services, (index + 1) * sizeof *routes->services);
-      if (!resized)
-        return GBD_ERROR_MEMORY;
-      routes->services = resized;
-      routes->service_count++;
-    }
-  routes->services[index]
-      = (service_t){ .service = service, .warm_up = *limits };
+  service_t *entry = add_service (routes, service);
+  if (!entry)
+    return GBD_ERROR_MEMORY;
+  entry->warm_up = *limits;
   return GBD_OK;
 }
 
 gbd_warm_up_limits_t
 gbd_routes_get_warm_up (const gbd_routes_t *routes, gbd_service_id_t service)
 {
-  for (uint32_t i = 0; i < routes->service_count; i++)
-    {
-      if (routes->services[i].service == service)
-        return routes->services[i].warm_up;
-    }
+  uint32_t index;
+  if (find_service (routes, service, &index))
+    return routes->services[index].warm_up;
   return (gbd_warm_up_limits_t){ .duration = 0 };
 }
 
@@ -192,3 +199,61 @@
   return index < routes->count
          && compare_addresses (&routes->routes[index].address, address) == 0;
 }
+
+/* Returns whether a service is known.
+   @param index its index, or where it is to be inserted */
+static bool
+find_service (const gbd_routes_t *routes, gbd_service_id_t service,
+              uint32_t *index)
+{
+  uint32_t low = 0;
+  uint32_t high = routes->service_count;
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+      if (routes->services[middle].service < service)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *index = low;
+  return low < routes->service_count
+         && routes->services[low].service == service;
+}
+
+/* Returns the entry of a service, added if it is not known yet; NULL if memory
+   is exhausted. */
+static service_t *
+add_service (gbd_routes_t *routes, gbd_service_id_t service)
+{
+  uint32_t index;
+  if (find_service (routes, service, &index))
+    return &routes->services[index];
+  uint32_t count = routes->service_count;
+  service_t *resized
+      = realloc (routes->services, (count + 1) * sizeof *routes->services);
+  if (!resized)
+    return NULL;
+  routes->services = resized;
+  memmove (&resized[index + 1], &resized[index],
+           (count - index) * sizeof *resized);
+  resized[index] = (service_t){ .service = service };
+  routes->service_count++;
+  return &resized[index];
+}
+
+static gbd_status_t
+record_kind (gbd_routes_t *routes, const gbd_route_t *route)
+{
+  for (uint32_t i = 0; i < route->target_count; i++)
+    {
+      if (route->targets[i].weight == 0)
+        continue;
+      service_t *entry = add_service (routes, route->targets[i].service);
+      if (!entry)
+        return GBD_ERROR_MEMORY;
+      entry->has_idempotent |= route->is_idempotent;
+      entry->has_other |= !route->is_idempotent;
+    }
+  return GBD_OK;
+}
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -10,6 +10,8 @@
 gbd_suspicion_record_response (gbd_suspicion_t *suspicion, gbd_time_t now)
 {
   suspicion->last_response_at = now;
+  if (suspicion->unanswered > 0)
+    suspicion->failed_at = now;
   suspicion->unanswered = 0;
   suspicion->probe = GBD_PROBE_NONE;
 }
@@ -22,6 +24,7 @@
     return false;
   bool is_first = suspicion->unanswered == 0;
   suspicion->unanswered++;
+  suspicion->failed_at = now;
   if (is_first)
     {
       suspicion->trial_due = now + GBD_SUSPICION_FIRST_TRIAL;
@@ -46,12 +49,26 @@
   suspicion->is_removed = false;
 }
 
+void
+gbd_suspicion_record_reset (gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  suspicion->failed_at = now;
+}
+
 bool
 gbd_suspicion_is_suspected (const gbd_suspicion_t *suspicion)
 {
   return suspicion->unanswered > 0;
 }
 
+bool
+gbd_suspicion_has_failed (const gbd_suspicion_t *suspicion, gbd_time_t within,
+                          gbd_time_t now)
+{
+  return suspicion->unanswered > 0
+         || (suspicion->failed_at != 0 && now - suspicion->failed_at < within);
+}
+
 bool
 gbd_suspicion_is_probe_due (const gbd_suspicion_t *suspicion, gbd_time_t now)
 {
@@ -110,6 +127,14 @@
          && probe != GBD_PROBE_NO_RESPONSE;
 }
 
+bool
+gbd_suspicion_is_trial_overdue (const gbd_suspicion_t *suspicion,
+                                gbd_time_t now)
+{
+  return suspicion->unanswered > 0
+         && now - suspicion->trial_due >= GBD_SUSPICION_LONGEST_TRIAL;
+}
+
 void
 gbd_suspicion_record_placement (gbd_suspicion_t *suspicion, gbd_time_t now)
 {
--- a/src/test_libgooseberrydrum/load_fixture.h
+++ b/src/test_libgooseberrydrum/load_fixture.h
@@ -25,6 +25,10 @@
 #define RUNNING_MAX (SERVERS_MAX * (SLOTS_MAX + QUEUE) + 4096)
 /* Time from a response to the caller's acknowledgment. */
 #define ACKNOWLEDGMENT_DELAY (4 * GBD_MILLISECOND)
+/* A caller sends a packet without response again after this time. */
+#define RETRANSMISSION_DELAY (200 * GBD_MILLISECOND)
+/* Failing servers stop for this long, and run for as long in between. */
+#define DOWN_TIME (500 * GBD_MILLISECOND)
 
 typedef struct
 {
@@ -34,6 +38,9 @@
   gbd_time_t free_at[SLOTS_MAX];
   uint32_t pending;
   uint32_t accepted;
+  bool is_failing; /* stops and returns by turns */
+  bool is_down;
+  gbd_time_t toggled_at;
 } load_server_t;
 
 typedef struct
@@ -50,7 +57,9 @@
   uint32_t instance;
   uint32_t server;
   bool is_accepted;
-  bool has_ended; /* the server has responded */
+  bool is_command; /* must not run twice */
+  bool is_lost;    /* the server has stopped; no response */
+  bool has_ended;  /* the server has responded */
 } load_request_t;
 
 typedef struct
@@ -58,7 +67,9 @@
   uint32_t zone_count;
   uint32_t instance_count;
   uint32_t server_count;
-  bool has_windows;  /* room is short and the group is known */
+  double command_share; /* requests that must not run twice */
+  bool spares_commands; /* the placement knows which requests these are */
+  bool has_windows;     /* room is short and the group is known */
   double long_share; /* requests that have half of all work; 0.5: requests are
                         alike */
   double rates_per_s[ZONES_MAX]; /* new requests of callers by zone */
@@ -70,6 +81,8 @@
   gbd_time_t now;
   uint64_t attempts;
   uint64_t refused;
+  uint64_t commands;
+  uint64_t failed_commands;
   uint64_t zone_attempts[ZONES_MAX];
   uint64_t zone_refused[ZONES_MAX];
   uint64_t sent[ZONES_MAX][ZONES_MAX]; /* by zone of caller and of server */
@@ -175,7 +188,9 @@
           if (request->is_accepted)
             load->servers[request->server].pending--;
         }
-      gbd_time_t seen_at = request->end + ACKNOWLEDGMENT_DELAY;
+      gbd_time_t seen_at = request->is_lost
+                               ? request->sent_at + RETRANSMISSION_DELAY
+                               : request->end + ACKNOWLEDGMENT_DELAY;
       if (seen_at > load->now)
         {
           load->running[remaining++] = *request;
@@ -186,6 +201,12 @@
                            (gbd_pool_handle_t)request->server)
                  ->load;
       seen->waiting--;
+      if (request->is_lost)
+        {
+          gbd_suspicion_record_failure (&seen->suspicion, request->sent_at,
+                                        load->now);
+          continue;
+        }
       gbd_suspicion_record_response (&seen->suspicion, seen_at);
       gbd_response_time_add (&seen->response_time, seen_at - request->sent_at,
                              seen_at);
@@ -193,9 +214,37 @@
   load->running_count = remaining;
 }
 
+/* Stops failing servers and starts them again; a server loses the requests
+   that it has. */
+static inline void
+load_toggle_servers (load_t *load)
+{
+  for (uint32_t s = 0; s < load->server_count; s++)
+    {
+      load_server_t *server = &load->servers[s];
+      if (!server->is_failing || load->now - server->toggled_at < DOWN_TIME)
+        continue;
+      server->toggled_at = load->now;
+      server->is_down = !server->is_down;
+      server->pending = 0;
+      memset (server->free_at, 0, sizeof server->free_at);
+      for (uint32_t i = 0; i < load->running_count; i++)
+        {
+          load_request_t *request = &load->running[i];
+          if (request->server != s || request->has_ended)
+            continue;
+          request->has_ended = true;
+          if (!request->is_accepted)
+            continue;
+          request->is_lost = true;
+          load->failed_commands += request->is_command;
+        }
+    }
+}
+
 /* Sends a request to a server; returns false if its queue is full. */
 static inline bool
-load_send (load_t *load, uint32_t instance, uint32_t index)
+load_send (load_t *load, uint32_t instance, uint32_t index, bool is_command)
 {
   load_server_t *server = &load->servers[index];
   gbd_pool_load_t *seen = &gbd_pool_get (load->instances[instance].pool,
@@ -204,8 +253,12 @@
   load_request_t request = { .sent_at = load->now,
                              .end = load->now,
                              .instance = instance,
-                             .server = index };
-  request.is_accepted = server->pending < server->slots + QUEUE;
+                             .server = index,
+                             .is_command = is_command };
+  /* The opening packet gets no response, so nothing has run. */
+  request.is_lost = server->is_down;
+  request.is_accepted
+      = !server->is_down && server->pending < server->slots + QUEUE;
   if (request.is_accepted)
     {
       gbd_time_t *first = &server->free_at[0];
@@ -221,10 +274,11 @@
       server->accepted++;
     }
   seen->waiting++;
+  gbd_suspicion_record_placement (&seen->suspicion, load->now);
   gbd_recent_flows_add (&seen->recent_flows, load->now);
   assert_true (load->running_count < RUNNING_MAX);
   load->running[load->running_count++] = request;
-  return request.is_accepted;
+  return request.is_accepted || request.is_lost;
 }
 
 /* Advances to the next request and places it.  A refused request is not
@@ -238,6 +292,7 @@
   load->now
       += (gbd_time_t)(load_random_exponential (load, 1 / total) * GBD_SECOND);
   load_complete (load);
+  load_toggle_servers (load);
   double point = load_random (load) * total;
   uint32_t zone = 0;
   while (zone + 1 < load->zone_count && point >= load->rates_per_s[zone])
@@ -246,17 +301,21 @@
   uint32_t index
       = zone + load->zone_count * (uint32_t)(load_random (load) * instances);
   load_instance_t *instance = &load->instances[index];
+  bool is_command = load_random (load) < load->command_share;
+  load->commands += is_command;
   gbd_placement_t placement
       = { .service = 1,
           .zone = zone + 1,
           .hash = gbd_rendezvous_weight (load->attempts + 1, 7),
           .avoid = GBD_POOL_NONE,
           .group = instance->group,
+          .is_idempotent = !is_command,
+          .has_both_kinds = load->spares_commands,
           .is_room_short = load->has_windows };
   gbd_pool_handle_t handle
       = gbd_placement_choose (instance->pool, &placement, load->now);
   assert_int_not_equal (handle, GBD_POOL_NONE);
-  bool is_accepted = load_send (load, index, handle);
+  bool is_accepted = load_send (load, index, handle, is_command);
   load->attempts++;
   load->refused += !is_accepted;
   load->zone_attempts[zone]++;
--- a/src/test_libgooseberrydrum/test_director.c
+++ b/src/test_libgooseberrydrum/test_director.c
@@ -514,6 +514,61 @@
   gbd_director_delete (director);
 }
 
+/* Adds a route at port 444 for requests that callers may retry. */
+static void
+add_idempotent_route (gbd_director_t *director, const char *service)
+{
+  gbd_routes_t *routes = make_routes (2, "web");
+  gbd_route_t route = { .address = parse_address ("198.18.0.1:444"),
+                        .is_idempotent = true,
+                        .target_count = 1,
+                        .targets = { { gbd_id_from_name (service), 1 } } };
+  assert_int_equal (gbd_routes_add (routes, &route), GBD_OK);
+  assert_int_equal (gbd_director_set_routes (director, routes), GBD_OK);
+}
+
+static uint32_t
+count_placed_at_first_server (gbd_director_t *director, uint16_t service_port,
+                              gbd_time_t now)
+{
+  uint32_t count = 0;
+  for (uint16_t port = 1; port <= 300; port++)
+    {
+      gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, port);
+      packet.flow.service.port = service_port;
+      gbd_director_decision_t decision;
+      gbd_director_route (director, &packet, now, &decision);
+      count += get_backend_id (director, &decision) == 1;
+    }
+  return count;
+}
+
+/* Guards against a director that does not tell the placement which requests
+   must not run twice, or does so for a service whose routes are alike. */
+static void
+only_routes_of_both_kinds_change_the_placement (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_time_t now = START + 10 * GBD_SECOND;
+  gbd_suspicion_record_reset (
+      &gbd_pool_get (gbd_director_get_pool (director), 0)->load.suspicion,
+      now);
+  assert_in_range (count_placed_at_first_server (director, 443, now), 60, 140);
+  add_idempotent_route (director, "web");
+  assert_int_equal (count_placed_at_first_server (director, 443, now), 0);
+  assert_in_range (count_placed_at_first_server (director, 444, now), 60, 140);
+  gbd_director_delete (director);
+
+  director = make_ready_director ();
+  gbd_suspicion_record_reset (
+      &gbd_pool_get (gbd_director_get_pool (director), 0)->load.suspicion,
+      now);
+  add_idempotent_route (director, "mail");
+  assert_in_range (count_placed_at_first_server (director, 443, now), 60, 140);
+  gbd_director_delete (director);
+}
+
 int
 main (void)
 {
@@ -534,6 +589,7 @@
     cmocka_unit_test (retransmitted_opening_packet_moves_to_another_server),
     cmocka_unit_test (packet_loss_does_not_exclude_servers),
     cmocka_unit_test (cookie_of_another_flow_is_not_accepted),
+    cmocka_unit_test (only_routes_of_both_kinds_change_the_placement),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_libgooseberrydrum/test_placement_load.c
+++ b/src/test_libgooseberrydrum/test_placement_load.c
@@ -86,12 +86,54 @@
   assert_true (with.refused < 0.003);
 }
 
+/* Every third server stops and returns by turns.
+   @return share of the commands that were lost with their server */
+static double
+run_failing_servers (bool spares_commands)
+{
+  load_t *load = malloc (sizeof *load);
+  assert_non_null (load);
+  load_init (load, 2, 10, 30, SERVICE_TIME_MS);
+  load_list (load);
+  for (uint32_t i = 0; i < load->server_count; i += 3)
+    {
+      load->servers[i].is_failing = true;
+      load->servers[i].toggled_at = START + i * 100 * GBD_MILLISECOND;
+    }
+  load->command_share = 0.22;
+  load->spares_commands = spares_commands;
+  set_demand (load, 0.75);
+  /* All servers are new at first. */
+  load_run (load, 6 * GBD_SECOND);
+  load->commands = 0;
+  load->failed_commands = 0;
+  load_run (load, 20 * GBD_SECOND);
+  double failed = (double)load->failed_commands / (double)load->commands;
+  print_message ("commands spared %d: lost %.4f\n", spares_commands, failed);
+  load_delete (load);
+  free (load);
+  return failed;
+}
+
+/* Guards against commands that are lost with servers that have just returned,
+   while other servers have room and streams can prove these. */
+static void
+commands_avoid_servers_that_have_just_returned (void **state)
+{
+  (void)state;
+  double without = run_failing_servers (false);
+  double with = run_failing_servers (true);
+  assert_true (without > 0.03);
+  assert_true (with < 0.003);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (windows_use_free_slots_of_a_large_group),
     cmocka_unit_test (windows_use_free_slots_of_one_zone),
+    cmocka_unit_test (commands_avoid_servers_that_have_just_returned),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_libgooseberrydrum/test_suspicion.c
+++ b/src/test_libgooseberrydrum/test_suspicion.c
@@ -124,6 +124,28 @@
                     GBD_PROBE_NONE);
 }
 
+/* Guards against a record that counts as unbroken while a server is suspected,
+   or right after it has recovered from a long failure. */
+static void
+record_is_broken_until_some_time_after_the_recovery (void **state)
+{
+  (void)state;
+  gbd_suspicion_t suspicion = { 0 };
+  assert_false (gbd_suspicion_has_failed (&suspicion, GBD_SECOND, 1));
+  gbd_suspicion_record_failure (&suspicion, START, START);
+  gbd_time_t now = START + 20 * GBD_SECOND;
+  assert_true (gbd_suspicion_has_failed (&suspicion, GBD_SECOND, now));
+  gbd_suspicion_record_response (&suspicion, now);
+  assert_true (
+      gbd_suspicion_has_failed (&suspicion, GBD_SECOND, now + GBD_SECOND - 1));
+  gbd_suspicion_record_response (&suspicion, now + GBD_SECOND / 2);
+  assert_false (
+      gbd_suspicion_has_failed (&suspicion, GBD_SECOND, now + GBD_SECOND));
+  gbd_suspicion_record_reset (&suspicion, now + 2 * GBD_SECOND);
+  assert_true (
+      gbd_suspicion_has_failed (&suspicion, GBD_SECOND, now + 2 * GBD_SECOND));
+}
+
 int
 main (void)
 {
@@ -133,6 +155,7 @@
     cmocka_unit_test (flow_response_overrides_an_earlier_probe),
     cmocka_unit_test (response_clears_suspicion_and_outdates_earlier_packets),
     cmocka_unit_test (trial_interval_is_bounded),
+    cmocka_unit_test (record_is_broken_until_some_time_after_the_recovery),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
