Placement: estimate of others' flows in windows; uneven demand and servers

A zone with twice its slots in demand still refused requests with windows, because an instance counted its own flows only. It now multiplies the flows that wait at a server of its window by the number of windows that have it.

A trial flow counted as overdue as soon as a server had returned after a long failure; it is due from the first accepted probe.

--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -1,11 +1,13 @@
 /* Compares methods of placing new flows under one replayed load.  Each
    instance sees only its own flows.  A backend server has two slots and a
    queue of eight requests; a request to another zone also has the delay
-   between the zones.  Prints one JSON row for each method and load. */
+   between the zones.  Prints one JSON row for each method and load, and rows
+   with the processor time of one choice and of numbering a changed list. */
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include "gooseberrydrum/placement.h"
 
@@ -17,6 +19,8 @@
 #define REQUESTS 60000
 #define SERVICE_TIME_MS 32.0 /* mean service time of the site majilaini-lb */
 #define CROSS_ZONE_MS 14.0   /* four zone crossings of 3.5 ms each */
+#define CHOICES 20000        /* of which the processor time is measured */
+#define TICKS 200
 #define LATENCY_TARGET_MS 200.0
 #define RATE_PER_MS 0.375 /* new flows of the service dispatch, all zones */
 
@@ -57,6 +61,9 @@
 static int choose_zone_hash (instance_t *instance, uint64_t hash);
 static int choose_better_of_two (instance_t *instance, uint64_t hash);
 static int choose_least_cost (instance_t *instance, uint64_t hash);
+static void measure_time (uint32_t server_count);
+static gbd_pool_entry_t make_measured_entry (uint32_t index);
+static double get_processor_time_ns (void);
 static void run (const method_t *method, double load);
 static double serve (server_t *server, double now);
 static void complete_requests (instance_t *instances, running_t *running,
@@ -84,6 +91,8 @@
       for (size_t w = 0; w < sizeof methods / sizeof methods[0]; w++)
         run (&methods[w], loads[l]);
     }
+  measure_time (120);
+  measure_time (GBD_BACKENDS_MAX);
   return EXIT_SUCCESS;
 }
 
@@ -127,6 +136,72 @@
   return gbd_placement_choose (instance->pool, &placement, 0);
 }
 
+static void
+measure_time (uint32_t server_count)
+{
+  gbd_pool_t *pool = gbd_pool_new ();
+  for (uint32_t i = 0; i < server_count; i++)
+    {
+      gbd_pool_entry_t entry = make_measured_entry (i);
+      gbd_pool_put (pool, &entry, 0);
+    }
+  gbd_pool_tick (pool, 0);
+  gbd_placement_t placements[3];
+  for (int i = 0; i < 3; i++)
+    placements[i] = (gbd_placement_t){ .service = 1,
+                                       .zone = 1,
+                                       .avoid = GBD_POOL_NONE,
+                                       .group = { 76, 19, 7 },
+                                       .is_room_short = i == 1,
+                                       .has_both_kinds = i == 2 };
+  double times[3];
+  for (int i = 0; i < 3; i++)
+    {
+      double start = get_processor_time_ns ();
+      for (uint32_t k = 0; k < CHOICES; k++)
+        {
+          placements[i].hash = k;
+          gbd_placement_choose (pool, &placements[i], GBD_SECOND);
+        }
+      times[i] = (get_processor_time_ns () - start) / CHOICES;
+    }
+  double start = get_processor_time_ns ();
+  for (uint32_t k = 0; k < TICKS; k++)
+    {
+      gbd_pool_entry_t entry = make_measured_entry (0);
+      entry.backend.state = k % 2 ? GBD_BACKEND_READY : GBD_BACKEND_DRAINING;
+      gbd_pool_put (pool, &entry, 0);
+      gbd_pool_tick (pool, 0);
+    }
+  printf ("{\"servers\":%u,\"choice_ns\":%.0f,\"windows_ns\":%.0f,"
+          "\"records_ns\":%.0f,\"changed_tick_ns\":%.0f}\n",
+          server_count, times[0], times[1], times[2],
+          (get_processor_time_ns () - start) / TICKS);
+  gbd_pool_delete (pool);
+}
+
+static gbd_pool_entry_t
+make_measured_entry (uint32_t index)
+{
+  return (gbd_pool_entry_t){
+    .backend = { .id = gbd_rendezvous_weight (index + 1, 3),
+                 .address = { .family = 4, .port = (uint16_t)(index + 1) },
+                 .zone = index % ZONES + 1,
+                 .state = GBD_BACKEND_READY },
+    .service = 1,
+    .slots = SLOTS,
+    .start_time_ms = 1,
+  };
+}
+
+static double
+get_processor_time_ns (void)
+{
+  struct timespec time;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &time);
+  return (double)time.tv_sec * 1e9 + (double)time.tv_nsec;
+}
+
 static void
 run (const method_t *method, double load)
 {
--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -13,6 +13,19 @@
  *  slots, flows are also spread by how many each got recently, because the
  *  flows of a server that fails at once never wait (recent_flows.h).
  *
+ *  While the service is short of room, an instance that sees a small part of
+ *  the load prefers few servers, whose load it knows (subset.h): a zone with
+ *  more demand than slots then overflows before its queues fill.  The figures
+ *  come from the list and the group view; without a shortage or a view,
+ *  decisions do not depend on them.
+ *
+ *  Servers may fail and return by turns, and a request that must not run twice
+ *  is lost with its server.  Where a service has routes of both kinds, such a
+ *  request goes to servers with an unbroken record while they have room:
+ *  not suspected, not cold, and within GBD_PLACEMENT_RECORD_TIME no missing
+ *  response, recovery, reset of its flows, removal, start or new listing.
+ *  Other servers are tried with requests that callers may repeat.
+ *
  *  Suspected backend servers get only trial flows, unless all backend servers
  *  of the service are suspected.  When many fail at once, a retransmitted
  *  opening packet preferably goes to a backend server that has responded
--- a/include/gooseberrydrum/subset.h
+++ b/include/gooseberrydrum/subset.h
@@ -71,5 +71,14 @@
 bool gbd_subset_contains (const gbd_group_view_t *group,
                           const gbd_subset_position_t *position);
 
+/** Estimate the flows that wait at a backend server in the window of this
+ *  instance, from those that this instance knows: the other instances whose
+ *  windows have the server send it as many.
+ *  @param group    a view for which gbd_subset_has_windows() is true
+ *  @param position of a server that gbd_subset_contains() */
+uint64_t gbd_subset_estimate_pending (const gbd_group_view_t *group,
+                                      const gbd_subset_position_t *position,
+                                      uint32_t pending_count);
+
 GBD_END_DECLS
 #endif
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -209,6 +209,12 @@
 {
   uint64_t slots = server->entry.slots;
   uint64_t pending_count = server->load.waiting;
+  bool is_outside
+      = observations->has_windows
+        && !gbd_subset_contains (&placement->group, &server->position);
+  if (observations->has_windows && !is_outside)
+    pending_count = gbd_subset_estimate_pending (
+        &placement->group, &server->position, server->load.waiting);
   uint64_t queued = pending_count + 1 > slots ? pending_count + 1 - slots : 0;
   uint64_t cost
       = queued * COST_UNIT / slots + pending_count * SPREAD_COST / slots;
@@ -224,8 +230,7 @@
       && now - server->load.suspicion.last_response_at
              > GBD_PLACEMENT_RESPONSE_WINDOW)
     cost += GBD_PLACEMENT_NO_RESPONSE_COST;
-  if (observations->has_windows
-      && !gbd_subset_contains (&placement->group, &server->position))
+  if (is_outside)
     cost += GBD_PLACEMENT_OUTSIDE_COST;
   if (observations->prefers_proven && !is_proven (server, now))
     cost += GBD_PLACEMENT_UNPROVEN_COST;
--- a/src/libgooseberrydrum/subset.c
+++ b/src/libgooseberrydrum/subset.c
@@ -53,6 +53,15 @@
   return distance < gbd_subset_get_size (position->count, group->zone_count);
 }
 
+uint64_t
+gbd_subset_estimate_pending (const gbd_group_view_t *group,
+                             const gbd_subset_position_t *position,
+                             uint32_t pending_count)
+{
+  uint32_t size = gbd_subset_get_size (position->count, group->zone_count);
+  return (uint64_t)pending_count * group->zone_count * size / position->count;
+}
+
 static int
 compare_members (const void *a, const void *b)
 {
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -94,9 +94,10 @@
   suspicion->probe_count = has_changed ? 1 : suspicion->probe_count + 1;
   suspicion->probe = (uint8_t)result;
   suspicion->probed_at = began_at;
-  /* The backend server has recovered, so the next flow is a trial. */
+  /* The backend server has recovered, so the next flow is a trial.  While it
+     was down, none was possible, so none is overdue. */
   if (result == GBD_PROBE_ACCEPTED && has_changed)
-    suspicion->trial_due = get_earlier (suspicion->trial_due, now);
+    suspicion->trial_due = now;
   return has_changed;
 }
 
--- a/src/test_libgooseberrydrum/load_fixture.h
+++ b/src/test_libgooseberrydrum/load_fixture.h
@@ -48,6 +48,10 @@
   uint32_t zone;
   gbd_group_view_t group;
   gbd_pool_t *pool;
+  /* Fake of the detection of a shortage. */
+  uint32_t refused_count; /* in the present second */
+  gbd_time_t second_began_at;
+  gbd_time_t short_until;
 } load_instance_t;
 
 typedef struct
@@ -67,9 +71,11 @@
   uint32_t zone_count;
   uint32_t instance_count;
   uint32_t server_count;
-  double command_share; /* requests that must not run twice */
-  bool spares_commands; /* the placement knows which requests these are */
-  bool has_windows;     /* room is short and the group is known */
+  double command_share;  /* requests that must not run twice */
+  bool spares_commands;  /* the placement knows which requests these are */
+  bool detects_shortage; /* room is short for 3 s after a second with two
+                            refused requests */
+  bool has_windows;      /* room is short and the group is known */
   double long_share; /* requests that have half of all work; 0.5: requests are
                         alike */
   double rates_per_s[ZONES_MAX]; /* new requests of callers by zone */
@@ -311,11 +317,20 @@
           .group = instance->group,
           .is_idempotent = !is_command,
           .has_both_kinds = load->spares_commands,
-          .is_room_short = load->has_windows };
+          .is_room_short
+          = load->has_windows || load->now < instance->short_until };
   gbd_pool_handle_t handle
       = gbd_placement_choose (instance->pool, &placement, load->now);
   assert_int_not_equal (handle, GBD_POOL_NONE);
   bool is_accepted = load_send (load, index, handle, is_command);
+  if (load->now - instance->second_began_at > GBD_SECOND)
+    {
+      instance->second_began_at = load->now;
+      instance->refused_count = 0;
+    }
+  instance->refused_count += !is_accepted;
+  if (load->detects_shortage && instance->refused_count >= 2)
+    instance->short_until = load->now + 3 * GBD_SECOND;
   load->attempts++;
   load->refused += !is_accepted;
   load->zone_attempts[zone]++;
--- a/src/test_libgooseberrydrum/test_placement.c
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -333,8 +333,8 @@
       gbd_pool_get (pool, handle)->load.waiting++;
       count++;
     }
-  /* Zone b has a window of both its servers; then each of the six slots more
-     has one to two waiting requests. */
+  /* The windows have four servers in zone a and two in zone b, twelve slots;
+     beyond these, at most two requests wait for each slot. */
   assert_in_range (count, 12, 12 + 2 * 12);
   gbd_director_delete (director);
 }
--- a/src/test_libgooseberrydrum/test_placement_load.c
+++ b/src/test_libgooseberrydrum/test_placement_load.c
@@ -127,6 +127,143 @@
   assert_true (with < 0.003);
 }
 
+typedef struct
+{
+  double refused;
+  double queue;     /* mean length at a server of the busy zone */
+  double deviation; /* standard deviation of the share of the flows that stay
+                       in the busy zone, of fifths of a second */
+} overflow_t;
+
+/* The callers of one zone want twice its slots, those of the others a third
+   of theirs. */
+static overflow_t
+run_busy_zone (uint32_t instances, uint32_t servers, bool has_windows,
+               bool detects_shortage)
+{
+  enum
+  {
+    PERIODS = 50
+  };
+  load_t *load = malloc (sizeof *load);
+  assert_non_null (load);
+  load_init (load, 4, instances, servers, SERVICE_TIME_MS);
+  load_list (load);
+  load->has_windows = has_windows;
+  load->detects_shortage = detects_shortage;
+  set_demand (load, 1.0 / 3);
+  load->rates_per_s[0] *= 6;
+  load_run (load, 3 * GBD_SECOND);
+  uint64_t refused_before = load->refused;
+  uint64_t attempts_before = load->attempts;
+  double sum = 0;
+  double sum_of_squares = 0;
+  double queue = 0;
+  for (uint32_t i = 0; i < PERIODS; i++)
+    {
+      uint64_t stayed = load->sent[0][0];
+      uint64_t attempts = load->zone_attempts[0];
+      load_run (load, 200 * GBD_MILLISECOND);
+      double share = (double)(load->sent[0][0] - stayed)
+                     / (double)(load->zone_attempts[0] - attempts);
+      sum += share;
+      sum_of_squares += share * share;
+      for (uint32_t s = 0; s < servers; s += 4)
+        queue
+            += load->servers[s].pending > 2 ? load->servers[s].pending - 2 : 0;
+    }
+  overflow_t overflow
+      = { .refused = (double)(load->refused - refused_before)
+                     / (double)(load->attempts - attempts_before),
+          .queue = queue / (servers / 4 * PERIODS),
+          .deviation
+          = sqrt (sum_of_squares / PERIODS - sum * sum / PERIODS / PERIODS) };
+  print_message ("busy zone, %u instances, windows %d, detection %d: refused "
+                 "%.4f, queue %.2f, stay %.2f (%.3f)\n",
+                 instances, has_windows, detects_shortage, overflow.refused,
+                 overflow.queue, sum / PERIODS, overflow.deviation);
+  load_delete (load);
+  free (load);
+  return overflow;
+}
+
+/* Guards against requests that queue or are refused in a zone whose demand is
+   twice its slots, while the other zones have room, and against flows that
+   swing between the zones. */
+static void
+busy_zone_overflows_without_a_queue (void **state)
+{
+  (void)state;
+  static const uint32_t sizes[][2] = { { 24, 40 }, { 76, 120 }, { 80, 40 } };
+  for (int i = 0; i < 3; i++)
+    {
+      overflow_t without
+          = run_busy_zone (sizes[i][0], sizes[i][1], false, false);
+      overflow_t with = run_busy_zone (sizes[i][0], sizes[i][1], true, false);
+      /* Windows end 3 s after the last refused requests and come back with the
+         next ones, at each instance at another time. */
+      overflow_t detected
+          = run_busy_zone (sizes[i][0], sizes[i][1], false, true);
+      assert_true (detected.refused < 0.02);
+      assert_true (without.refused > 0.1);
+      assert_true (with.refused < 0.003);
+      /* Less than one request waits for each slot. */
+      assert_true (with.queue < 2);
+      assert_true (with.deviation < 0.1);
+    }
+}
+
+/* Guards against servers that are left out or get more than they can do: they
+   have one to eight slots, and half of them are four times slower. */
+static void
+uneven_servers_take_what_they_can_do (void **state)
+{
+  (void)state;
+  load_t *load = malloc (sizeof *load);
+  assert_non_null (load);
+  load_init (load, 2, 8, 24, SERVICE_TIME_MS);
+  double capacity = 0;
+  for (uint32_t i = 0; i < load->server_count; i++)
+    {
+      load_server_t *server = &load->servers[i];
+      server->slots = 1u << (i / 4 % 4);
+      server->service_time_ms *= i / 2 % 2 ? 4 : 1;
+      capacity += server->slots * 1000 / server->service_time_ms;
+    }
+  load_list (load);
+  for (uint32_t i = 0; i < load->zone_count; i++)
+    load->rates_per_s[i] = 0.75 * capacity / load->zone_count;
+  for (int has_windows = 0; has_windows < 2; has_windows++)
+    {
+      load->has_windows = has_windows;
+      load->attempts = 0;
+      load->refused = 0;
+      for (uint32_t i = 0; i < load->server_count; i++)
+        load->servers[i].accepted = 0;
+      load_run (load, RUN_TIME);
+      double least = 100;
+      double most = 0;
+      for (uint32_t i = 0; i < load->server_count; i++)
+        {
+          load_server_t *server = &load->servers[i];
+          double use = server->accepted * server->service_time_ms / 1000
+                       / server->slots / (RUN_TIME / (double)GBD_SECOND);
+          least = use < least ? use : least;
+          most = use > most ? use : most;
+        }
+      print_message ("uneven servers, windows %d: refused %.4f, in use %.2f "
+                     "to %.2f\n",
+                     has_windows, get_refused (load), least, most);
+      /* Demand is 0.75 of the slots.  The slowest servers with one slot serve
+         50 requests in the run, which vary by 14 %. */
+      assert_true (least > 0.25);
+      assert_true (most < 1.4);
+      assert_true (get_refused (load) < (has_windows ? 0.003 : 0.02));
+    }
+  load_delete (load);
+  free (load);
+}
+
 int
 main (void)
 {
@@ -134,6 +271,8 @@
     cmocka_unit_test (windows_use_free_slots_of_a_large_group),
     cmocka_unit_test (windows_use_free_slots_of_one_zone),
     cmocka_unit_test (commands_avoid_servers_that_have_just_returned),
+    cmocka_unit_test (busy_zone_overflows_without_a_queue),
+    cmocka_unit_test (uneven_servers_take_what_they_can_do),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_libgooseberrydrum/test_subset.c
+++ b/src/test_libgooseberrydrum/test_subset.c
@@ -121,6 +121,30 @@
   gbd_subset_number (members, 0);
 }
 
+/* Guards against an estimate that leaves the other instances out: the windows
+   of two, or of more if there are more instances than servers, have a server.
+ */
+static void
+pending_flows_of_other_instances_are_estimated (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    uint32_t instances;
+    uint16_t servers;
+    uint64_t expected; /* from three flows */
+  } cases[] = { { 2, 7, 6 },    { 20, 40, 6 },  { 19, 30, 7 },
+                { 20, 10, 12 }, { 75, 30, 15 }, { 3, 1, 9 } };
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      gbd_group_view_t group
+          = { .total = cases[i].instances, .zone_count = cases[i].instances };
+      gbd_subset_position_t position = { .count = cases[i].servers };
+      assert_int_equal (gbd_subset_estimate_pending (&group, &position, 3),
+                        cases[i].expected);
+    }
+}
+
 int
 main (void)
 {
@@ -129,6 +153,7 @@
     cmocka_unit_test (window_has_twice_the_share_of_an_instance),
     cmocka_unit_test (unusable_views_have_no_windows),
     cmocka_unit_test (members_are_numbered_by_identifier),
+    cmocka_unit_test (pending_flows_of_other_instances_are_estimated),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_libgooseberrydrum/test_suspicion.c
+++ b/src/test_libgooseberrydrum/test_suspicion.c
@@ -124,6 +124,29 @@
                     GBD_PROBE_NONE);
 }
 
+/* Guards against a trial flow that counts as overdue when a backend server has
+   just returned: it would be a request that must not run twice. */
+static void
+trial_is_not_overdue_right_after_the_return (void **state)
+{
+  (void)state;
+  gbd_suspicion_t suspicion = { 0 };
+  assert_false (gbd_suspicion_is_trial_overdue (&suspicion, START));
+  gbd_suspicion_record_failure (&suspicion, START, START);
+  gbd_time_t now = START + 10 * GBD_SECOND;
+  gbd_suspicion_record_probe (&suspicion, GBD_PROBE_REFUSED, now, now);
+  now += GBD_SECOND;
+  assert_true (
+      gbd_suspicion_record_probe (&suspicion, GBD_PROBE_ACCEPTED, now, now));
+  assert_true (gbd_suspicion_accepts_flow (&suspicion, now));
+  assert_false (gbd_suspicion_is_trial_overdue (&suspicion, now));
+  now += GBD_SUSPICION_LONGEST_TRIAL;
+  assert_true (gbd_suspicion_is_trial_overdue (&suspicion, now));
+  /* A trial flow was sent. */
+  gbd_suspicion_record_placement (&suspicion, now);
+  assert_false (gbd_suspicion_is_trial_overdue (&suspicion, now));
+}
+
 /* Guards against a record that counts as unbroken while a server is suspected,
    or right after it has recovered from a long failure. */
 static void
@@ -155,6 +178,7 @@
     cmocka_unit_test (flow_response_overrides_an_earlier_probe),
     cmocka_unit_test (response_clears_suspicion_and_outdates_earlier_packets),
     cmocka_unit_test (trial_interval_is_bounded),
+    cmocka_unit_test (trial_is_not_overdue_right_after_the_return),
     cmocka_unit_test (record_is_broken_until_some_time_after_the_recovery),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
