--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -13,6 +13,19 @@
  *  slots, flows are also spread by how many each got recently, because the
  *  flows of a server that fails at once never wait (recent_flows.h).
  *
+ *  While the service is short of room, an instance that sees a small part of
+ *  the load prefers few servers, whose load it knows (subset.h): a zone with
+ *  more demand than slots then overflows before its queues fill.  The figures
+ *  come from the list and the group view; without a shortage or a view,
+ *  decisions do not depend on them.
+ *
+ *  Servers may fail and return by turns, and a request that must not run twice
+ *  is lost with its server.  Where a service has routes of both kinds, such a
+ *  request goes to servers with an unbroken record while they have room:
+ *  not suspected, not cold, and within GBD_PLACEMENT_RECORD_TIME no missing
+ *  response, recovery, reset of its flows, removal, start or new listing.
+ *  Other servers are tried with requests that callers may repeat.
+ *
  *  Suspected backend servers get only trial flows, unless all backend servers
  *  of the service are suspected.  When many fail at once, a retransmitted
  *  opening packet preferably goes to a backend server that has responded
@@ -36,6 +49,25 @@
  * instance that receives few responses knows few such servers, and chooses
  * among them. */
 #define GBD_PLACEMENT_RESPONSE_WINDOW GBD_SECOND
+/** Cost, while a service is short of room, of a backend server outside the
+ *  window of this instance (subset.h), in thousandths of the processing time
+ * of one request: a flow goes there when it would wait for more than two
+ * requests inside. */
+#define GBD_PLACEMENT_OUTSIDE_COST 2000
+/** Cost, for a request that must not run twice, of a backend server without an
+ *  unbroken record, in thousandths of the processing time of one request: the
+ *  caller loses the request if the server fails, and rather waits for four
+ *  requests.  A server at which it would wait longer has no room. */
+#define GBD_PLACEMENT_UNPROVEN_COST 4000
+/** Time without failure, recovery or new listing after which a record is
+ *  unbroken.  A server that fails and returns by turns does so within seconds;
+ *  this is also the longest interval between trial flows three times. */
+#define GBD_PLACEMENT_RECORD_TIME (5 * GBD_SECOND)
+/** Servers with an unbroken record are preferred only if they have at least
+ *  this part of the slots that are in use: if most servers have failed within
+ *  that time, the cause is rather in the network, and few servers would get
+ * the requests of all instances. */
+#define GBD_PLACEMENT_PROVEN_PART_MIN 4
 /** How long after its removal an entry that was not draining may still be
  *  chosen if the service has no other backend server: a running one has
  * written its entry again by then. */
@@ -51,6 +83,8 @@
                                 flow, or GBD_POOL_NONE */
   gbd_group_view_t group;  /**< other instances, if known */
   bool is_idempotent;      /**< callers may retry the requests of the route */
+  bool has_both_kinds;     /**< the service has routes that are idempotent and
+                                routes that are not */
   bool is_room_short;      /**< the service has turned requests away lately */
 } gbd_placement_t;
 
--- a/src/libgooseberrydrum/routes.c
+++ b/src/libgooseberrydrum/routes.c
@@ -10,7 +10,9 @@
 {
   gbd_service_id_t service;
   gbd_warm_up_limits_t warm_up;
-  char name[GBD_NAME_MAX + 1];
+  char name[GBD_NAME_MAX + 1]; /* empty if not stated */
+  bool has_idempotent;         /* routes */
+  bool has_other;
 } service_t;
 
 struct gbd_routes
@@ -21,17 +23,21 @@
   uint32_t capacity;
   gbd_route_t *routes; /* sorted by address */
   uint32_t service_count;
-  service_t *services;
+  service_t *services; /* sorted by identifier */
 };
 
-static service_t *add_service (gbd_routes_t *routes, gbd_service_id_t id);
-static const service_t *find_service (const gbd_routes_t *routes,
-                                      gbd_service_id_t id);
 static int compare_addresses (const gbd_address_t *a, const gbd_address_t *b);
 static uint32_t find_lower_bound (const gbd_routes_t *routes,
                                   const gbd_address_t *address);
 static bool matches_at (const gbd_routes_t *routes, uint32_t index,
                         const gbd_address_t *address);
+static bool find_service_index (const gbd_routes_t *routes,
+                                gbd_service_id_t service, uint32_t *index);
+static const service_t *find_service (const gbd_routes_t *routes,
+                                      gbd_service_id_t service);
+static service_t *add_service (gbd_routes_t *routes, gbd_service_id_t service);
+static gbd_status_t record_kind (gbd_routes_t *routes,
+                                 const gbd_route_t *route);
 
 gbd_routes_t *
 gbd_routes_new (uint64_t version)
@@ -60,6 +66,9 @@
   uint32_t index = find_lower_bound (routes, &route->address);
   if (matches_at (routes, index, &route->address))
     return GBD_ERROR_CONFLICT;
+  gbd_status_t status = record_kind (routes, route);
+  if (status != GBD_OK)
+    return status;
   if (routes->count == routes->capacity)
     {
       uint32_t capacity
@@ -85,6 +94,14 @@
   return matches_at (routes, index, address) ? &routes->routes[index] : NULL;
 }
 
+bool
+gbd_routes_has_both_kinds (const gbd_routes_t *routes,
+                           gbd_service_id_t service)
+{
+  const service_t *entry = find_service (routes, service);
+  return entry && entry->has_idempotent && entry->has_other;
+}
+
 gbd_service_id_t
 gbd_route_choose (const gbd_route_t *route, gbd_flow_hash_t hash)
 {
@@ -170,36 +187,6 @@
   return &routes->routes[index];
 }
 
-/* Returns the entry of a service, after adding it if there is none, or NULL if
-   memory is exhausted. */
-static service_t *
-add_service (gbd_routes_t *routes, gbd_service_id_t id)
-{
-  service_t *found = (service_t *)find_service (routes, id);
-  if (found)
-    return found;
-  uint32_t index = routes->service_count;
-  service_t *resized
-      = realloc (routes->services, (index + 1) * sizeof *routes->services);
-  if (!resized)
-    return NULL;
-  routes->services = resized;
-  routes->service_count++;
-  routes->services[index] = (service_t){ .service = id };
-  return &routes->services[index];
-}
-
-static const service_t *
-find_service (const gbd_routes_t *routes, gbd_service_id_t id)
-{
-  for (uint32_t i = 0; i < routes->service_count; i++)
-    {
-      if (routes->services[i].service == id)
-        return &routes->services[i];
-    }
-  return NULL;
-}
-
 static int
 compare_addresses (const gbd_address_t *a, const gbd_address_t *b)
 {
@@ -236,3 +223,71 @@
   return index < routes->count
          && compare_addresses (&routes->routes[index].address, address) == 0;
 }
+
+/* Returns whether a service is known.
+   @param index its index, or where it is to be inserted */
+static bool
+find_service_index (const gbd_routes_t *routes, gbd_service_id_t service,
+                    uint32_t *index)
+{
+  uint32_t low = 0;
+  uint32_t high = routes->service_count;
+  while (low < high)
+    {
+      uint32_t middle = low + (high - low) / 2;
+      if (routes->services[middle].service < service)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  *index = low;
+  return low < routes->service_count
+         && routes->services[low].service == service;
+}
+
+/* Returns NULL if the service is not known. */
+static const service_t *
+find_service (const gbd_routes_t *routes, gbd_service_id_t service)
+{
+  uint32_t index;
+  return find_service_index (routes, service, &index)
+             ? &routes->services[index]
+             : NULL;
+}
+
+/* Returns the entry of a service, added if it is not known yet; NULL if memory
+   is exhausted. */
+static service_t *
+add_service (gbd_routes_t *routes, gbd_service_id_t service)
+{
+  uint32_t index;
+  if (find_service_index (routes, service, &index))
+    return &routes->services[index];
+  uint32_t count = routes->service_count;
+  service_t *resized
+      = realloc (routes->services, (count + 1) * sizeof *routes->services);
+  if (!resized)
+    return NULL;
+  routes->services = resized;
+  memmove (&resized[index + 1], &resized[index],
+           (count - index) * sizeof *resized);
+  resized[index] = (service_t){ .service = service };
+  routes->service_count++;
+  return &resized[index];
+}
+
+static gbd_status_t
+record_kind (gbd_routes_t *routes, const gbd_route_t *route)
+{
+  for (uint32_t i = 0; i < route->target_count; i++)
+    {
+      if (route->targets[i].weight == 0)
+        continue;
+      service_t *entry = add_service (routes, route->targets[i].service);
+      if (!entry)
+        return GBD_ERROR_MEMORY;
+      entry->has_idempotent |= route->is_idempotent;
+      entry->has_other |= !route->is_idempotent;
+    }
+  return GBD_OK;
+}
