--- a/src/gooseberrydrum/cookie_holders.c
+++ b/src/gooseberrydrum/cookie_holders.c
@@ -40,12 +40,18 @@
 {
   bool has_documents
       = serve->has_key && gbd_director_get_routes (serve->director);
-  char from[GBD_ADDRESS_TEXT_MAX + sizeof "from="] = "";
+  char from[sizeof serve->relay_argument] = "";
   if (serve->peer_server)
     {
       char address[GBD_ADDRESS_TEXT_MAX];
       gbd_address_format (&serve->settings->relay_listen, address);
-      g_snprintf (from, sizeof from, "from=%s", address);
+      char *zone = serve->settings->group_view
+                       ? g_uri_escape_string (serve->settings->zone, NULL,
+                                              FALSE)
+                       : NULL;
+      g_snprintf (from, sizeof from, "from=%s%s%s", address,
+                  zone ? "&zone=" : "", zone ? zone : "");
+      g_free (zone);
     }
   g_snprintf (serve->relay_argument, sizeof serve->relay_argument, "%s%s%s",
               has_documents ? "" : "documents=1",
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -40,6 +40,9 @@
                                      const gbd_cookie_serve_t *serve);
 static void add_state_counters (gbd_counters_t *counters,
                                 const gbd_cookie_serve_t *serve);
+static void add_group_counters (gbd_counters_t *counters,
+                                const gbd_cookie_serve_t *serve,
+                                gbd_time_t now);
 static json_t *make_status (void *data);
 static json_t *make_dump (void *data);
 static json_t *make_explanation (void *data, const gbd_flow_t *flow);
@@ -401,6 +404,8 @@
                  "Responses to instances that read from this relay.",
                  GBD_COUNTER_MONOTONIC, NULL, NULL,
                  gbd_relay_get_response_count (serve->relay));
+  if (serve->members)
+    add_group_counters (counters, serve, now);
   uint32_t capacity = gbd_pool_get_capacity (pool);
   for (uint32_t i = 0; i < capacity; i++)
     {
@@ -416,6 +421,31 @@
     }
 }
 
+static void
+add_group_counters (gbd_counters_t *counters, const gbd_cookie_serve_t *serve,
+                    gbd_time_t now)
+{
+  gbd_cookie_members_stats_t stats;
+  gbd_cookie_members_get_stats (serve, &stats, now);
+  add_counter (counters, "gooseberrydrum_group_instances",
+               "Instances of the group; 0 if unknown.", GBD_COUNTER_GAUGE,
+               NULL, NULL, stats.view.total);
+  add_counter (counters, "gooseberrydrum_group_zone_instances",
+               "Instances of the group in the zone of this instance; 0 if "
+               "unknown.",
+               GBD_COUNTER_GAUGE, NULL, NULL, stats.view.zone_count);
+  add_counter (counters, "gooseberrydrum_group_zone_rank",
+               "Position of this instance among those of its zone.",
+               GBD_COUNTER_GAUGE, NULL, NULL, stats.view.zone_rank);
+  add_counter (counters, "gooseberrydrum_group_age_seconds",
+               "Time since the view of the group was received.",
+               GBD_COUNTER_GAUGE, NULL, NULL,
+               (uint64_t)(stats.age / GBD_SECOND));
+  add_counter (counters, "gooseberrydrum_group_requests_total",
+               "Requests of this relay for the members at other relays.",
+               GBD_COUNTER_MONOTONIC, NULL, NULL, stats.requests);
+}
+
 static json_t *
 make_status (void *data)
 {
@@ -435,6 +465,9 @@
       gbd_cookie_servers_use_platform (serve) ? "platform" : "relay");
   add_age (status, "routes_age_ms", serve->routes_read_at, now);
   add_age (status, "list_age_ms", serve->servers_confirmed_at, now);
+  if (serve->members)
+    json_object_set_new (status, "group",
+                         gbd_cookie_members_describe (serve, now));
   return status;
 }
 
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -16,6 +16,9 @@
 #include "relay.h"
 #include "settings.h"
 
+/** Members of the group; see cookie_members.c. */
+typedef struct gbd_cookie_members gbd_cookie_members_t;
+
 /** Announcements of this instance, as a holder of the list, to one relay. */
 typedef struct
 {
@@ -44,9 +47,12 @@
   /** Serves key, routes and list to a relay that starts while the platform is
    *  unreachable; NULL if this instance is a relay or listens for no others */
   gbd_relay_t *peer_server;
+  gbd_cookie_members_t *members; /**< NULL if the setting group-view is off */
   /** Argument of requests to relays: "documents=1" until this instance has key
-   *  and routes; "from=" and the address of peer_server, if there is one */
-  char relay_argument[GBD_ADDRESS_TEXT_MAX + sizeof "documents=1&from="];
+   *  and routes; "from=" and the address of peer_server, if there is one;
+   *  "zone=" and the percent-encoded zone, with the setting group-view */
+  char relay_argument[GBD_ADDRESS_TEXT_MAX + 3 * GBD_NAME_MAX
+                      + sizeof "documents=1&from=&zone="];
   gbd_announcement_t announcements[GBD_SOURCES_MAX]; /**< one for each source;
                                                  not used for the platform */
   /** Client of a holder of the list; NULL: none */
@@ -187,6 +193,34 @@
 /** Another instance has announced itself; a gbd_relay_holder_callback_t. */
 void gbd_cookie_holder_seen (void *data, const gbd_address_t *holder);
 
+/* cookie_members.c: number and rank of the instances of the group */
+
+/** Start counting readers and asking other relays, if this instance is a
+ *  relay and the setting group-view is on.
+ *  @return false with `error` set. */
+bool gbd_cookie_members_start (gbd_cookie_serve_t *serve, const char **error);
+/** Must be called before the relay is deleted. */
+void gbd_cookie_members_stop (gbd_cookie_serve_t *serve);
+/** Send the requests that are due, and pass the view to the director. */
+void gbd_cookie_members_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+/** A relay has sent its view; the callback group_view of a watch. */
+void gbd_cookie_members_receive (void *data, const json_t *value);
+/** Describe the view for `status`.  The setting must be on. */
+json_t *gbd_cookie_members_describe (const gbd_cookie_serve_t *serve,
+                                     gbd_time_t now);
+
+typedef struct
+{
+  gbd_group_view_t view; /**< all zero if unknown */
+  gbd_time_t age;        /**< of the view */
+  uint64_t requests;     /**< to other relays */
+} gbd_cookie_members_stats_t;
+
+/** The setting must be on. */
+void gbd_cookie_members_get_stats (const gbd_cookie_serve_t *serve,
+                                   gbd_cookie_members_stats_t *stats,
+                                   gbd_time_t now);
+
 /* cookie_report.c */
 
 extern const gbd_admin_callbacks_t gbd_cookie_admin_callbacks;
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -88,6 +88,7 @@
   .failed = start_list_failed,
   .relay_metadata = start_list_metadata,
   .documents = documents_received,
+  .group_view = gbd_cookie_members_receive,
 };
 
 static const gbd_platform_watch_callbacks_t servers_callbacks = {
@@ -98,6 +99,7 @@
   .failed = servers_failed,
   .relay_metadata = servers_relay_metadata,
   .documents = documents_received,
+  .group_view = gbd_cookie_members_receive,
   .restored = servers_restored,
 };
 
@@ -142,6 +144,8 @@
       gbd_relay_set_holder_callback (serve->relay, gbd_cookie_holder_seen,
                                      serve);
     }
+  if (!gbd_cookie_members_start (serve, error))
+    return false;
   serve->servers_watch = gbd_platform_watch_new (
       serve->clients[serve->sources.current],
       serve->platform_api->servers_kind, "", now, &servers_callbacks, serve);
@@ -172,6 +176,7 @@
     gbd_platform_tick (serve->clients[i], now);
   if (serve->holder_client)
     gbd_platform_tick (serve->holder_client, now);
+  gbd_cookie_members_tick (serve, now);
   if (serve->relay)
     gbd_relay_tick (serve->relay, now);
   if (serve->peer_server)
@@ -183,6 +188,7 @@
 {
   gbd_platform_watch_delete (serve->start_watch);
   gbd_platform_watch_delete (serve->servers_watch);
+  gbd_cookie_members_stop (serve);
   gbd_relay_delete (serve->relay);
   gbd_relay_delete (serve->peer_server);
   gbd_platform_delete (serve->holder_client);
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -48,6 +48,8 @@
                        const gbd_platform_result_t *result);
 static void apply_response (gbd_platform_watch_t *watch,
                             const gbd_platform_result_t *result);
+static void report_view (gbd_platform_watch_t *watch,
+                         const gbd_platform_result_t *result);
 static void report_page (gbd_platform_watch_t *watch,
                          const gbd_platform_result_t *result, json_t *items);
 static void report_items (gbd_platform_watch_t *watch, json_t *items);
@@ -370,6 +372,7 @@
   if (result->status != GBD_OK || !json_is_array (items)
       || result->version < watch->version)
     {
+      report_view (watch, result);
       if (result->is_failure && result->body && watch->callbacks.rejected)
         watch->callbacks.rejected (watch->data, result->body);
       back_off (watch);
@@ -381,6 +384,7 @@
      arrive immediately. */
   if (json_array_size (items) > 0 && (watch->is_listed || !watch->allow_stale))
     watch->retry_at = pause_end;
+  report_view (watch, result);
   if (watch->callbacks.relay_metadata)
     watch->callbacks.relay_metadata (
         watch->data,
@@ -402,6 +406,14 @@
     watch->callbacks.confirmed (watch->data, watch->requested_at);
 }
 
+static void
+report_view (gbd_platform_watch_t *watch, const gbd_platform_result_t *result)
+{
+  const json_t *view = json_object_get (result->body, "view");
+  if (view && watch->callbacks.group_view)
+    watch->callbacks.group_view (watch->data, view);
+}
+
 static void
 report_page (gbd_platform_watch_t *watch, const gbd_platform_result_t *result,
              json_t *items)
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -8,9 +8,11 @@
 #include "gooseberrydrum/sources.h"
 #include "relay_api.h"
 #include "relay_codec.h"
+#include "relay_members.h"
 
 #define ARGUMENT_SIZE 64
 #define HOLDERS_PATH GBD_RELAY_PREFIX GBD_RELAY_HOLDERS_KIND "/"
+#define MEMBERS_PATH GBD_RELAY_PREFIX GBD_RELAY_MEMBERS_KIND
 #define HOLDERS_MAX 8 /* the latest; a few of them suffice */
 #define WAIT_MS_MAX 10000
 #define DECIMAL_BASE 10
@@ -39,6 +41,7 @@
   bool has_since;
   bool with_documents;
   uint64_t since;
+  guint shared_length; /* bytes before the view of the reader */
 } cached_response_t;
 
 /** A document, encoded both as a response of its own and as a part of a
@@ -66,6 +69,7 @@
   uint64_t since;
   gbd_time_t deadline;
   bool is_waiting;
+  gbd_address_t address; /* family 0: not known */
 } reader_t;
 
 /** User data of the vhost, which outlives the relay. */
@@ -97,6 +101,7 @@
   void *fill_data;
   gbd_relay_holder_callback_t holder_callback; /* may be NULL */
   void *holder_data;
+  gbd_members_t *members; /* NULL: not counted */
   holder_t holders[HOLDERS_MAX];
   uint32_t next_holder;
   uint64_t response_count;
@@ -117,6 +122,10 @@
 static int handle_announcement (gbd_relay_t *relay, struct lws *wsi,
                                 reader_t *reader, const char *text);
 static void record_holder (gbd_relay_t *relay, const char *text);
+static void record_member (gbd_relay_t *relay, struct lws *wsi,
+                           reader_t *reader);
+static int send_members (const gbd_relay_t *relay, struct lws *wsi,
+                         reader_t *reader);
 static int send_filled_listing (gbd_relay_t *relay, reader_t *reader);
 static bool read_argument (struct lws *wsi, const char *name,
                            uint64_t *number);
@@ -126,6 +135,7 @@
 static unsigned find_status (const gbd_relay_t *relay, const uint64_t *since);
 static void pack_objects (const gbd_relay_t *relay, const uint64_t *since,
                           bool with_documents, msgpack_sbuffer *buffer);
+static void append_view (gbd_relay_t *relay, const gbd_address_t *address);
 static void pack_documents (const gbd_relay_t *relay, bool with_documents,
                             msgpack_sbuffer *buffer);
 static void pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer);
@@ -342,6 +352,12 @@
   return false;
 }
 
+void
+gbd_relay_set_members (gbd_relay_t *relay, gbd_members_t *members)
+{
+  relay->members = members;
+}
+
 void
 gbd_relay_disconnect (gbd_relay_t *relay)
 {
@@ -367,7 +383,8 @@
 
 const GByteArray *
 gbd_relay_build_response (gbd_relay_t *relay, const uint64_t *since,
-                          bool with_documents, unsigned *status)
+                          bool with_documents, const gbd_address_t *address,
+                          unsigned *status)
 {
   cached_response_t *cached = &relay->cached_response;
   with_documents = with_documents && !relay->is_connected;
@@ -387,12 +404,14 @@
       g_byte_array_append (cached->body, (const guint8 *)buffer.data,
                            (guint)buffer.size);
       msgpack_sbuffer_destroy (&buffer);
+      cached->shared_length = cached->body->len;
       cached->has_since = since != NULL;
       cached->with_documents = with_documents;
       cached->since = since ? *since : 0;
       /* Whether a reader with a newer version exists changes with time. */
       cached->is_valid = cached->status == HTTP_STATUS_OK;
     }
+  append_view (relay, address);
   *status = cached->status;
   return cached->body;
 }
@@ -479,6 +498,8 @@
   if (g_str_has_prefix (path, HOLDERS_PATH))
     return handle_announcement (relay, wsi, reader,
                                 path + strlen (HOLDERS_PATH));
+  if (relay->members && strcmp (path, MEMBERS_PATH) == 0)
+    return send_members (relay, wsi, reader);
   if (strncmp (path, GBD_RELAY_PREFIX, prefix) != 0
       || strcmp (path + prefix, relay->kind) != 0)
     return handle_document_request (relay, wsi, reader, path);
@@ -491,6 +512,7 @@
   if (reader->has_since
       && lws_get_urlarg_by_name (wsi, "from=", from, sizeof from))
     record_holder (relay, from);
+  record_member (relay, wsi, reader);
   if (!reader->has_since && relay->fill)
     return send_filled_listing (relay, reader);
   if (!reader->has_since)
@@ -587,6 +609,33 @@
   *oldest = (holder_t){ .address = address, .seen_at = relay->now };
 }
 
+static void
+record_member (gbd_relay_t *relay, struct lws *wsi, reader_t *reader)
+{
+  char from[ARGUMENT_SIZE] = "";
+  char zone[ARGUMENT_SIZE + 1] = "";
+  reader->address = (gbd_address_t){ 0 };
+  if (!relay->members
+      || !lws_get_urlarg_by_name (wsi, "from=", from, sizeof from)
+      || gbd_address_parse (from, &reader->address) != GBD_OK)
+    return;
+  if (!lws_get_urlarg_by_name (wsi, "zone=", zone, sizeof zone))
+    zone[0] = '\0';
+  /* A reader that is not counted is served all the same. */
+  gbd_members_record (relay->members, &reader->address, zone, relay->now);
+}
+
+static int
+send_members (const gbd_relay_t *relay, struct lws *wsi, reader_t *reader)
+{
+  msgpack_sbuffer buffer;
+  msgpack_sbuffer_init (&buffer);
+  gbd_relay_pack_members (relay->members, relay->now, &buffer);
+  gbd_admin_response_set_bytes (&reader->response, buffer.data, buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
+  return gbd_admin_response_start (&reader->response, wsi);
+}
+
 static int
 send_filled_listing (gbd_relay_t *relay, reader_t *reader)
 {
@@ -618,7 +667,7 @@
   unsigned status;
   const GByteArray *body = gbd_relay_build_response (
       relay, reader->has_since ? &reader->since : NULL, reader->with_documents,
-      &status);
+      &reader->address, &status);
   gbd_admin_response_set_bytes (&reader->response, body->data, body->len);
   reader->response.status = status;
   relay->response_count++;
@@ -675,8 +724,12 @@
 
   msgpack_packer packer;
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, since ? GBD_RELAY_CHANGES_LENGTH
-                                     : GBD_RELAY_LISTING_LENGTH);
+  if (relay->members)
+    msgpack_pack_array (&packer, since ? GBD_RELAY_CHANGES_VIEW + 1
+                                       : GBD_RELAY_LISTING_VIEW + 1);
+  else
+    msgpack_pack_array (&packer, since ? GBD_RELAY_CHANGES_LENGTH
+                                       : GBD_RELAY_LISTING_LENGTH);
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, since ? GBD_RELAY_CHANGES : GBD_RELAY_LISTING);
   msgpack_pack_uint64 (&packer,
@@ -704,6 +757,27 @@
     }
   if (!since)
     pack_documents (relay, with_documents, buffer);
+  if (relay->members)
+    msgpack_pack_nil (&packer); /* evacuations */
+}
+
+/* Appends the view of one reader to the response, of which the rest is the
+   same for all readers of a version. */
+static void
+append_view (gbd_relay_t *relay, const gbd_address_t *address)
+{
+  cached_response_t *cached = &relay->cached_response;
+  const gbd_address_t unknown = { 0 };
+  g_byte_array_set_size (cached->body, cached->shared_length);
+  if (!relay->members)
+    return;
+  msgpack_sbuffer buffer;
+  msgpack_sbuffer_init (&buffer);
+  gbd_relay_pack_view (relay->members, address ? address : &unknown,
+                       relay->now, &buffer);
+  g_byte_array_append (cached->body, (const guint8 *)buffer.data,
+                       (guint)buffer.size);
+  msgpack_sbuffer_destroy (&buffer);
 }
 
 static void
@@ -735,7 +809,8 @@
   bool has_newer_reader
       = gbd_newer_readers_are_reported (&relay->newer_readers, relay->now);
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, GBD_RELAY_REJECTION_LENGTH);
+  msgpack_pack_array (&packer, relay->members ? GBD_RELAY_REJECTION_VIEW + 1
+                                              : GBD_RELAY_REJECTION_LENGTH);
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, GBD_RELAY_REJECTION);
   msgpack_pack_uint32 (&packer, relay->reader_count);
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -10,8 +10,12 @@
  *    GET /v3/holders/ADDRESS               announces a holder; a document that
  *                                          is true if the relay has a list
  *
- *  The first two accept the argument "from=ADDRESS": where the reader itself
- *  serves listings.  A listing with the argument "documents=1" contains the
+ *    GET /v3/members                       this relay and its readers, for
+ *                                          other relays; see
+ *                                          gbd_relay_set_members()
+ *
+ *  The first two accept the arguments "from=ADDRESS": where the reader itself
+ *  serves listings, and "zone=NAME": the availability zone of the reader.  A listing with the argument "documents=1" contains the
  *  documents too while the relay cannot reach the platform, so that an
  *  instance that starts gets everything in one response.  At other times
  *  readers get the documents from the platform, which spares the relay's link.
@@ -37,6 +41,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "gooseberrydrum/members.h"
 #include "gooseberrydrum/types.h"
 
 /** How long deletions are retained: longer than a reader may be disconnected
@@ -51,6 +56,8 @@
 
 /** Path below the prefix of the announcement of a holder. */
 #define GBD_RELAY_HOLDERS_KIND "holders"
+/** Path below the prefix of the members that a relay reports to others. */
+#define GBD_RELAY_MEMBERS_KIND "members"
 
 typedef struct gbd_relay gbd_relay_t;
 
@@ -104,6 +111,10 @@
 void gbd_relay_set_holder_callback (gbd_relay_t *relay,
                                     gbd_relay_holder_callback_t callback,
                                     void *data);
+/** Count the readers as members of the group, send each reader its view of the
+ *  group, and serve the members to other relays.
+ *  @param members not owned, must outlive the relay */
+void gbd_relay_set_members (gbd_relay_t *relay, gbd_members_t *members);
 /** Record that the platform is unreachable.  Waiting and new readers are
  *  rejected. */
 void gbd_relay_disconnect (gbd_relay_t *relay);
@@ -114,11 +125,13 @@
 /** Build the body of a response.
  *  @param since version of the reader; NULL for a listing
  *  @param with_documents whether the reader requests the documents
+ *  @param address of the reader; NULL if it has not named itself
  *  @param status set to 200, 410 or 503
  *  @return owned by the relay, valid until its next change. */
 const GByteArray *gbd_relay_build_response (gbd_relay_t *relay,
                                             const uint64_t *since,
                                             bool with_documents,
+                                            const gbd_address_t *address,
                                             unsigned *status);
 
 uint64_t gbd_relay_get_response_count (const gbd_relay_t *relay);
--- a/src/gooseberrydrum/relay_codec.h
+++ b/src/gooseberrydrum/relay_codec.h
@@ -13,6 +13,13 @@
  *  objects is an array of [name, version, value]; value is nil for a deletion.
  *  documents is an array of [KIND/NAME, version, text], empty unless the
  *  reader has requested it.
+ *
+ *  A relay with the setting group-view sends one more message, and appends the
+ *  view of the reader to LISTING, CHANGES and REJECTION, at the positions
+ *  below:
+ *
+ *    [1, MEMBERS, [[address, zone, age_ms], ...]]
+ *    view: [total, zone_count, zone_rank, is_complete], or nil if unknown
  */
 #ifndef PROGRAM_RELAY_CODEC_H
 #define PROGRAM_RELAY_CODEC_H
@@ -28,13 +35,25 @@
 #define GBD_RELAY_OBJECT_LENGTH 3
 #define GBD_RELAY_DOCUMENT_LENGTH 4
 #define GBD_RELAY_REJECTION_LENGTH 4
+#define GBD_RELAY_MEMBERS_LENGTH 3
+#define GBD_RELAY_MEMBER_LENGTH 3
+#define GBD_RELAY_VIEW_LENGTH 4
+
+/* Positions of optional entries.  An entry before them that the relay does not
+   have is nil. */
+#define GBD_RELAY_LISTING_EVACUATIONS 8
+#define GBD_RELAY_LISTING_VIEW 9
+#define GBD_RELAY_CHANGES_EVACUATIONS 7
+#define GBD_RELAY_CHANGES_VIEW 8
+#define GBD_RELAY_REJECTION_VIEW 4
 
 typedef enum
 {
   GBD_RELAY_LISTING,
   GBD_RELAY_CHANGES,
   GBD_RELAY_DOCUMENT,
-  GBD_RELAY_REJECTION
+  GBD_RELAY_REJECTION,
+  GBD_RELAY_MEMBERS
 } gbd_relay_message_type_t;
 
 /** Append a value.
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -63,6 +63,11 @@
     "packets arrive yet.  The instances then wait for the relays instead of "
     "reading from the platform, and the relays create the group's key at once "
     "instead of after two seconds." },
+  { "group-view", &gbd_kind_flag, FIELD (group_view), "no", "", 0, 0, NULL,
+    false,
+    "Whether the instances learn from the relays how many instances the group "
+    "and their zone have.  Requires relays and relay-listen; only for the "
+    "policy cookie." },
   { "platform-form", &gbd_kind_choice, FIELD (platform_form), "own", "", 0, 0,
     platform_form_choices, false,
     "Object API of the platform; objects is only for the policy cookie." },
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -46,6 +46,8 @@
   EVENT (RELOAD_FAILED,  407, LOG_ERR,     "cannot load the certificates; the previous ones stay in use") \
   EVENT (RELOADED,       408, LOG_NOTICE,  "certificates reloaded for new connections") \
   EVENT (LINK_REFUSED,   409, LOG_WARNING, "link with %s refused: %s") \
+  EVENT (GROUP_LOST,     410, LOG_NOTICE,  "number and rank of the instances of the group are unknown") \
+  EVENT (GROUP_KNOWN,    411, LOG_NOTICE,  "number and rank of the instances of the group are known again") \
   EVENT (TABLE,          501, LOG_INFO,    "service %s: table version %llu installed") \
   EVENT (COMPLETE,       502, LOG_DEBUG,   "service %s: copies of registrations complete for version %llu") \
   EVENT (CLAIMS_BLOCKED, 503, LOG_WARNING, "service %s: several members failed at once; packets of unknown flows in moving buckets are dropped for %llu s") \
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -294,7 +294,7 @@
 {
   const gbd_platform_api_t *api = &gbd_platform_api_relay;
   const GByteArray *body
-      = gbd_relay_build_response (relay, since, false, status);
+      = gbd_relay_build_response (relay, since, false, NULL, status);
   json_t *native
       = api->translate (api->parse ((const char *)body->data, body->len));
   assert_non_null (native);
