--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -612,17 +612,20 @@
 static void
 record_member (gbd_relay_t *relay, struct lws *wsi, reader_t *reader)
 {
-  char from[ARGUMENT_SIZE] = "";
-  char zone[ARGUMENT_SIZE + 1] = "";
+  char from[sizeof "from=" + GBD_ADDRESS_TEXT_MAX];
+  char zone[sizeof "zone=" + GBD_NAME_MAX];
   reader->address = (gbd_address_t){ 0 };
-  if (!relay->members
-      || !lws_get_urlarg_by_name (wsi, "from=", from, sizeof from)
-      || gbd_address_parse (from, &reader->address) != GBD_OK)
+  if (!relay->members)
+    return;
+  const char *address
+      = lws_get_urlarg_by_name (wsi, "from=", from, sizeof from);
+  const char *zone_name
+      = lws_get_urlarg_by_name (wsi, "zone=", zone, sizeof zone);
+  if (!address || gbd_address_parse (address, &reader->address) != GBD_OK)
     return;
-  if (!lws_get_urlarg_by_name (wsi, "zone=", zone, sizeof zone))
-    zone[0] = '\0';
   /* A reader that is not counted is served all the same. */
-  gbd_members_record (relay->members, &reader->address, zone, relay->now);
+  gbd_members_record (relay->members, &reader->address,
+                      zone_name ? zone_name : "", relay->now);
 }
 
 static int
