--- a/include/gooseberrydrum/members.h
+++ b/include/gooseberrydrum/members.h
@@ -8,8 +8,8 @@
  *  of a zone are distinct and dense.
  *
  *  Load pattern: groups of 6 to 300 instances; each makes about one request a
- *  second to one of up to three relays.  A view takes time linear in the number
- *  of members, and there is one view for each response.
+ *  second to one of up to three relays.  A view takes time linear in the
+ * number of members, and there is one view for each response.
  *
  *  Times are microseconds of the caller's monotonic clock.
  */
@@ -83,7 +83,8 @@
  *  @return GBD_ERROR_STALE if it is too old to be counted; else as
  *  gbd_members_record(). */
 gbd_status_t gbd_members_merge (gbd_members_t *members, uint32_t peer,
-                                const gbd_group_member_t *member, gbd_time_t now);
+                                const gbd_group_member_t *member,
+                                gbd_time_t now);
 
 /** Get the next of the members to report to peers: this relay and its own
  *  readers.
@@ -108,8 +109,8 @@
   gbd_time_t received_at;
 } gbd_kept_view_t;
 
-/** Keep a view if it is complete and consistent: the rank is below the count of
- *  the zone, which is at most the total. */
+/** Keep a view if it is complete and consistent: the rank is below the count
+ * of the zone, which is at most the total. */
 void gbd_kept_view_update (gbd_kept_view_t *kept, const gbd_group_view_t *view,
                            bool is_complete, gbd_time_t now);
 /** @return the last complete view; one that is all zero if it is older than
--- a/src/gooseberrydrum/cookie_holders.c
+++ b/src/gooseberrydrum/cookie_holders.c
@@ -45,10 +45,10 @@
     {
       char address[GBD_ADDRESS_TEXT_MAX];
       gbd_address_format (&serve->settings->relay_listen, address);
-      char *zone = serve->settings->group_view
-                       ? g_uri_escape_string (serve->settings->zone, NULL,
-                                              FALSE)
-                       : NULL;
+      char *zone
+          = serve->settings->group_view
+                ? g_uri_escape_string (serve->settings->zone, NULL, FALSE)
+                : NULL;
       g_snprintf (from, sizeof from, "from=%s%s%s", address,
                   zone ? "&zone=" : "", zone ? zone : "");
       g_free (zone);
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -120,8 +120,8 @@
    *  relays do; called before the objects are reported.  May be NULL.
    *  @param documents {"KIND/NAME": {version, value}} */
   void (*documents) (void *data, const json_t *documents);
-  /** A response or a rejection of a relay contains the view of the group; called
-   *  before the other callbacks of the response.  May be NULL.
+  /** A response or a rejection of a relay contains the view of the group;
+   * called before the other callbacks of the response.  May be NULL.
    *  @param view as in relay_codec.h; not NULL, may be null or malformed */
   void (*group_view) (void *data, const json_t *view);
   /** The store was restored from an older copy, as the response of a platform
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -15,10 +15,11 @@
  *                                          gbd_relay_set_members()
  *
  *  The first two accept the arguments "from=ADDRESS": where the reader itself
- *  serves listings, and "zone=NAME": the availability zone of the reader.  A listing with the argument "documents=1" contains the
- *  documents too while the relay cannot reach the platform, so that an
- *  instance that starts gets everything in one response.  At other times
- *  readers get the documents from the platform, which spares the relay's link.
+ *  serves listings, and "zone=NAME": the availability zone of the reader.  A
+ * listing with the argument "documents=1" contains the documents too while the
+ * relay cannot reach the platform, so that an instance that starts gets
+ * everything in one response.  At other times readers get the documents from
+ * the platform, which spares the relay's link.
  *
  *  A holder is an instance that has a list, and so can serve one: a reader
  *  that waits for changes, or one that announces itself because it got no
--- a/src/gooseberrydrum/relay_api.c
+++ b/src/gooseberrydrum/relay_api.c
@@ -128,10 +128,9 @@
       break;
     case GBD_RELAY_REJECTION:
       native = json_pack (
-          "{s:I, s:b, s:O*}", "readers",
-          get_integer (body, POSITION_VERSION), "newer",
-          json_is_true (json_array_get (body, POSITION_HAS_NEWER)), "view",
-          json_array_get (body, GBD_RELAY_REJECTION_VIEW));
+          "{s:I, s:b, s:O*}", "readers", get_integer (body, POSITION_VERSION),
+          "newer", json_is_true (json_array_get (body, POSITION_HAS_NEWER)),
+          "view", json_array_get (body, GBD_RELAY_REJECTION_VIEW));
       break;
     default:
       break;
--- a/src/gooseberrydrum/relay_members.c
+++ b/src/gooseberrydrum/relay_members.c
@@ -38,8 +38,7 @@
   gbd_group_view_t view;
   msgpack_packer packer;
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  if (!reader->family
-      || !gbd_members_get_view (members, reader, &view, now))
+  if (!reader->family || !gbd_members_get_view (members, reader, &view, now))
     {
       msgpack_pack_nil (&packer);
       return;
--- a/src/libgooseberrydrum/members.c
+++ b/src/libgooseberrydrum/members.c
@@ -7,9 +7,9 @@
 /* A member that is not counted any more is kept until its last relay may be
    left out, as that depends on whether the member is seen elsewhere. */
 #define RETENTION GBD_MEMBERS_PEER_SILENCE
-/* A peer whose readers have moved: the divisor of the share that must have been
-   seen elsewhere.  The others may have stopped: a zone that fails takes a third
-   or half of them with it.  In a partition none is seen. */
+/* A peer whose readers have moved: the divisor of the share that must have
+   been seen elsewhere.  The others may have stopped: a zone that fails takes a
+   third or half of them with it.  In a partition none is seen. */
 #define MOVED_DIVISOR 4
 #define SOURCE_OWN (-1)
 
@@ -18,9 +18,9 @@
   gbd_address_t address;
   char zone[GBD_NAME_MAX + 1];
   gbd_zone_id_t zone_id;
-  gbd_time_t seen_at;      /* last request at any relay */
-  gbd_time_t own_seen_at;  /* last request at this relay */
-  int source;              /* peer of the last request, or SOURCE_OWN */
+  gbd_time_t seen_at;     /* last request at any relay */
+  gbd_time_t own_seen_at; /* last request at this relay */
+  int source;             /* peer of the last request, or SOURCE_OWN */
   bool is_self;
 } entry_t;
 
@@ -120,8 +120,8 @@
 gbd_members_record_response (gbd_members_t *members, uint32_t peer,
                              gbd_time_t now)
 {
-  members->peers[peer] = (peer_t){ .responded_at = now,
-                                   .refused_at = GBD_TIME_NEVER };
+  members->peers[peer]
+      = (peer_t){ .responded_at = now, .refused_at = GBD_TIME_NEVER };
 }
 
 void
@@ -337,8 +337,8 @@
   return entry->is_self || now - entry->seen_at < GBD_MEMBERS_VALIDITY;
 }
 
-/* Whether the readers of a peer are known: it has responded, or they have moved
-   to other relays. */
+/* Whether the readers of a peer are known: it has responded, or they have
+   moved to other relays. */
 static bool
 is_peer_known (const gbd_members_t *members, const peer_t *peer,
                gbd_time_t now)
--- a/src/test_gooseberrydrum/test_cookie_members.c
+++ b/src/test_gooseberrydrum/test_cookie_members.c
@@ -32,8 +32,8 @@
 {
   gbd_settings_t settings;
   gbd_cookie_serve_t serve;
-  /* Each instance has its own event loop: its sockets are closed when it stops,
-     and do not respond while it is paused. */
+  /* Each instance has its own event loop: its sockets are closed when it
+     stops, and do not respond while it is paused. */
   struct lws_context *context;
   bool is_paused;
 } instance_t;
@@ -44,8 +44,8 @@
   instance_t instances[INSTANCES_MAX];
   uint32_t count;
   gbd_address_list_t relays;
-  bool is_off;  /* the setting of instances that start */
-  int log_fd;   /* of instances that start; -1: no log */
+  bool is_off; /* the setting of instances that start */
+  int log_fd;  /* of instances that start; -1: no log */
 } group_t;
 
 static fixture_t *clock_fixture;
@@ -433,8 +433,6 @@
   gbd_event_log_flush (reader->event_log);
   assert_true (read (ends[0], text, sizeof text - 1) > 0);
   const char *lost = strstr (text, "\"event\":410");
-  if (!lost)
-    print_message ("%s\n", text);
   assert_non_null (lost);
   assert_null (strstr (lost + 1, "\"event\":410"));
   const char *known = strstr (text, "\"event\":411");
@@ -480,8 +478,8 @@
   const gbd_address_t *far_address = &group.relays.addresses[1];
   gbd_members_t *far_members
       = gbd_members_new (far_address, "b", 0, group.fixture.now);
-  gbd_relay_t *far_relay = gbd_relay_new (group.fixture.context, far_address,
-                                          "unused", &error);
+  gbd_relay_t *far_relay
+      = gbd_relay_new (group.fixture.context, far_address, "unused", &error);
   gbd_relay_set_members (far_relay, far_members);
   gbd_cookie_serve_t *relay = start_relay (&group, 0, "a");
   gbd_time_t end = group.fixture.now + START_TIME;
@@ -544,8 +542,8 @@
 request_members (group_t *group)
 {
   http_outcome_t outcome = { .is_done = false };
-  gbd_http_t *http = gbd_http_new (group->fixture.context,
-                                   &group->relays.addresses[0]);
+  gbd_http_t *http
+      = gbd_http_new (group->fixture.context, &group->relays.addresses[0]);
   assert_non_null (gbd_http_start (http, "GET", "/v3/members", NULL,
                                    record_response, &outcome));
   for (int i = 0; i < 100 && !outcome.is_done; i++)
--- a/src/test_gooseberrydrum/test_relay_members.c
+++ b/src/test_gooseberrydrum/test_relay_members.c
@@ -126,7 +126,8 @@
 } message_case_t;
 
 static const message_case_t message_cases[] = {
-  { "valid", "[1,4,[[\"10.0.0.1:1\",\"a\",0],[\"[::1]:1\",\"\",9]]]", true, 3 },
+  { "valid", "[1,4,[[\"10.0.0.1:1\",\"a\",0],[\"[::1]:1\",\"\",9]]]", true,
+    3 },
   { "entries of a later schema",
     "[2,4,[[\"10.0.0.1:1\",\"a\",0,true]],\"new\"]", true, 2 },
   { "no members", "[1,4,[]]", true, 1 },
@@ -177,10 +178,14 @@
 } view_case_t;
 
 static const view_case_t view_cases[] = {
-  { "[9,3,2,true]", true },   { "[9,3,2,true,1]", true },
-  { "null", false },          { "[9,3,2]", true }, /* not complete */
-  { "[9,3]", false },         { "[9,3,-2,true]", false },
-  { "[9,\"3\",2,true]", false }, { "[5000000000,3,2,true]", false },
+  { "[9,3,2,true]", true },
+  { "[9,3,2,true,1]", true },
+  { "null", false },
+  { "[9,3,2]", true }, /* not complete */
+  { "[9,3]", false },
+  { "[9,3,-2,true]", false },
+  { "[9,\"3\",2,true]", false },
+  { "[5000000000,3,2,true]", false },
 };
 
 static void
@@ -238,8 +243,8 @@
                const gbd_address_t *reader)
 {
   unsigned status;
-  const GByteArray *body = gbd_relay_build_response (relay->relay, since,
-                                                     false, reader, &status);
+  const GByteArray *body
+      = gbd_relay_build_response (relay->relay, since, false, reader, &status);
   json_t *message = gbd_relay_unpack (body->data, body->len);
   assert_non_null (message);
   return message;
@@ -267,9 +272,8 @@
       bool is_complete;
       assert_true (
           json_is_null (json_array_get (message, evacuations[i % 2])));
-      assert_true (
-          gbd_relay_read_view (json_array_get (message, positions[i % 2]),
-                               &view, &is_complete));
+      assert_true (gbd_relay_read_view (
+          json_array_get (message, positions[i % 2]), &view, &is_complete));
       assert_int_equal (view.total, GROUP);
       assert_int_equal (view.zone_count, GROUP / ZONES);
       assert_int_equal (view.zone_rank, i / 2 / ZONES);
@@ -277,7 +281,8 @@
       json_decref (message);
     }
   json_t *message = read_response (&relay, NULL, NULL);
-  assert_true (json_is_null (json_array_get (message, GBD_RELAY_LISTING_VIEW)));
+  assert_true (
+      json_is_null (json_array_get (message, GBD_RELAY_LISTING_VIEW)));
   json_decref (message);
   /* In an outage of the platform readers get rejections only. */
   gbd_relay_disconnect (relay.relay);
@@ -285,9 +290,9 @@
   message = read_response (&relay, &since, &reader);
   gbd_group_view_t view;
   bool is_complete;
-  assert_true (gbd_relay_read_view (
-      json_array_get (message, GBD_RELAY_REJECTION_VIEW), &view,
-      &is_complete));
+  assert_true (
+      gbd_relay_read_view (json_array_get (message, GBD_RELAY_REJECTION_VIEW),
+                           &view, &is_complete));
   assert_int_equal (view.total, GROUP);
   json_decref (message);
   delete_relay (&relay);
@@ -304,15 +309,15 @@
   relay_t relay = make_relay ();
   gbd_address_t reader = make_address (GROUP - 1);
   unsigned status;
-  guint before = gbd_relay_build_response (relay.relay, &since, false, &reader,
-                                           &status)
-                     ->len;
+  guint before
+      = gbd_relay_build_response (relay.relay, &since, false, &reader, &status)
+            ->len;
   gbd_members_t *members = make_group ();
   gbd_relay_set_members (relay.relay, members);
   gbd_relay_publish (relay.relay, 10, 0, NOW);
-  guint after = gbd_relay_build_response (relay.relay, &since, false, &reader,
-                                          &status)
-                    ->len;
+  guint after
+      = gbd_relay_build_response (relay.relay, &since, false, &reader, &status)
+            ->len;
   print_message ("%u bytes, %u with the view\n", before, after);
   assert_true (after > before);
   assert_true (after - before < GROWTH_BYTES_MAX);
--- a/src/test_libgooseberrydrum/prop_members.cc
+++ b/src/test_libgooseberrydrum/prop_members.cc
@@ -39,9 +39,10 @@
         = *rc::gen::inRange<uint32_t> (1, relay_count_max + 1);
     const auto count = *rc::gen::inRange<uint32_t> (0, 120);
     const auto zone_count = *rc::gen::inRange<uint32_t> (1, 5);
-    const auto zone_of
-        = [&] { return "zone-" + std::to_string (*rc::gen::inRange<uint32_t> (
-                           0, zone_count)); };
+    const auto zone_of = [&] {
+      return "zone-"
+             + std::to_string (*rc::gen::inRange<uint32_t> (0, zone_count));
+    };
     std::vector<instance_t> relays;
     std::vector<gbd_members_t *> tables;
     for (uint32_t i = 0; i < relay_count; i++)
@@ -56,9 +57,8 @@
       readers.push_back ({ make_address (i), zone_of (),
                            *rc::gen::inRange<uint32_t> (0, relay_count) });
     gbd_time_t now = start_time;
-    const auto is_later
-        = *rc::gen::container<std::vector<bool> > (count,
-                                                   rc::gen::arbitrary<bool> ());
+    const auto is_later = *rc::gen::container<std::vector<bool> > (
+        count, rc::gen::arbitrary<bool> ());
     for (int second = 0; second < 12; second++)
       {
         now += GBD_SECOND;
--- a/src/test_libgooseberrydrum/test_members.c
+++ b/src/test_libgooseberrydrum/test_members.c
@@ -29,8 +29,7 @@
 make_members (uint32_t self, const char *zone, uint32_t peer_count)
 {
   gbd_address_t address = make_address (self);
-  gbd_members_t *members
-      = gbd_members_new (&address, zone, peer_count, START);
+  gbd_members_t *members = gbd_members_new (&address, zone, peer_count, START);
   assert_non_null (members);
   return members;
 }
@@ -178,11 +177,9 @@
   merge (members, PEER, 1, "a", 4 * GBD_SECOND, START);
   assert_view (members, 1, START + GBD_SECOND - 1, 2, 2, 1);
   assert_view (members, SELF, START + GBD_SECOND, 1, 1, 0);
-  assert_int_equal (
-      merge (members, PEER, 2, "a", GBD_MEMBERS_VALIDITY, START),
-      GBD_ERROR_STALE);
-  assert_int_equal (merge (members, PEER, 2, "a", -1, START),
+  assert_int_equal (merge (members, PEER, 2, "a", GBD_MEMBERS_VALIDITY, START),
                     GBD_ERROR_STALE);
+  assert_int_equal (merge (members, PEER, 2, "a", -1, START), GBD_ERROR_STALE);
   assert_view (members, SELF, START, 2, 2, 0);
   gbd_members_delete (members);
 }
