--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -16,6 +16,7 @@
 
 #include "gooseberrydrum/decls.h"
 #include "gooseberrydrum/engine.h"
+#include "gooseberrydrum/evacuations.h"
 #include "gooseberrydrum/flow_tracker.h"
 #include "gooseberrydrum/group_view.h"
 #include "gooseberrydrum/placement.h"
@@ -45,6 +46,10 @@
 #define GBD_DIRECTOR_UNCONFIRMED_RESET_DELAY                                  \
   (GBD_POOL_REMOVAL_GRACE + GBD_SECOND)
 
+/** A longer time between two calls of gbd_director_tick() means that the
+ *  process was paused. */
+#define GBD_DIRECTOR_PAUSE_MIN GBD_SECOND
+
 /** Rule that led to a decision; shown in log events and by `explain`. */
 typedef enum
 {
@@ -55,18 +60,21 @@
   GBD_DIRECTOR_RULE_PLACED,    /**< first opening packet of a flow */
   GBD_DIRECTOR_RULE_SAME,      /**< duplicate of an opening packet; same
                                     backend server */
-  GBD_DIRECTOR_RULE_MOVED,     /**< retransmitted opening packet; the backend
-                                    server chosen before did not respond */
+  GBD_DIRECTOR_RULE_MOVED,     /**< copy of an opening packet; the backend
+                                    server chosen before did not respond, or
+                                    its zone was evacuated since */
   GBD_DIRECTOR_RULE_COOKIE,    /**< the cookie identifies the backend server */
   GBD_DIRECTOR_RULE_NO_COOKIE, /**< the cookie matches no known backend
                                     server */
   GBD_DIRECTOR_RULE_SERVER_REMOVED, /**< the flow's backend server was
                                          removed */
-  GBD_DIRECTOR_RULE_SERVER_DOWN /**< the flow's backend server, usually still
-                                     listed, has stopped or does not
-                                     respond */
+  GBD_DIRECTOR_RULE_SERVER_DOWN, /**< the flow's backend server, usually still
+                                      listed, has stopped or does not
+                                      respond */
+  GBD_DIRECTOR_RULE_EVACUATED    /**< only backend servers of evacuated zones
+                                      could accept the flow */
 } gbd_director_rule_t;
-#define GBD_DIRECTOR_RULE_COUNT 10
+#define GBD_DIRECTOR_RULE_COUNT 11
 extern const char *const gbd_director_rule_strings[GBD_DIRECTOR_RULE_COUNT];
 
 /** Decision on one packet. */
@@ -76,9 +84,9 @@
   uint8_t rule;               /**< gbd_director_rule_t */
   uint8_t drop;               /**< gbd_drop_t if kind is DROP */
   gbd_pool_handle_t server;   /**< chosen backend server, or GBD_POOL_NONE */
-  gbd_pool_handle_t previous; /**< previously chosen backend server of a
-                                   retransmitted opening packet, else
-                                   GBD_POOL_NONE */
+  gbd_pool_handle_t previous; /**< previously chosen backend server of a copy
+                                   of an opening packet that is placed again,
+                                   else GBD_POOL_NONE */
   gbd_cookie_t cookie;        /**< cookie to write into the packet */
   gbd_flow_hash_t hash;
   uint64_t version; /**< version of the routes used; 0 if no routes are
@@ -112,6 +120,20 @@
 const gbd_group_view_t *
 gbd_director_get_group (const gbd_director_t *director);
 
+/** The evacuated zones.  While they are not known, none counts as
+ *  evacuated. */
+gbd_evacuations_t *gbd_director_get_evacuations (gbd_director_t *director);
+const gbd_evacuations_t *
+gbd_director_peek_evacuations (const gbd_director_t *director);
+
+/** Drop opening packets until a time, because the evacuated zones may have
+ *  changed unnoticed; a time that has passed ends this. */
+void gbd_director_hold_openings (gbd_director_t *director, gbd_time_t until);
+
+/** Hold opening packets back as well when gbd_director_tick() was not called
+ *  for GBD_DIRECTOR_PAUSE_MIN, until its next call. */
+void gbd_director_detect_pauses (gbd_director_t *director);
+
 gbd_pool_t *gbd_director_get_pool (gbd_director_t *director);
 const gbd_pool_t *gbd_director_peek_pool (const gbd_director_t *director);
 /** @return NULL if no routes are installed. */
@@ -153,6 +175,7 @@
 typedef struct
 {
   uint64_t rules[GBD_DIRECTOR_RULE_COUNT];
+  uint64_t evacuation_resets; /**< resets because of an evacuation */
   uint32_t tracked_flows;
 } gbd_director_stats_t;
 
--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -22,6 +22,7 @@
 #define GOOSEBERRYDRUM_PLACEMENT_H
 
 #include "gooseberrydrum/decls.h"
+#include "gooseberrydrum/evacuations.h"
 #include "gooseberrydrum/group_view.h"
 #include "gooseberrydrum/pool.h"
 
@@ -52,6 +53,8 @@
   gbd_group_view_t group;  /**< other instances, if known */
   bool is_idempotent;      /**< callers may retry the requests of the route */
   bool is_room_short;      /**< the service has turned requests away lately */
+  /** Zones whose backend servers are never chosen; NULL: none */
+  const gbd_evacuations_t *evacuations;
 } gbd_placement_t;
 
 /** Choose a backend server; has no side effects.
--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -39,6 +39,7 @@
   gbd_time_t warm_at; /**< end of the backend server's warm-up, during which it
                            is slower; 0 if none */
   char name[GBD_NAME_MAX + 1];
+  char zone_name[GBD_NAME_MAX + 1]; /**< empty if only its hash is known */
 } gbd_pool_entry_t;
 
 /** What this instance has observed of one backend server. */
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -330,6 +330,16 @@
     add_counter (counters, "gooseberrydrum_decisions_total",
                  "Routing decisions by rule.", GBD_COUNTER_MONOTONIC, "rule",
                  gbd_director_rule_strings[i], stats.rules[i]);
+  if (serve->evacuations)
+    {
+      add_counter (counters, "gooseberrydrum_evacuation_resets_total",
+                   "Opening packets answered with a reset because of "
+                   "evacuated zones.",
+                   GBD_COUNTER_MONOTONIC, NULL, NULL, stats.evacuation_resets);
+      add_counter (counters, "gooseberrydrum_evacuated_zones",
+                   "Evacuated zones.", GBD_COUNTER_GAUGE, NULL, NULL,
+                   gbd_director_peek_evacuations (serve->director)->count);
+    }
   add_counter (counters, "gooseberrydrum_watched_flows",
                "Flows tracked for responses.", GBD_COUNTER_GAUGE, NULL, NULL,
                stats.tracked_flows);
@@ -362,8 +372,10 @@
   const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
   gbd_platform_stats_t routes_calls;
   gbd_platform_stats_t servers_calls;
+  gbd_platform_stats_t evacuations_calls;
   gbd_platform_get_stats (serve->platform, &routes_calls);
   gbd_platform_get_stats (serve->servers_platform, &servers_calls);
+  gbd_cookie_evacuations_get_calls (serve, &evacuations_calls);
   add_counter (counters, "gooseberrydrum_routes_version",
                "Version of the installed routes.", GBD_COUNTER_GAUGE, NULL,
                NULL, routes ? gbd_routes_get_version (routes) : 0);
@@ -380,10 +392,13 @@
                NULL, gbd_pool_is_platform_unreachable (pool));
   add_counter (counters, "gooseberrydrum_platform_calls_total",
                "Calls to the platform.", GBD_COUNTER_MONOTONIC, NULL, NULL,
-               routes_calls.calls + servers_calls.calls);
+               routes_calls.calls + servers_calls.calls
+                   + evacuations_calls.calls);
   add_counter (counters, "gooseberrydrum_platform_failures_total",
                "Calls to the platform that failed.", GBD_COUNTER_MONOTONIC,
-               NULL, NULL, routes_calls.failures + servers_calls.failures);
+               NULL, NULL,
+               routes_calls.failures + servers_calls.failures
+                   + evacuations_calls.failures);
   add_counter (counters, "gooseberrydrum_log_suppressed_total",
                "Log events suppressed by rate limiting.",
                GBD_COUNTER_MONOTONIC, NULL, NULL,
@@ -435,6 +450,7 @@
       gbd_cookie_servers_use_platform (serve) ? "platform" : "relay");
   add_age (status, "routes_age_ms", serve->routes_read_at, now);
   add_age (status, "list_age_ms", serve->servers_confirmed_at, now);
+  gbd_cookie_evacuations_add_status (serve, status);
   return status;
 }
 
@@ -487,6 +503,7 @@
   json_t *fields = make_event_fields (serve, packet, decision, now);
   json_object_set_new (fields, "action",
                        json_string (action_strings[decision->kind]));
+  gbd_cookie_evacuations_explain (serve, fields);
   return fields;
 }
 
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -28,6 +28,9 @@
  *  of a millisecond. */
 #define GBD_SETUP_TIME_BUCKETS 12
 
+/** Watch on the evacuated zones; see cookie_evacuations.c. */
+typedef struct gbd_cookie_evacuations gbd_cookie_evacuations_t;
+
 typedef struct
 {
   gbd_settings_t *settings;
@@ -63,6 +66,8 @@
    *  the platform; the first response is used.  NULL at other times. */
   gbd_platform_watch_t *start_watch;
   gbd_platform_watch_t *routes_watch;
+  /** NULL if the setting zone-evacuation is no */
+  gbd_cookie_evacuations_t *evacuations;
   gbd_admin_t *admin;
   gbd_admin_t *ready_server;
   gbd_admin_t *metrics_server;
@@ -178,6 +183,30 @@
                                 const char *name, uint64_t version,
                                 const char *problem, gbd_time_t now);
 
+/* cookie_evacuations.c: the zones that the operator has evacuated, from the
+   platform or from relays; see docs/design/evacuation.md.  Without the setting
+   zone-evacuation these functions do nothing. */
+
+/** @return false with `error` set. */
+bool gbd_cookie_evacuations_start (gbd_cookie_serve_t *serve,
+                                   const char **error);
+void gbd_cookie_evacuations_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+void gbd_cookie_evacuations_stop (gbd_cookie_serve_t *serve);
+/** Apply the set of another instance.
+ *  @param set as in gbd_platform_watch_callbacks_t */
+void gbd_cookie_evacuations_receive (gbd_cookie_serve_t *serve,
+                                     const json_t *set);
+/** A relay that can reach the platform has responded with its set. */
+void gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve);
+void gbd_cookie_evacuations_add_status (gbd_cookie_serve_t *serve,
+                                        json_t *status);
+/** Add the evacuated zones, if there are any, to a decision. */
+void gbd_cookie_evacuations_explain (const gbd_cookie_serve_t *serve,
+                                     json_t *fields);
+/** Get the counters of the client of the watch; zero if there is none. */
+void gbd_cookie_evacuations_get_calls (const gbd_cookie_serve_t *serve,
+                                       gbd_platform_stats_t *stats);
+
 /* cookie_holders.c: list, key and routes from other instances while the
    platform is unreachable; see start.h */
 
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -47,6 +47,7 @@
                                       gbd_time_t now);
 static bool start_peer_server (gbd_cookie_serve_t *serve, const char **error);
 static void documents_received (void *data, const json_t *documents);
+static void evacuations_received (void *data, const json_t *set);
 static void fill_listing (void *data);
 static void refresh_watches (gbd_cookie_serve_t *serve);
 static uint32_t find_relays (const gbd_cookie_serve_t *serve,
@@ -88,6 +89,7 @@
   .failed = start_list_failed,
   .relay_metadata = start_list_metadata,
   .documents = documents_received,
+  .evacuations = evacuations_received,
 };
 
 static const gbd_platform_watch_callbacks_t servers_callbacks = {
@@ -98,6 +100,7 @@
   .failed = servers_failed,
   .relay_metadata = servers_relay_metadata,
   .documents = documents_received,
+  .evacuations = evacuations_received,
   .restored = servers_restored,
 };
 
@@ -156,7 +159,7 @@
     gbd_platform_watch_set_wait (serve->servers_watch,
                                  RELAY_SERVERS_WATCH_WAIT_MS);
   set_routes_watch_wait (serve, now);
-  return true;
+  return gbd_cookie_evacuations_start (serve, error);
 }
 
 void
@@ -172,6 +175,7 @@
     gbd_platform_tick (serve->clients[i], now);
   if (serve->holder_client)
     gbd_platform_tick (serve->holder_client, now);
+  gbd_cookie_evacuations_tick (serve, now);
   if (serve->relay)
     gbd_relay_tick (serve->relay, now);
   if (serve->peer_server)
@@ -181,6 +185,7 @@
 void
 gbd_cookie_servers_stop (gbd_cookie_serve_t *serve)
 {
+  gbd_cookie_evacuations_stop (serve);
   gbd_platform_watch_delete (serve->start_watch);
   gbd_platform_watch_delete (serve->servers_watch);
   gbd_relay_delete (serve->relay);
@@ -300,6 +305,15 @@
   gbd_cookie_store_add_documents (data, documents);
 }
 
+static void
+evacuations_received (void *data, const json_t *set)
+{
+  gbd_cookie_serve_t *serve = data;
+  gbd_cookie_evacuations_receive (serve, set);
+  if (!serve->is_list_outdated)
+    gbd_cookie_evacuations_confirm (serve);
+}
+
 /* The list of an instance that is not a relay may be outdated: only relays
    read from the platform all the time. */
 static void
@@ -596,6 +610,9 @@
 {
   gbd_cookie_serve_t *serve = data;
   const json_t *readers = json_object_get (body, "readers");
+  if (!gbd_cookie_servers_use_platform (serve))
+    gbd_cookie_evacuations_receive (serve,
+                                    json_object_get (body, "evacuations"));
   if (gbd_cookie_servers_use_platform (serve) || !json_is_integer (readers))
     return;
   serve->is_relay_rejecting = true;
--- a/src/gooseberrydrum/platform_api.c
+++ b/src/gooseberrydrum/platform_api.c
@@ -36,6 +36,7 @@
   .servers_kind = "endpoints",
   .routes_kind = "routes",
   .routes_name = "main",
+  .evacuations_kind = "evacuations",
   .read_server = read_server,
   .read_routes = read_routes,
 };
@@ -148,6 +149,7 @@
     return GBD_ERROR_FORMAT;
   entry->backend.id = gbd_id_from_name (name);
   entry->backend.zone = gbd_zone_from_name (zone);
+  g_strlcpy (entry->zone_name, zone, sizeof entry->zone_name);
   entry->backend.state
       = is_draining ? GBD_BACKEND_DRAINING : GBD_BACKEND_READY;
   entry->service = gbd_id_from_name (service);
--- a/src/gooseberrydrum/platform_api.h
+++ b/src/gooseberrydrum/platform_api.h
@@ -64,6 +64,8 @@
   const char *routes_kind;  /**< kind of the object that contains all
                                 routes */
   const char *routes_name;
+  const char *evacuations_kind; /**< kind of the objects that are named by
+                                     the evacuated zones */
   /** Decode the object of one backend server.
    *  @param problem set to the cause of GBD_ERROR_FORMAT */
   gbd_status_t (*read_server) (const char *name, const json_t *value,
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -120,6 +120,11 @@
    *  relays do; called before the objects are reported.  May be NULL.
    *  @param documents {"KIND/NAME": {version, value}} */
   void (*documents) (void *data, const json_t *documents);
+  /** A relay has sent the set of evacuated zones; called after
+   *  relay_metadata.  May be NULL.
+   *  @param set [position, [zone name, ...]]; JSON null if the relay does not
+   *  know it */
+  void (*evacuations) (void *data, const json_t *set);
   /** The store was restored from an older copy, as the response of a platform
    *  or a relay shows; what the store has now follows, as a listing or as
    *  changes, and then `confirmed`.  May be NULL.
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -391,6 +391,9 @@
   const json_t *documents = json_object_get (result->body, "documents");
   if (watch->callbacks.documents && json_object_size (documents) > 0)
     watch->callbacks.documents (watch->data, documents);
+  const json_t *evacuations = json_object_get (result->body, "evacuations");
+  if (watch->callbacks.evacuations && evacuations)
+    watch->callbacks.evacuations (watch->data, evacuations);
   if (!watch->is_listed)
     report_page (watch, result, items);
   else
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -92,6 +92,8 @@
   bool is_listing;
   uint32_t reader_count; /* waiting readers at the last publication */
   gbd_newer_readers_t newer_readers;
+  bool sends_evacuations; /* responses contain the evacuated zones */
+  gbd_evacuations_t evacuations;
   cached_response_t cached_response;
   gbd_relay_fill_t fill; /* NULL: the objects are stored */
   void *fill_data;
@@ -128,6 +130,8 @@
                           bool with_documents, msgpack_sbuffer *buffer);
 static void pack_documents (const gbd_relay_t *relay, bool with_documents,
                             msgpack_sbuffer *buffer);
+static void pack_evacuations (const gbd_relay_t *relay,
+                              msgpack_packer *packer);
 static void pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer);
 static bool is_included (const object_t *object, const uint64_t *since);
 static void pack_text (msgpack_packer *packer, const char *text);
@@ -279,6 +283,25 @@
   respond_to_waiting_readers (relay, true);
 }
 
+void
+gbd_relay_set_evacuations (gbd_relay_t *relay,
+                           const gbd_evacuations_t *evacuations)
+{
+  static const gbd_evacuations_t unknown;
+  const gbd_evacuations_t *next = evacuations ? evacuations : &unknown;
+  const gbd_evacuations_t *current = &relay->evacuations;
+  bool has_changed = !relay->sends_evacuations
+                     || current->is_known != next->is_known
+                     || !gbd_evacuations_are_equal (current, next);
+  if (!has_changed && current->position == next->position)
+    return;
+  relay->evacuations = *next;
+  relay->sends_evacuations = true;
+  relay->cached_response.is_valid = false;
+  if (has_changed)
+    respond_to_waiting_readers (relay, true);
+}
+
 void
 gbd_relay_set_document (gbd_relay_t *relay, const char *kind, const char *name,
                         uint64_t version, const json_t *value)
@@ -675,8 +698,9 @@
 
   msgpack_packer packer;
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, since ? GBD_RELAY_CHANGES_LENGTH
-                                     : GBD_RELAY_LISTING_LENGTH);
+  msgpack_pack_array (
+      &packer, (since ? GBD_RELAY_CHANGES_LENGTH : GBD_RELAY_LISTING_LENGTH)
+                   + (relay->sends_evacuations ? 1 : 0));
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, since ? GBD_RELAY_CHANGES : GBD_RELAY_LISTING);
   msgpack_pack_uint64 (&packer,
@@ -704,6 +728,7 @@
     }
   if (!since)
     pack_documents (relay, with_documents, buffer);
+  pack_evacuations (relay, &packer);
 }
 
 static void
@@ -728,6 +753,24 @@
     }
 }
 
+static void
+pack_evacuations (const gbd_relay_t *relay, msgpack_packer *packer)
+{
+  const gbd_evacuations_t *evacuations = &relay->evacuations;
+  if (!relay->sends_evacuations)
+    return;
+  if (!evacuations->is_known)
+    {
+      msgpack_pack_nil (packer);
+      return;
+    }
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, evacuations->position);
+  msgpack_pack_array (packer, evacuations->count);
+  for (uint32_t i = 0; i < evacuations->count; i++)
+    pack_text (packer, evacuations->zones[i].name);
+}
+
 static void
 pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer)
 {
@@ -735,11 +778,13 @@
   bool has_newer_reader
       = gbd_newer_readers_are_reported (&relay->newer_readers, relay->now);
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, GBD_RELAY_REJECTION_LENGTH);
+  msgpack_pack_array (&packer, GBD_RELAY_REJECTION_LENGTH
+                                   + (relay->sends_evacuations ? 1 : 0));
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, GBD_RELAY_REJECTION);
   msgpack_pack_uint32 (&packer, relay->reader_count);
   gbd_relay_pack (&packer, has_newer_reader ? json_true () : json_false ());
+  pack_evacuations (relay, &packer);
 }
 
 static bool
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -37,6 +37,7 @@
 #include <glib.h>
 #include <jansson.h>
 
+#include "gooseberrydrum/evacuations.h"
 #include "gooseberrydrum/types.h"
 
 /** How long deletions are retained: longer than a reader may be disconnected
@@ -81,6 +82,11 @@
  *  platform themselves.  It is sent to waiting readers at once, so that a
  *  reader whose own watch is unresponsive learns that its data is stale. */
 void gbd_relay_set_hint (gbd_relay_t *relay, uint64_t hint);
+/** Set the evacuated zones, which each response contains from then on.  A
+ *  change of the zones is sent to waiting readers at once.
+ *  @param evacuations NULL: not known */
+void gbd_relay_set_evacuations (gbd_relay_t *relay,
+                                const gbd_evacuations_t *evacuations);
 /** Set a document, which is independent of the objects.
  *  @param value any JSON value */
 void gbd_relay_set_document (gbd_relay_t *relay, const char *kind,
--- a/src/gooseberrydrum/relay_api.c
+++ b/src/gooseberrydrum/relay_api.c
@@ -42,7 +42,8 @@
                       gbd_platform_request_t *request);
 static json_t *parse (const char *body, size_t length);
 static json_t *translate (json_t *body);
-static json_t *translate_objects (const json_t *body, const char *key);
+static json_t *translate_objects (const json_t *body, const char *key,
+                                  size_t evacuations_position);
 static json_t *translate_documents (const json_t *body);
 static json_t *translate_document (const json_t *body);
 static json_int_t get_integer (const json_t *array, size_t position);
@@ -117,18 +118,22 @@
   switch (is_message ? get_integer (body, POSITION_TYPE) : -1)
     {
     case GBD_RELAY_LISTING:
-      native = translate_objects (body, "items");
+      native = translate_objects (body, "items",
+                                  GBD_RELAY_LISTING_EVACUATIONS);
       break;
     case GBD_RELAY_CHANGES:
-      native = translate_objects (body, "changes");
+      native = translate_objects (body, "changes",
+                                  GBD_RELAY_CHANGES_EVACUATIONS);
       break;
     case GBD_RELAY_DOCUMENT:
       native = translate_document (body);
       break;
     case GBD_RELAY_REJECTION:
       native = json_pack (
-          "{s:I, s:b}", "readers", get_integer (body, POSITION_VERSION),
-          "newer", json_is_true (json_array_get (body, POSITION_HAS_NEWER)));
+          "{s:I, s:b, s:O?}", "readers", get_integer (body, POSITION_VERSION),
+          "newer", json_is_true (json_array_get (body, POSITION_HAS_NEWER)),
+          "evacuations",
+          json_array_get (body, GBD_RELAY_REJECTION_EVACUATIONS));
       break;
     default:
       break;
@@ -138,7 +143,8 @@
 }
 
 static json_t *
-translate_objects (const json_t *body, const char *key)
+translate_objects (const json_t *body, const char *key,
+                   size_t evacuations_position)
 {
   json_t *list = json_array ();
   size_t index;
@@ -152,12 +158,13 @@
                                       json_array_get (object, 2)));
   }
   return json_pack (
-      "{s:I, s:I, s:I, s:b, s:o, s:o}", "version",
+      "{s:I, s:I, s:I, s:b, s:o, s:o, s:O?}", "version",
       get_integer (body, POSITION_VERSION), "settling_ms",
       get_integer (body, POSITION_REMOVAL_GRACE), "hint",
       get_integer (body, POSITION_HINT), "connected",
       json_is_true (json_array_get (body, POSITION_IS_CONNECTED)), key, list,
-      "documents", translate_documents (body));
+      "documents", translate_documents (body), "evacuations",
+      json_array_get (body, evacuations_position));
 }
 
 /* Returns the documents of a listing as {"KIND/NAME": {version, value}};
--- a/src/gooseberrydrum/relay_codec.h
+++ b/src/gooseberrydrum/relay_codec.h
@@ -5,14 +5,17 @@
  *  that it knows, so a later schema may append entries to any array.
  *
  *    [1, LISTING, version, removal_grace_ms, hint, is_connected, objects,
- *     documents]
- *    [1, CHANGES, version, removal_grace_ms, hint, is_connected, objects]
+ *     documents, evacuations]
+ *    [1, CHANGES, version, removal_grace_ms, hint, is_connected, objects,
+ *     evacuations]
  *    [1, DOCUMENT, version, text]         text: the JSON value of one object
- *    [1, REJECTION, reader_count, has_newer_reader]
+ *    [1, REJECTION, reader_count, has_newer_reader, evacuations]
  *
  *  objects is an array of [name, version, value]; value is nil for a deletion.
  *  documents is an array of [KIND/NAME, version, text], empty unless the
- *  reader has requested it.
+ *  reader has requested it.  evacuations is [position, [zone name, ...]], nil
+ *  if the sender does not know the evacuated zones, and absent if it does not
+ *  watch them.
  */
 #ifndef PROGRAM_RELAY_CODEC_H
 #define PROGRAM_RELAY_CODEC_H
@@ -22,13 +25,18 @@
 
 #define GBD_RELAY_SCHEMA 1
 
-/* Numbers of entries of the arrays of this schema. */
+/* Numbers of entries of the arrays of this schema, without evacuations. */
 #define GBD_RELAY_LISTING_LENGTH 8
 #define GBD_RELAY_CHANGES_LENGTH 7
 #define GBD_RELAY_OBJECT_LENGTH 3
 #define GBD_RELAY_DOCUMENT_LENGTH 4
 #define GBD_RELAY_REJECTION_LENGTH 4
 
+/* Indices of evacuations. */
+#define GBD_RELAY_LISTING_EVACUATIONS 8
+#define GBD_RELAY_CHANGES_EVACUATIONS 7
+#define GBD_RELAY_REJECTION_EVACUATIONS 4
+
 typedef enum
 {
   GBD_RELAY_LISTING,
--- a/src/gooseberrydrum/settings.h
+++ b/src/gooseberrydrum/settings.h
@@ -66,6 +66,7 @@
   bool insecure_links;
   bool probe_servers;
   bool first_start;
+  bool zone_evacuation;
   uint32_t heartbeat_ms;
   uint32_t lease_timeout_ms;   /**< --touch-timeout-ms */
   uint32_t failure_timeout_ms; /**< --silence-timeout-ms */
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -75,6 +75,10 @@
     "Connect to a backend server that does not respond to flows, to detect "
     "whether it has terminated; all backend servers must accept TCP "
     "connections at their address.  Only for the policy cookie." },
+  { "zone-evacuation", &gbd_kind_flag, FIELD (zone_evacuation), "no", "", 0, 0,
+    NULL, false,
+    "Watch the zones that the operator evacuates, and send no new flow to "
+    "their backend servers.  Only for the policy cookie." },
   { "admin-listen", &gbd_kind_optional_address, FIELD (admin_listen),
     "127.0.0.1:7480", "", 0, 0, NULL, false,
     "Address at which status, dump, explain and counters are served (HTTP).  "
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -9,6 +9,11 @@
   gbd_flow_tracker_t *tracker;
   gbd_routes_t *routes; /* NULL until routes are installed */
   gbd_group_view_t group;
+  gbd_evacuations_t evacuations;
+  bool detects_pauses;
+  gbd_time_t ticked_at;
+  gbd_time_t hold_end; /* opening packets are dropped before this time */
+  uint64_t evacuation_resets;
   uint64_t key;
   bool has_key;
   uint64_t rules[GBD_DIRECTOR_RULE_COUNT];
@@ -16,11 +21,20 @@
 
 const char *const gbd_director_rule_strings[GBD_DIRECTOR_RULE_COUNT]
     = { "not_ready", "no_route", "no_server", "placed",      "same",
-        "moved",     "cookie",   "no_cookie", "server_gone", "server_down" };
+        "moved",     "cookie",   "no_cookie", "server_gone", "server_down",
+        "evacuated" };
 
 static void route_opening (const gbd_director_t *director,
                            const gbd_packet_t *packet, gbd_time_t now,
                            gbd_director_decision_t *decision);
+static bool is_held (const gbd_director_t *director, gbd_time_t now);
+static bool is_evacuated (const gbd_director_t *director,
+                          gbd_pool_handle_t server);
+static void decide_without_server (const gbd_director_t *director,
+                                   const gbd_packet_t *packet,
+                                   const gbd_placement_t *placement,
+                                   bool is_tracked, gbd_time_t now,
+                                   gbd_director_decision_t *decision);
 static void route_subsequent (const gbd_director_t *director,
                               const gbd_packet_t *packet, gbd_time_t now,
                               gbd_director_decision_t *decision);
@@ -101,6 +115,30 @@
   return &director->group;
 }
 
+gbd_evacuations_t *
+gbd_director_get_evacuations (gbd_director_t *director)
+{
+  return &director->evacuations;
+}
+
+const gbd_evacuations_t *
+gbd_director_peek_evacuations (const gbd_director_t *director)
+{
+  return &director->evacuations;
+}
+
+void
+gbd_director_hold_openings (gbd_director_t *director, gbd_time_t until)
+{
+  director->hold_end = until;
+}
+
+void
+gbd_director_detect_pauses (gbd_director_t *director)
+{
+  director->detects_pauses = true;
+}
+
 gbd_pool_t *
 gbd_director_get_pool (gbd_director_t *director)
 {
@@ -177,6 +215,9 @@
                      const gbd_director_decision_t *decision, gbd_time_t now)
 {
   director->rules[decision->rule]++;
+  if (decision->rule == GBD_DIRECTOR_RULE_EVACUATED
+      && decision->kind == GBD_ACTION_RESET)
+    director->evacuation_resets++;
   if (decision->kind != GBD_ACTION_BACKEND)
     {
       if (decision->rule == GBD_DIRECTOR_RULE_SERVER_REMOVED
@@ -191,8 +232,10 @@
 void
 gbd_director_tick (gbd_director_t *director, gbd_time_t now)
 {
+  director->ticked_at = now;
   gbd_flow_tracker_tick (director->tracker, now);
   gbd_pool_tick (director->pool, now);
+  gbd_evacuations_tick (&director->evacuations, now);
 }
 
 void
@@ -201,6 +244,7 @@
 {
   for (int i = 0; i < GBD_DIRECTOR_RULE_COUNT; i++)
     stats->rules[i] = director->rules[i];
+  stats->evacuation_resets = director->evacuation_resets;
   stats->tracked_flows = gbd_flow_tracker_get_count (director->tracker);
 }
 
@@ -221,6 +265,11 @@
         decide_reset (decision, GBD_DIRECTOR_RULE_NO_ROUTE);
       return;
     }
+  if (is_held (director, now))
+    {
+      decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY, GBD_DROP_UNCERTAIN);
+      return;
+    }
   gbd_placement_t placement = {
     .service = gbd_route_choose (route, decision->hash),
     .zone = director->settings.zone,
@@ -228,6 +277,7 @@
     .avoid = GBD_POOL_NONE,
     .group = director->group,
     .is_idempotent = route->is_idempotent,
+    .evacuations = &director->evacuations,
   };
   const gbd_tracked_flow_t *flow
       = gbd_flow_tracker_find (director->tracker, decision->hash);
@@ -237,11 +287,13 @@
      field. */
   bool is_retransmission
       = is_tracked && packet->acknowledgment > flow->acknowledgment;
-  if (is_retransmission)
+  bool is_moved
+      = is_retransmission || (is_tracked && is_evacuated (director, flow->server));
+  if (is_moved)
     placement.avoid = flow->server;
   decision->rule
-      = is_retransmission ? GBD_DIRECTOR_RULE_MOVED : GBD_DIRECTOR_RULE_PLACED;
-  if (is_tracked && !is_retransmission)
+      = is_moved ? GBD_DIRECTOR_RULE_MOVED : GBD_DIRECTOR_RULE_PLACED;
+  if (is_tracked && !is_moved)
     {
       decision->rule = GBD_DIRECTOR_RULE_SAME;
       decision->server = flow->server;
@@ -251,11 +303,8 @@
   decision->previous = placement.avoid;
   if (decision->server == GBD_POOL_NONE)
     {
-      if (gbd_pool_is_synced (director->pool))
-        decide_reset (decision, GBD_DIRECTOR_RULE_NO_SERVER);
-      else
-        decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY,
-                     GBD_DROP_NOT_JOINED);
+      decide_without_server (director, packet, &placement, flow != NULL, now,
+                             decision);
       return;
     }
   const gbd_pool_server_t *server
@@ -264,6 +313,47 @@
       = gbd_cookie_encode (director->key, &packet->flow, server->fingerprint);
 }
 
+/* Whether the evacuated zones may have changed while the process was
+   paused. */
+static bool
+is_held (const gbd_director_t *director, gbd_time_t now)
+{
+  return now < director->hold_end
+         || (director->detects_pauses && director->ticked_at
+             && now - director->ticked_at > GBD_DIRECTOR_PAUSE_MIN);
+}
+
+static bool
+is_evacuated (const gbd_director_t *director, gbd_pool_handle_t server)
+{
+  return gbd_evacuations_contain (
+      &director->evacuations,
+      gbd_pool_peek (director->pool, server)->entry.backend.zone);
+}
+
+/* Decides on an opening packet that no backend server can accept.
+   @param is_tracked whether a flow of the same addresses is tracked */
+static void
+decide_without_server (const gbd_director_t *director,
+                       const gbd_packet_t *packet,
+                       const gbd_placement_t *placement, bool is_tracked,
+                       gbd_time_t now, gbd_director_decision_t *decision)
+{
+  gbd_placement_t unrestricted = *placement;
+  unrestricted.evacuations = NULL;
+  if (!gbd_pool_is_synced (director->pool))
+    decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY, GBD_DROP_NOT_JOINED);
+  else if (gbd_placement_choose (director->pool, &unrestricted, now)
+           == GBD_POOL_NONE)
+    decide_reset (decision, GBD_DIRECTOR_RULE_NO_SERVER);
+  /* The first transmission may have been forwarded before the evacuation, and
+     its flow may be opening just now. */
+  else if (is_tracked || packet->acknowledgment > 0)
+    decide_drop (decision, GBD_DIRECTOR_RULE_EVACUATED, GBD_DROP_UNCERTAIN);
+  else
+    decide_reset (decision, GBD_DIRECTOR_RULE_EVACUATED);
+}
+
 static void
 route_subsequent (const gbd_director_t *director, const gbd_packet_t *packet,
                   gbd_time_t now, gbd_director_decision_t *decision)
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -83,7 +83,9 @@
 classify (const gbd_pool_server_t *server, gbd_pool_handle_t handle,
           const gbd_placement_t *placement, gbd_time_t now)
 {
-  if (server->entry.backend.state != GBD_BACKEND_READY)
+  if (server->entry.backend.state != GBD_BACKEND_READY
+      || gbd_evacuations_contain (placement->evacuations,
+                                  server->entry.backend.zone))
     return CLASS_NONE;
   if (!server->is_listed)
     return now - server->removed_at < GBD_PLACEMENT_LAST_RESORT
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -37,6 +37,9 @@
   EVENT (START_LIST,     311, LOG_INFO,    "list of a relay received at a start") \
   EVENT (READER_ASKED,   312, LOG_NOTICE,  "list of backend servers requested from an instance that has it") \
   EVENT (RESTORED,       313, LOG_WARNING, "platform restored from an older copy") \
+  EVENT (ZONE_EVACUATED, 314, LOG_NOTICE,  "zone evacuated: its backend servers get no new flows") \
+  EVENT (ZONE_RETURNED,  315, LOG_NOTICE,  "evacuation of a zone has ended") \
+  EVENT (UNKNOWN_ZONE,   316, LOG_WARNING, "evacuated zone has no backend servers") \
   EVENT (LINK_UP,        401, LOG_INFO,    "link to %s is up") \
   EVENT (LINK_DOWN,      402, LOG_NOTICE,  "link to %s is down") \
   EVENT (TOUCH,          403, LOG_NOTICE,  "%s") \
