--- a/include/gooseberrydrum/evacuations.h
+++ b/include/gooseberrydrum/evacuations.h
@@ -10,7 +10,9 @@
  *  lower position than the present one is ignored.  After the store was
  *  restored from an older copy, a zone whose entry is missing stays evacuated
  *  for GBD_POOL_REMOVAL_GRACE, in which the operator's entries are written
- *  again.
+ *  again.  An instance that starts cannot know whether the store was restored
+ *  just before: for the same time after its first set, a zone that is in any
+ *  set that it receives stays evacuated.
  */
 #ifndef GOOSEBERRYDRUM_EVACUATIONS_H
 #define GOOSEBERRYDRUM_EVACUATIONS_H
@@ -36,8 +38,8 @@
 {
   bool is_known;        /**< a set was received */
   uint64_t position;    /**< of the last set that was applied */
-  gbd_time_t grace_end; /**< end of the grace period after a restore of the
-                             store; 0: none */
+  gbd_time_t grace_end; /**< end of the grace period after the first set or a
+                             restore of the store */
   uint32_t count;
   gbd_evacuation_t zones[GBD_EVACUATIONS_MAX]; /**< the first `count` */
 } gbd_evacuations_t;
@@ -45,10 +47,11 @@
 /** Apply a whole set.
  *  @param position of the store at which the set was read
  *  @param names    zones of the set; repeated ones count once
- *  @return GBD_ERROR_STALE, with nothing changed, if the position is lower
- *  than that of the present set; GBD_ERROR_FORMAT if names that are empty or
- *  longer than GBD_NAME_MAX, or GBD_ERROR_MEMORY if zones beyond
- *  GBD_EVACUATIONS_MAX, were left out; the others are applied. */
+ *  @return GBD_ERROR_STALE if the position is lower than that of the present
+ *  set, to which zones are then only added, until the grace period ends;
+ * GBD_ERROR_FORMAT if names that are empty or longer than GBD_NAME_MAX, or
+ * GBD_ERROR_MEMORY if zones beyond GBD_EVACUATIONS_MAX, were left out; the
+ * others are applied. */
 gbd_status_t gbd_evacuations_update (gbd_evacuations_t *evacuations,
                                      uint64_t position,
                                      const char *const *names, uint32_t count,
--- a/src/gooseberrydrum/cookie_evacuations.c
+++ b/src/gooseberrydrum/cookie_evacuations.c
@@ -28,12 +28,12 @@
   gbd_platform_watch_t *watch; /* NULL while relays supply the set */
   GHashTable *names;           /* names of the objects that watch reported */
   gbd_evacuations_t reported;  /* the set at the last report of a change */
-  GHashTable *checked; /* names of evacuated zones that were compared with
-                          those of the backend servers */
-  gbd_time_t confirmed_at;     /* last response to watch; 0: none */
-  gbd_time_t received_at;      /* last set of any source; 0: none */
-  gbd_time_t unknown_since;    /* time since which relays have not known the
-                                  set; 0: they do */
+  GHashTable *checked;      /* names of evacuated zones that were compared with
+                               those of the backend servers */
+  gbd_time_t confirmed_at;  /* last response to watch; 0: none */
+  gbd_time_t received_at;   /* last set of any source; 0: none */
+  gbd_time_t unknown_since; /* time since which relays have not known the
+                               set; 0: they do */
   gbd_time_t last_tick_at;
 };
 
@@ -258,10 +258,9 @@
   else if (name[0] && strlen (name) <= GBD_NAME_MAX)
     g_hash_table_add (serve->evacuations->names, g_strdup (name));
   else
-    gbd_cookie_log_bad_object (serve, serve->platform_api->evacuations_kind,
-                               name, version,
-                               "the name is empty or over 63 bytes long",
-                               serve->clock (NULL));
+    gbd_cookie_log_bad_object (
+        serve, serve->platform_api->evacuations_kind, name, version,
+        "the name is empty or over 63 bytes long", serve->clock (NULL));
 }
 
 static void
@@ -315,12 +314,12 @@
 apply (gbd_cookie_serve_t *serve, uint64_t position, const char *const *names,
        uint32_t count, gbd_time_t now)
 {
-  gbd_status_t status = gbd_evacuations_update (
-      gbd_director_get_evacuations (serve->director), position, names, count,
-      now);
-  if (status == GBD_ERROR_STALE)
-    return;
-  serve->evacuations->received_at = now;
+  gbd_status_t status
+      = gbd_evacuations_update (gbd_director_get_evacuations (serve->director),
+                                position, names, count, now);
+  if (status != GBD_ERROR_STALE)
+    serve->evacuations->received_at = now;
+  gbd_cookie_set_relay_argument (serve);
   if (status == GBD_ERROR_MEMORY)
     gbd_cookie_log_bad_object (serve, serve->platform_api->evacuations_kind,
                                "", position, gbd_status_strings[status], now);
@@ -456,11 +455,10 @@
     return;
   /* While the platform serves the backend servers to this relay but not the
      evacuations, its readers must watch these themselves. */
-  bool is_outdated
-      = serve->relay && gbd_cookie_servers_use_platform (serve)
-        && !gbd_pool_is_platform_unreachable (
-            gbd_director_peek_pool (serve->director))
-        && now - state->confirmed_at > CONFIRMATION_VALIDITY;
+  bool is_outdated = serve->relay && gbd_cookie_servers_use_platform (serve)
+                     && !gbd_pool_is_platform_unreachable (
+                         gbd_director_peek_pool (serve->director))
+                     && now - state->confirmed_at > CONFIRMATION_VALIDITY;
   gbd_relay_set_evacuations (server,
                              set->is_known && !is_outdated ? set : NULL);
 }
--- a/src/gooseberrydrum/cookie_holders.c
+++ b/src/gooseberrydrum/cookie_holders.c
@@ -2,7 +2,6 @@
 
 #include <glib.h>
 
-static void set_relay_argument (gbd_cookie_serve_t *serve);
 static bool is_complete (const gbd_cookie_serve_t *serve);
 static void announce (gbd_cookie_serve_t *serve, gbd_time_t now);
 static void announcement_done (void *data, gbd_status_t status,
@@ -11,7 +10,7 @@
 void
 gbd_cookie_holders_init (gbd_cookie_serve_t *serve)
 {
-  set_relay_argument (serve);
+  gbd_cookie_set_relay_argument (serve);
   serve->holder_asked_at = GBD_TIME_NEVER;
   for (uint32_t i = 0; i < GBD_SOURCES_MAX; i++)
     serve->announcements[i].announced_at = GBD_TIME_NEVER;
@@ -20,36 +19,40 @@
 void
 gbd_cookie_holders_tick (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
-  set_relay_argument (serve);
+  gbd_cookie_set_relay_argument (serve);
   announce (serve, now);
 }
 
 void
-gbd_cookie_holder_seen (void *data, const gbd_address_t *holder)
-{
-  gbd_cookie_serve_t *serve = data;
-  if (!gbd_start_may_ask_holder (is_complete (serve), serve->holder_asked_at,
-                                 serve->clock (NULL)))
-    return;
-  serve->holder = *holder;
-  serve->is_holder_due = true;
-}
-
-static void
-set_relay_argument (gbd_cookie_serve_t *serve)
+gbd_cookie_set_relay_argument (gbd_cookie_serve_t *serve)
 {
   bool has_documents
       = serve->has_key && gbd_director_get_routes (serve->director);
-  char from[GBD_ADDRESS_TEXT_MAX + sizeof "from="] = "";
+  GString *text = g_string_new (has_documents ? "" : "&documents=1");
   if (serve->peer_server)
     {
       char address[GBD_ADDRESS_TEXT_MAX];
       gbd_address_format (&serve->settings->relay_listen, address);
-      g_snprintf (from, sizeof from, "from=%s", address);
+      g_string_append_printf (text, "&from=%s", address);
     }
-  g_snprintf (serve->relay_argument, sizeof serve->relay_argument, "%s%s%s",
-              has_documents ? "" : "documents=1",
-              !has_documents && from[0] ? "&" : "", from);
+  if (serve->evacuations)
+    g_string_append_printf (
+        text, "&evacuations=%" G_GUINT64_FORMAT,
+        gbd_director_peek_evacuations (serve->director)->position);
+  g_strlcpy (serve->relay_argument, text->len ? text->str + 1 : "",
+             sizeof serve->relay_argument);
+  g_string_free (text, TRUE);
+}
+
+void
+gbd_cookie_holder_seen (void *data, const gbd_address_t *holder)
+{
+  gbd_cookie_serve_t *serve = data;
+  if (!gbd_start_may_ask_holder (is_complete (serve), serve->holder_asked_at,
+                                 serve->clock (NULL)))
+    return;
+  serve->holder = *holder;
+  serve->is_holder_due = true;
 }
 
 /* Whether this instance has list, key and routes. */
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -16,6 +16,9 @@
 #include "relay.h"
 #include "settings.h"
 
+/** Decimal digits of the highest position. */
+#define GBD_POSITION_DIGITS_MAX 20
+
 /** Announcements of this instance, as a holder of the list, to one relay. */
 typedef struct
 {
@@ -48,8 +51,10 @@
    *  unreachable; NULL if this instance is a relay or listens for no others */
   gbd_relay_t *peer_server;
   /** Argument of requests to relays: "documents=1" until this instance has key
-   *  and routes; "from=" and the address of peer_server, if there is one */
-  char relay_argument[GBD_ADDRESS_TEXT_MAX + sizeof "documents=1&from="];
+   *  and routes; "from=" and the address of peer_server, if there is one;
+   *  "evacuations=" and the position of the set, if they are watched */
+  char relay_argument[GBD_ADDRESS_TEXT_MAX + GBD_POSITION_DIGITS_MAX
+                      + sizeof "documents=1&from=&evacuations="];
   gbd_announcement_t announcements[GBD_SOURCES_MAX]; /**< one for each source;
                                                  not used for the platform */
   /** Client of a holder of the list; NULL: none */
@@ -211,6 +216,8 @@
    platform is unreachable; see start.h */
 
 void gbd_cookie_holders_init (gbd_cookie_serve_t *serve);
+/** Update the argument of requests to relays. */
+void gbd_cookie_set_relay_argument (gbd_cookie_serve_t *serve);
 /** Announce this instance to relays if it is a holder and it is time. */
 void gbd_cookie_holders_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
 /** Another instance has announced itself; a gbd_relay_holder_callback_t. */
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -94,6 +94,7 @@
   gbd_newer_readers_t newer_readers;
   bool sends_evacuations; /* responses contain the evacuated zones */
   gbd_evacuations_t evacuations;
+  uint64_t evacuations_change; /* position at the last change of the zones */
   cached_response_t cached_response;
   gbd_relay_fill_t fill; /* NULL: the objects are stored */
   void *fill_data;
@@ -297,6 +298,8 @@
     return;
   relay->evacuations = *next;
   relay->sends_evacuations = true;
+  if (has_changed)
+    relay->evacuations_change = next->position;
   relay->cached_response.is_valid = false;
   if (has_changed)
     respond_to_waiting_readers (relay, true);
@@ -507,6 +510,7 @@
     return handle_document_request (relay, wsi, reader, path);
   uint64_t wait_ms = 0;
   uint64_t with_documents = 0;
+  uint64_t evacuations = 0;
   char from[ARGUMENT_SIZE] = "";
   reader->has_since = read_argument (wsi, "since=", &reader->since);
   read_argument (wsi, "documents=", &with_documents);
@@ -526,8 +530,11 @@
   /* A reader with a higher version has read from another source.  It has
      everything that this relay has, so it waits until the relay publishes a
      higher version. */
-  bool is_response_due
-      = !relay->is_connected || reader->since < relay->version || wait_ms == 0;
+  bool lacks_evacuations = relay->evacuations.is_known
+                           && read_argument (wsi, "evacuations=", &evacuations)
+                           && evacuations < relay->evacuations_change;
+  bool is_response_due = !relay->is_connected || reader->since < relay->version
+                         || wait_ms == 0 || lacks_evacuations;
   if (is_response_due)
     return send_response (relay, reader);
   wait_ms = MIN (wait_ms, WAIT_MS_MAX);
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -16,6 +16,10 @@
  *  instance that starts gets everything in one response.  At other times
  *  readers get the documents from the platform, which spares the relay's link.
  *
+ *  A request for changes with the argument "evacuations=POSITION", that of the
+ *  reader's set of evacuated zones, is answered at once if the relay's set has
+ *  changed since: the change may be made between two requests of the reader.
+ *
  *  A holder is an instance that has a list, and so can serve one: a reader
  *  that waits for changes, or one that announces itself because it got no
  *  response from this relay, which may have restarted.
--- a/src/gooseberrydrum/relay_api.c
+++ b/src/gooseberrydrum/relay_api.c
@@ -118,12 +118,12 @@
   switch (is_message ? get_integer (body, POSITION_TYPE) : -1)
     {
     case GBD_RELAY_LISTING:
-      native = translate_objects (body, "items",
-                                  GBD_RELAY_LISTING_EVACUATIONS);
+      native
+          = translate_objects (body, "items", GBD_RELAY_LISTING_EVACUATIONS);
       break;
     case GBD_RELAY_CHANGES:
-      native = translate_objects (body, "changes",
-                                  GBD_RELAY_CHANGES_EVACUATIONS);
+      native
+          = translate_objects (body, "changes", GBD_RELAY_CHANGES_EVACUATIONS);
       break;
     case GBD_RELAY_DOCUMENT:
       native = translate_document (body);
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -20,9 +20,9 @@
 };
 
 const char *const gbd_director_rule_strings[GBD_DIRECTOR_RULE_COUNT]
-    = { "not_ready", "no_route", "no_server", "placed",      "same",
-        "moved",     "cookie",   "no_cookie", "server_gone", "server_down",
-        "evacuated" };
+    = { "not_ready",   "no_route",    "no_server", "placed",
+        "same",        "moved",       "cookie",    "no_cookie",
+        "server_gone", "server_down", "evacuated" };
 
 static void route_opening (const gbd_director_t *director,
                            const gbd_packet_t *packet, gbd_time_t now,
@@ -287,8 +287,8 @@
      field. */
   bool is_retransmission
       = is_tracked && packet->acknowledgment > flow->acknowledgment;
-  bool is_moved
-      = is_retransmission || (is_tracked && is_evacuated (director, flow->server));
+  bool is_moved = is_retransmission
+                  || (is_tracked && is_evacuated (director, flow->server));
   if (is_moved)
     placement.avoid = flow->server;
   decision->rule
--- a/src/libgooseberrydrum/evacuations.c
+++ b/src/libgooseberrydrum/evacuations.c
@@ -8,8 +8,8 @@
 static void remove_missing (gbd_evacuations_t *evacuations,
                             const char *const *names, uint32_t count,
                             gbd_time_t now);
-static gbd_status_t add_zone (gbd_evacuations_t *evacuations,
-                              const char *name);
+static gbd_status_t add_zone (gbd_evacuations_t *evacuations, const char *name,
+                              gbd_time_t removal_due);
 static void remove_zone (gbd_evacuations_t *evacuations, uint32_t index);
 
 gbd_status_t
@@ -19,9 +19,14 @@
 {
   gbd_status_t result = GBD_OK;
   if (evacuations->is_known && position < evacuations->position)
-    return GBD_ERROR_STALE;
-  if (evacuations->is_known
-      && gbd_position_get_era (position)
+    {
+      if (now < evacuations->grace_end)
+        for (uint32_t i = 0; i < count; i++)
+          add_zone (evacuations, names[i], evacuations->grace_end);
+      return GBD_ERROR_STALE;
+    }
+  if (!evacuations->is_known
+      || gbd_position_get_era (position)
              > gbd_position_get_era (evacuations->position))
     evacuations->grace_end = now + GBD_POOL_REMOVAL_GRACE;
   evacuations->is_known = true;
@@ -29,7 +34,7 @@
   remove_missing (evacuations, names, count, now);
   for (uint32_t i = 0; i < count; i++)
     {
-      gbd_status_t status = add_zone (evacuations, names[i]);
+      gbd_status_t status = add_zone (evacuations, names[i], GBD_TIME_NEVER);
       if (status != GBD_OK)
         result = status;
     }
@@ -93,8 +98,10 @@
     }
 }
 
+/* Adds a zone, or ends its removal if removal_due is GBD_TIME_NEVER. */
 static gbd_status_t
-add_zone (gbd_evacuations_t *evacuations, const char *name)
+add_zone (gbd_evacuations_t *evacuations, const char *name,
+          gbd_time_t removal_due)
 {
   size_t length = strlen (name);
   if (length == 0 || length > GBD_NAME_MAX)
@@ -105,13 +112,17 @@
     index++;
   if (index == GBD_EVACUATIONS_MAX)
     return GBD_ERROR_MEMORY;
-  if (index == evacuations->count)
+  gbd_evacuation_t *evacuation = &evacuations->zones[index];
+  if (index < evacuations->count)
     {
-      evacuations->count++;
-      evacuations->zones[index].zone = gbd_zone_from_name (name);
-      memcpy (evacuations->zones[index].name, name, length + 1);
+      if (removal_due == GBD_TIME_NEVER)
+        evacuation->removal_due = GBD_TIME_NEVER;
+      return GBD_OK;
     }
-  evacuations->zones[index].removal_due = GBD_TIME_NEVER;
+  evacuations->count++;
+  evacuation->zone = gbd_zone_from_name (name);
+  evacuation->removal_due = removal_due;
+  memcpy (evacuation->name, name, length + 1);
   return GBD_OK;
 }
 
--- a/src/test_gooseberrydrum/instances_fixture.h
+++ b/src/test_gooseberrydrum/instances_fixture.h
@@ -129,6 +129,7 @@
   gbd_cookie_serve_t *serve = &instance->serve;
   g_snprintf (settings->name, sizeof settings->name, "entry-%u", group->count);
   settings->platform_form = "objects";
+  settings->policy = GBD_POLICY_COOKIE;
   settings->platform = fixture->address;
   settings->relays = *relays;
   settings->zone_evacuation = group->evacuates;
