--- a/src/gooseberrydrum/cookie_evacuations.c
+++ b/src/gooseberrydrum/cookie_evacuations.c
@@ -30,7 +30,8 @@
   gbd_evacuations_t reported;  /* the set at the last report of a change */
   GHashTable *checked;      /* names of evacuated zones that were compared with
                                those of the backend servers */
-  gbd_time_t confirmed_at;  /* last response to watch; 0: none */
+  gbd_time_t confirmed_at;  /* last response to watch since the last pause
+                              of the process; GBD_TIME_NEVER: none */
   gbd_time_t received_at;   /* last set of any source; 0: none */
   gbd_time_t unknown_since; /* time since which relays have not known the
                                set; 0: they do */
@@ -86,6 +87,7 @@
     .random_seed = serve->random_value,
   };
   serve->evacuations = state;
+  state->confirmed_at = GBD_TIME_NEVER;
   state->names = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   state->checked
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -225,7 +227,8 @@
          && (gbd_cookie_servers_use_platform (serve) || is_unknown);
 }
 
-/* The set may have changed during a pause of the process. */
+/* The set may have changed during a pause of the process.  A relay does not
+   pass it on until its watch has been confirmed. */
 static void
 detect_pause (gbd_cookie_serve_t *serve, gbd_time_t now)
 {
@@ -235,6 +238,7 @@
   state->last_tick_at = now;
   if (!was_paused)
     return;
+  state->confirmed_at = GBD_TIME_NEVER;
   if (state->watch)
     gbd_platform_watch_refresh (state->watch);
   if (gbd_director_peek_evacuations (serve->director)->is_known)
--- a/src/test_gooseberrydrum/test_cookie_evacuations.c
+++ b/src/test_gooseberrydrum/test_cookie_evacuations.c
@@ -15,6 +15,8 @@
    each within a step or two of the simulated clock. */
 #define RELAYED_LIMIT (200 * GBD_MILLISECOND)
 #define LOG_BYTES 65536
+/* Port 1 (tcpmux), on which no process listens. */
+#define UNREACHABLE "127.0.0.1:1"
 
 static void
 open_evacuating_group (group_t *group)
@@ -246,6 +248,30 @@
   close_group (&group);
 }
 
+/* Guards against a reader that the store rejects and that learns nothing from
+   its relay, whose watch on the servers has failed. */
+static void
+rejection_of_a_relay_contains_the_set (void **state)
+{
+  (void)state;
+  group_t group;
+  open_evacuating_group (&group);
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  gbd_address_t platform = group.fixture.address;
+  gbd_address_parse (UNREACHABLE, &group.fixture.address);
+  gbd_cookie_serve_t *reader = start_reader (&group);
+  group.fixture.address = platform;
+  run_for (&group, 3 * GBD_SECOND);
+  gbd_platform_watch_delete (relay->servers_watch);
+  relay->servers_watch = NULL;
+  gbd_relay_disconnect (relay->relay);
+  evacuate (&group, "a");
+  run_until (&group, reader, "a", true);
+  return_zone (&group, "a");
+  run_until (&group, reader, "a", false);
+  close_group (&group);
+}
+
 /* Guards against an instance that never learns the set, because its relay is
    of an earlier release or has the setting off. */
 static void
@@ -277,13 +303,10 @@
   gbd_cookie_serve_t *reader = start_reader (&group);
   evacuate (&group, "b");
   run_for (&group, 2 * GBD_SECOND);
-  gbd_address_t platform = group.fixture.address;
-  gbd_address_parse ("127.0.0.1:1", &group.fixture.address);
-  relay->settings->platform = group.fixture.address;
+  gbd_address_parse (UNREACHABLE, &relay->settings->platform);
   gbd_cookie_evacuations_stop (relay);
   const char *error = NULL;
   assert_true (gbd_cookie_evacuations_start (relay, &error));
-  group.fixture.address = platform;
   run_for (&group, 5 * GBD_SECOND);
   assert_true (has_evacuated (reader, "b"));
   assert_false (gbd_cookie_servers_use_platform (reader));
@@ -582,6 +605,7 @@
     cmocka_unit_test (reader_watches_the_store_while_no_relay_responds),
     cmocka_unit_test (evacuation_applies_despite_faults_of_the_store),
     cmocka_unit_test (hung_watch_on_the_servers_does_not_hold_the_set_up),
+    cmocka_unit_test (rejection_of_a_relay_contains_the_set),
     cmocka_unit_test (reader_of_a_relay_without_the_set_watches_the_store),
     cmocka_unit_test (relay_whose_watch_fails_does_not_vouch_for_its_set),
     cmocka_unit_test (restored_store_does_not_end_an_evacuation_at_once),
