--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -35,6 +35,7 @@
 #define GOOSEBERRYDRUM_PLACEMENT_H
 
 #include "gooseberrydrum/decls.h"
+#include "gooseberrydrum/evacuations.h"
 #include "gooseberrydrum/group_view.h"
 #include "gooseberrydrum/pool.h"
 
@@ -86,6 +87,8 @@
   bool has_both_kinds;     /**< the service has routes that are idempotent and
                                 routes that are not */
   bool is_room_short;      /**< the service has turned requests away lately */
+  /** Zones whose backend servers are never chosen; NULL: none */
+  const gbd_evacuations_t *evacuations;
 } gbd_placement_t;
 
 /** Choose a backend server; has no side effects.
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -19,6 +19,8 @@
 
 /** Members of the group; see cookie_members.c. */
 typedef struct gbd_cookie_members gbd_cookie_members_t;
+/** Decimal digits of the highest position. */
+#define GBD_POSITION_DIGITS_MAX 20
 
 /** Announcements of this instance, as a holder of the list, to one relay. */
 typedef struct
@@ -32,6 +34,9 @@
  *  of a millisecond. */
 #define GBD_SETUP_TIME_BUCKETS 12
 
+/** Watch on the evacuated zones; see cookie_evacuations.c. */
+typedef struct gbd_cookie_evacuations gbd_cookie_evacuations_t;
+
 typedef struct
 {
   gbd_settings_t *settings;
@@ -52,9 +57,11 @@
   gbd_cookie_members_t *members; /**< NULL if the setting group-view is off */
   /** Argument of requests to relays: "documents=1" until this instance has key
    *  and routes; "from=" and the address of peer_server, if there is one;
-   *  "zone=" and the percent-encoded zone, with the setting group-view */
+   *  "zone=" and the percent-encoded zone, with the setting group-view;
+   *  "evacuations=" and the position of the set, if they are watched */
   char relay_argument[GBD_ADDRESS_TEXT_MAX + 3 * GBD_NAME_MAX
-                      + sizeof "documents=1&from=&zone="];
+                      + GBD_POSITION_DIGITS_MAX
+                      + sizeof "documents=1&from=&zone=&evacuations="];
   gbd_announcement_t announcements[GBD_SOURCES_MAX]; /**< one for each source;
                                                  not used for the platform */
   /** Client of a holder of the list; NULL: none */
@@ -71,6 +78,8 @@
    *  the platform; the first response is used.  NULL at other times. */
   gbd_platform_watch_t *start_watch;
   gbd_platform_watch_t *routes_watch;
+  /** NULL if the setting zone-evacuation is no */
+  gbd_cookie_evacuations_t *evacuations;
   gbd_admin_t *admin;
   gbd_admin_t *ready_server;
   gbd_admin_t *metrics_server;
@@ -186,10 +195,36 @@
                                 const char *name, uint64_t version,
                                 const char *problem, gbd_time_t now);
 
+/* cookie_evacuations.c: the zones that the operator has evacuated, from the
+   platform or from relays; see docs/design/evacuation.md.  Without the setting
+   zone-evacuation these functions do nothing. */
+
+/** @return false with `error` set. */
+bool gbd_cookie_evacuations_start (gbd_cookie_serve_t *serve,
+                                   const char **error);
+void gbd_cookie_evacuations_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+void gbd_cookie_evacuations_stop (gbd_cookie_serve_t *serve);
+/** Apply the set of another instance.
+ *  @param set as in gbd_platform_watch_callbacks_t */
+void gbd_cookie_evacuations_receive (gbd_cookie_serve_t *serve,
+                                     const json_t *set);
+/** A relay that can reach the platform has responded with its set. */
+void gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve);
+void gbd_cookie_evacuations_add_status (gbd_cookie_serve_t *serve,
+                                        json_t *status);
+/** Add the evacuated zones, if there are any, to a decision. */
+void gbd_cookie_evacuations_explain (const gbd_cookie_serve_t *serve,
+                                     json_t *fields);
+/** Get the counters of the client of the watch; zero if there is none. */
+void gbd_cookie_evacuations_get_calls (const gbd_cookie_serve_t *serve,
+                                       gbd_platform_stats_t *stats);
+
 /* cookie_holders.c: list, key and routes from other instances while the
    platform is unreachable; see start.h */
 
 void gbd_cookie_holders_init (gbd_cookie_serve_t *serve);
+/** Update the argument of requests to relays. */
+void gbd_cookie_set_relay_argument (gbd_cookie_serve_t *serve);
 /** Announce this instance to relays if it is a holder and it is time. */
 void gbd_cookie_holders_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
 /** Another instance has announced itself; a gbd_relay_holder_callback_t. */
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -124,6 +124,11 @@
    * called before the other callbacks of the response.  May be NULL.
    *  @param view as in relay_codec.h; not NULL, may be null or malformed */
   void (*group_view) (void *data, const json_t *view);
+  /** A relay has sent the set of evacuated zones; called after
+   *  relay_metadata.  May be NULL.
+   *  @param set [position, [zone name, ...]]; JSON null if the relay does not
+   *  know it */
+  void (*evacuations) (void *data, const json_t *set);
   /** The store was restored from an older copy, as the response of a platform
    *  or a relay shows; what the store has now follows, as a listing or as
    *  changes, and then `confirmed`.  May be NULL.
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -96,6 +96,9 @@
   bool is_listing;
   uint32_t reader_count; /* waiting readers at the last publication */
   gbd_newer_readers_t newer_readers;
+  bool sends_evacuations; /* responses contain the evacuated zones */
+  gbd_evacuations_t evacuations;
+  uint64_t evacuations_change; /* position at the last change of the zones */
   cached_response_t cached_response;
   gbd_relay_fill_t fill; /* NULL: the objects are stored */
   void *fill_data;
@@ -138,6 +141,9 @@
 static void append_view (gbd_relay_t *relay, const gbd_address_t *address);
 static void pack_documents (const gbd_relay_t *relay, bool with_documents,
                             msgpack_sbuffer *buffer);
+static size_t count_optional_entries (const gbd_relay_t *relay);
+static void pack_evacuations (const gbd_relay_t *relay,
+                              msgpack_packer *packer);
 static void pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer);
 static bool is_included (const object_t *object, const uint64_t *since);
 static void pack_text (msgpack_packer *packer, const char *text);
@@ -289,6 +295,27 @@
   respond_to_waiting_readers (relay, true);
 }
 
+void
+gbd_relay_set_evacuations (gbd_relay_t *relay,
+                           const gbd_evacuations_t *evacuations)
+{
+  static const gbd_evacuations_t unknown;
+  const gbd_evacuations_t *next = evacuations ? evacuations : &unknown;
+  const gbd_evacuations_t *current = &relay->evacuations;
+  bool has_changed = !relay->sends_evacuations
+                     || current->is_known != next->is_known
+                     || !gbd_evacuations_are_equal (current, next);
+  if (!has_changed && current->position == next->position)
+    return;
+  relay->evacuations = *next;
+  relay->sends_evacuations = true;
+  if (has_changed)
+    relay->evacuations_change = next->position;
+  relay->cached_response.is_valid = false;
+  if (has_changed)
+    respond_to_waiting_readers (relay, true);
+}
+
 void
 gbd_relay_set_document (gbd_relay_t *relay, const char *kind, const char *name,
                         uint64_t version, const json_t *value)
@@ -505,6 +532,7 @@
     return handle_document_request (relay, wsi, reader, path);
   uint64_t wait_ms = 0;
   uint64_t with_documents = 0;
+  uint64_t evacuations = 0;
   char from[ARGUMENT_SIZE] = "";
   reader->has_since = read_argument (wsi, "since=", &reader->since);
   read_argument (wsi, "documents=", &with_documents);
@@ -525,8 +553,11 @@
   /* A reader with a higher version has read from another source.  It has
      everything that this relay has, so it waits until the relay publishes a
      higher version. */
-  bool is_response_due
-      = !relay->is_connected || reader->since < relay->version || wait_ms == 0;
+  bool lacks_evacuations = relay->evacuations.is_known
+                           && read_argument (wsi, "evacuations=", &evacuations)
+                           && evacuations < relay->evacuations_change;
+  bool is_response_due = !relay->is_connected || reader->since < relay->version
+                         || wait_ms == 0 || lacks_evacuations;
   if (is_response_due)
     return send_response (relay, reader);
   wait_ms = MIN (wait_ms, WAIT_MS_MAX);
@@ -727,12 +758,9 @@
 
   msgpack_packer packer;
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  if (relay->members)
-    msgpack_pack_array (&packer, since ? GBD_RELAY_CHANGES_VIEW + 1
-                                       : GBD_RELAY_LISTING_VIEW + 1);
-  else
-    msgpack_pack_array (&packer, since ? GBD_RELAY_CHANGES_LENGTH
-                                       : GBD_RELAY_LISTING_LENGTH);
+  msgpack_pack_array (
+      &packer, (since ? GBD_RELAY_CHANGES_LENGTH : GBD_RELAY_LISTING_LENGTH)
+                   + count_optional_entries (relay));
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, since ? GBD_RELAY_CHANGES : GBD_RELAY_LISTING);
   msgpack_pack_uint64 (&packer,
@@ -760,8 +788,7 @@
     }
   if (!since)
     pack_documents (relay, with_documents, buffer);
-  if (relay->members)
-    msgpack_pack_nil (&packer); /* evacuations */
+  pack_evacuations (relay, &packer);
 }
 
 /* Appends the view of one reader to the response, of which the rest is the
@@ -805,6 +832,34 @@
     }
 }
 
+/* Returns the number of entries that this relay appends to a message:
+   evacuations, and the view of the group. */
+static size_t
+count_optional_entries (const gbd_relay_t *relay)
+{
+  if (relay->members)
+    return 2;
+  return relay->sends_evacuations ? 1 : 0;
+}
+
+static void
+pack_evacuations (const gbd_relay_t *relay, msgpack_packer *packer)
+{
+  const gbd_evacuations_t *evacuations = &relay->evacuations;
+  if (!relay->sends_evacuations && !relay->members)
+    return;
+  if (!relay->sends_evacuations || !evacuations->is_known)
+    {
+      msgpack_pack_nil (packer);
+      return;
+    }
+  msgpack_pack_array (packer, 2);
+  msgpack_pack_uint64 (packer, evacuations->position);
+  msgpack_pack_array (packer, evacuations->count);
+  for (uint32_t i = 0; i < evacuations->count; i++)
+    pack_text (packer, evacuations->zones[i].name);
+}
+
 static void
 pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer)
 {
@@ -812,12 +867,13 @@
   bool has_newer_reader
       = gbd_newer_readers_are_reported (&relay->newer_readers, relay->now);
   msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, relay->members ? GBD_RELAY_REJECTION_VIEW + 1
-                                              : GBD_RELAY_REJECTION_LENGTH);
+  msgpack_pack_array (&packer, GBD_RELAY_REJECTION_LENGTH
+                                   + count_optional_entries (relay));
   msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
   msgpack_pack_int (&packer, GBD_RELAY_REJECTION);
   msgpack_pack_uint32 (&packer, relay->reader_count);
   gbd_relay_pack (&packer, has_newer_reader ? json_true () : json_false ());
+  pack_evacuations (relay, &packer);
 }
 
 static bool
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -21,6 +21,10 @@
  * everything in one response.  At other times readers get the documents from
  * the platform, which spares the relay's link.
  *
+ *  A request for changes with the argument "evacuations=POSITION", that of the
+ *  reader's set of evacuated zones, is answered at once if the relay's set has
+ *  changed since: the change may be made between two requests of the reader.
+ *
  *  A holder is an instance that has a list, and so can serve one: a reader
  *  that waits for changes, or one that announces itself because it got no
  *  response from this relay, which may have restarted.
@@ -43,6 +47,7 @@
 #include <jansson.h>
 
 #include "gooseberrydrum/members.h"
+#include "gooseberrydrum/evacuations.h"
 #include "gooseberrydrum/types.h"
 
 /** How long deletions are retained: longer than a reader may be disconnected
@@ -89,6 +94,11 @@
  *  platform themselves.  It is sent to waiting readers at once, so that a
  *  reader whose own watch is unresponsive learns that its data is stale. */
 void gbd_relay_set_hint (gbd_relay_t *relay, uint64_t hint);
+/** Set the evacuated zones, which each response contains from then on.  A
+ *  change of the zones is sent to waiting readers at once.
+ *  @param evacuations NULL: not known */
+void gbd_relay_set_evacuations (gbd_relay_t *relay,
+                                const gbd_evacuations_t *evacuations);
 /** Set a document, which is independent of the objects.
  *  @param value any JSON value */
 void gbd_relay_set_document (gbd_relay_t *relay, const char *kind,
--- a/src/gooseberrydrum/relay_api.c
+++ b/src/gooseberrydrum/relay_api.c
@@ -43,7 +43,7 @@
 static json_t *parse (const char *body, size_t length);
 static json_t *translate (json_t *body);
 static json_t *translate_objects (const json_t *body, const char *key,
-                                  size_t view_position);
+                                  size_t optional_position);
 static json_t *translate_documents (const json_t *body);
 static json_t *translate_document (const json_t *body);
 static json_int_t get_integer (const json_t *array, size_t position);
@@ -118,19 +118,24 @@
   switch (is_message ? get_integer (body, POSITION_TYPE) : -1)
     {
     case GBD_RELAY_LISTING:
-      native = translate_objects (body, "items", GBD_RELAY_LISTING_VIEW);
+      native
+          = translate_objects (body, "items", GBD_RELAY_LISTING_EVACUATIONS);
       break;
     case GBD_RELAY_CHANGES:
-      native = translate_objects (body, "changes", GBD_RELAY_CHANGES_VIEW);
+      native
+          = translate_objects (body, "changes", GBD_RELAY_CHANGES_EVACUATIONS);
       break;
     case GBD_RELAY_DOCUMENT:
       native = translate_document (body);
       break;
     case GBD_RELAY_REJECTION:
       native = json_pack (
-          "{s:I, s:b, s:O*}", "readers", get_integer (body, POSITION_VERSION),
-          "newer", json_is_true (json_array_get (body, POSITION_HAS_NEWER)),
-          "view", json_array_get (body, GBD_RELAY_REJECTION_VIEW));
+          "{s:I, s:b, s:O?, s:O*}", "readers",
+          get_integer (body, POSITION_VERSION), "newer",
+          json_is_true (json_array_get (body, POSITION_HAS_NEWER)),
+          "evacuations",
+          json_array_get (body, GBD_RELAY_REJECTION_EVACUATIONS), "view",
+          json_array_get (body, GBD_RELAY_REJECTION_VIEW));
       break;
     default:
       break;
@@ -140,7 +145,8 @@
 }
 
 static json_t *
-translate_objects (const json_t *body, const char *key, size_t view_position)
+translate_objects (const json_t *body, const char *key,
+                   size_t optional_position)
 {
   json_t *list = json_array ();
   size_t index;
@@ -154,13 +160,14 @@
                                       json_array_get (object, 2)));
   }
   return json_pack (
-      "{s:I, s:I, s:I, s:b, s:o, s:o, s:O*}", "version",
+      "{s:I, s:I, s:I, s:b, s:o, s:o, s:O?, s:O*}", "version",
       get_integer (body, POSITION_VERSION), "settling_ms",
       get_integer (body, POSITION_REMOVAL_GRACE), "hint",
       get_integer (body, POSITION_HINT), "connected",
       json_is_true (json_array_get (body, POSITION_IS_CONNECTED)), key, list,
-      "documents", translate_documents (body), "view",
-      json_array_get (body, view_position));
+      "documents", translate_documents (body), "evacuations",
+      json_array_get (body, optional_position), "view",
+      json_array_get (body, optional_position + 1));
 }
 
 /* Returns the documents of a listing as {"KIND/NAME": {version, value}};
--- a/src/gooseberrydrum/settings.h
+++ b/src/gooseberrydrum/settings.h
@@ -67,6 +67,7 @@
   bool probe_servers;
   bool first_start;
   bool group_view;
+  bool zone_evacuation;
   uint32_t heartbeat_ms;
   uint32_t lease_timeout_ms;   /**< --touch-timeout-ms */
   uint32_t failure_timeout_ms; /**< --silence-timeout-ms */
