--- a/src/test_gooseberrydrum/test_settings.c
+++ b/src/test_gooseberrydrum/test_settings.c
@@ -89,6 +89,7 @@
   assert_int_equal (settings.admin_listen.port, 7480);
   assert_string_equal (settings.policy, "keepers");
   assert_non_null (gbd_policy_find (settings.policy));
+  assert_false (settings.group_view);
   assert_int_equal (settings.heartbeat_ms, 400);
   assert_int_equal (settings.lease_timeout_ms, 1400);
   assert_int_equal (settings.failure_timeout_ms, 2000);
@@ -376,6 +377,7 @@
       "policy: is not available with --packet-form=echo" },
     { 8, "--relay-listen=", NULL },
     { 8, "--relays=", NULL },
+    { 8, "--group-view=yes", NULL },
   };
   unsetenv ("GOOSEBERRYDRUM_GROUP_KEY");
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
