--- a/src/test_libgooseberrydrum/test_placement_load.c
+++ b/src/test_libgooseberrydrum/test_placement_load.c
@@ -98,7 +98,8 @@
   for (uint32_t i = 0; i < load->server_count; i += 3)
     {
       load->servers[i].is_failing = true;
-      load->servers[i].toggled_at = START + i * 100 * GBD_MILLISECOND;
+      load->servers[i].toggled_at
+          = START + (gbd_time_t)i * 100 * GBD_MILLISECOND;
     }
   load->command_share = 0.22;
   load->spares_commands = spares_commands;
@@ -175,7 +176,7 @@
   overflow_t overflow
       = { .refused = (double)(load->refused - refused_before)
                      / (double)(load->attempts - attempts_before),
-          .queue = queue / (servers / 4 * PERIODS),
+          .queue = queue * 4 / servers / PERIODS,
           .deviation
           = sqrt (sum_of_squares / PERIODS - sum * sum / PERIODS / PERIODS) };
   print_message ("busy zone, %u instances, windows %d, detection %d: refused "
