--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -81,6 +81,10 @@
                                    GBD_POOL_NONE */
   gbd_cookie_t cookie;        /**< cookie to write into the packet */
   gbd_flow_hash_t hash;
+  bool is_to_cold;       /**< an opening packet to a backend server that is
+                              cold, where a limit for it is in force */
+  bool is_limited;       /**< reset or dropped; a limit for cold backend servers
+                              is in force for the service */
   uint64_t version; /**< version of the routes used; 0 if no routes are
                          installed */
 } gbd_director_decision_t;
@@ -89,6 +93,7 @@
 {
   gbd_zone_id_t zone;     /**< zone of this instance */
   uint32_t flow_capacity; /**< capacity of the flow tracker, a power of two */
+  gbd_warm_up_settings_t warm_up; /**< limit for cold backend servers */
 } gbd_director_settings_t;
 
 typedef struct gbd_director gbd_director_t;
@@ -147,6 +152,19 @@
 gbd_director_commit (gbd_director_t *director, const gbd_packet_t *packet,
                      const gbd_director_decision_t *decision, gbd_time_t now);
 
+/** Record that the packets of committed decisions have left the process.  Must
+ *  be called after they are sent if gbd_director_has_sent_to_cold() returns
+ *  true: a pause of the process between decision and transmission would
+ *  otherwise shorten the interval between packets to a cold backend server. */
+void gbd_director_record_transmission (gbd_director_t *director,
+                                       gbd_time_t now);
+bool gbd_director_has_sent_to_cold (const gbd_director_t *director);
+
+/** What this instance may send to cold backend servers of a service. */
+gbd_warm_up_share_t
+gbd_director_get_warm_up (const gbd_director_t *director,
+                          gbd_service_id_t service, gbd_time_t now);
+
 /** Run periodic work; call about ten times a second. */
 void gbd_director_tick (gbd_director_t *director, gbd_time_t now);
 
@@ -154,6 +172,11 @@
 {
   uint64_t rules[GBD_DIRECTOR_RULE_COUNT];
   uint32_t tracked_flows;
+  uint64_t cold_packets; /**< opening packets sent to backend servers for which
+                              the limit for cold ones was in force */
+  uint64_t cold_resets;  /**< opening packets reset while that limit was in
+                              force for their service */
+  uint64_t cold_drops;   /**< the same for dropped copies */
 } gbd_director_stats_t;
 
 void gbd_director_get_stats (const gbd_director_t *director,
--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -13,6 +13,11 @@
  *  slots, flows are also spread by how many each got recently, because the
  *  flows of a server that fails at once never wait (recent_flows.h).
  *
+ *  Where a limit for cold backend servers is in force (warm_up.h), one without
+ *  budget is no candidate.  One with budget gets a flow if no warm server has
+ *  free slots, or if the service is short of room and the free slots that this
+ *  instance knows of prove little.
+ *
  *  Suspected backend servers get only trial flows, unless all backend servers
  *  of the service are suspected.  When many fail at once, a retransmitted
  *  opening packet preferably goes to a backend server that has responded
@@ -52,6 +57,7 @@
   gbd_group_view_t group;  /**< other instances, if known */
   bool is_idempotent;      /**< callers may retry the requests of the route */
   bool is_room_short;      /**< the service has turned requests away lately */
+  gbd_warm_up_share_t warm_up; /**< what cold backend servers may get */
 } gbd_placement_t;
 
 /** Choose a backend server; has no side effects.
--- a/include/gooseberrydrum/pool.h
+++ b/include/gooseberrydrum/pool.h
@@ -16,6 +16,7 @@
 #include "gooseberrydrum/response_time.h"
 #include "gooseberrydrum/suspicion.h"
 #include "gooseberrydrum/table.h"
+#include "gooseberrydrum/warm_up.h"
 #include "gooseberrydrum/zone_delays.h"
 
 GBD_BEGIN_DECLS
@@ -57,6 +58,7 @@
 {
   gbd_pool_entry_t entry;
   gbd_pool_load_t load;
+  gbd_warm_up_t warm_up;
   gbd_fingerprint_t fingerprint;
   bool is_used;
   bool is_listed;
@@ -127,6 +129,12 @@
 /** Whether the platform is unreachable. */
 bool gbd_pool_is_platform_unreachable (const gbd_pool_t *pool);
 
+/** Whether a backend server counts as cold for the limit of warm_up.h: by its
+ *  entry, or because it may have restarted before its entry says so.
+ *  @param duration how long a server of its service is cold after its start */
+bool gbd_pool_is_cold (const gbd_pool_server_t *server, gbd_time_t duration,
+                       gbd_time_t now);
+
 /** @return the backend server with a fingerprint, listed or removed, or
  *  GBD_POOL_NONE. */
 gbd_pool_handle_t gbd_pool_find (const gbd_pool_t *pool,
--- a/include/gooseberrydrum/routes.h
+++ b/include/gooseberrydrum/routes.h
@@ -46,6 +46,7 @@
   gbd_time_t duration; /**< time for which a server is cold */
   double rate; /**< requests per second that a cold server bears; 0: no limit
                     is stated */
+  char name[GBD_NAME_MAX + 1]; /**< name of the service, for reports */
 } gbd_warm_up_limits_t;
 
 typedef struct gbd_routes gbd_routes_t;
--- a/include/gooseberrydrum/suspicion.h
+++ b/include/gooseberrydrum/suspicion.h
@@ -73,6 +73,8 @@
   uint32_t probe_count;      /**< consecutive probes whose result was
                                   `probe` */
   bool is_removed;           /**< the platform no longer lists it */
+  gbd_time_t refused_at;     /**< last time at which its last probe was
+                                  refused; 0: never */
 } gbd_suspicion_t;
 
 /** Record a response to a packet. */
--- a/src/gooseberrydrum/cookie_datapath.c
+++ b/src/gooseberrydrum/cookie_datapath.c
@@ -101,6 +101,10 @@
       for (unsigned i = 0; i < count; i++)
         process_packet (datapath, i, now);
       send_batch (datapath);
+      if (gbd_director_has_sent_to_cold (datapath->director))
+        gbd_director_record_transmission (
+            datapath->director,
+            datapath->settings.clock (datapath->settings.data));
       received += count;
       if (count < BATCH)
         break;
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -9,6 +9,12 @@
   gbd_flow_tracker_t *tracker;
   gbd_routes_t *routes; /* NULL until routes are installed */
   gbd_group_view_t group;
+  gbd_warm_up_group_t warm_up_group;
+  gbd_time_t cold_sent_at; /* first decision for a cold server whose packet may
+                              not have left the process; GBD_TIME_NEVER: none */
+  uint64_t cold_packets;
+  uint64_t cold_resets;
+  uint64_t cold_drops;
   uint64_t key;
   bool has_key;
   uint64_t rules[GBD_DIRECTOR_RULE_COUNT];
@@ -21,6 +27,17 @@
 static void route_opening (const gbd_director_t *director,
                            const gbd_packet_t *packet, gbd_time_t now,
                            gbd_director_decision_t *decision);
+static bool is_limited_server (const gbd_director_t *director,
+                               const gbd_pool_server_t *server,
+                               gbd_time_t now);
+static bool accepts_duplicate (const gbd_director_t *director,
+                               gbd_pool_handle_t handle, gbd_time_t now);
+static void decide_without_server (const gbd_director_t *director,
+                                   const gbd_packet_t *packet, bool is_tracked,
+                                   gbd_director_decision_t *decision);
+static void record_opening (gbd_director_t *director,
+                            const gbd_director_decision_t *decision,
+                            gbd_time_t now);
 static void route_subsequent (const gbd_director_t *director,
                               const gbd_packet_t *packet, gbd_time_t now,
                               gbd_director_decision_t *decision);
@@ -43,6 +60,7 @@
   if (!director)
     return NULL;
   director->settings = *settings;
+  director->cold_sent_at = GBD_TIME_NEVER;
   director->pool = gbd_pool_new ();
   if (director->pool)
     director->tracker
@@ -177,6 +195,8 @@
                      const gbd_director_decision_t *decision, gbd_time_t now)
 {
   director->rules[decision->rule]++;
+  if (packet->kind == GBD_PACKET_OPENING)
+    record_opening (director, decision, now);
   if (decision->kind != GBD_ACTION_BACKEND)
     {
       if (decision->rule == GBD_DIRECTOR_RULE_SERVER_REMOVED
@@ -188,9 +208,43 @@
                                   decision->server, now);
 }
 
+bool
+gbd_director_has_sent_to_cold (const gbd_director_t *director)
+{
+  return director->cold_sent_at != GBD_TIME_NEVER;
+}
+
+void
+gbd_director_record_transmission (gbd_director_t *director, gbd_time_t now)
+{
+  uint32_t capacity = gbd_pool_get_capacity (director->pool);
+  for (uint32_t i = 0; i < capacity; i++)
+    {
+      gbd_warm_up_t *warm_up
+          = &gbd_pool_get (director->pool, (gbd_pool_handle_t)i)->warm_up;
+      if (warm_up->sent_at >= director->cold_sent_at)
+        gbd_warm_up_record_sent (warm_up, now);
+    }
+  director->cold_sent_at = GBD_TIME_NEVER;
+}
+
+gbd_warm_up_share_t
+gbd_director_get_warm_up (const gbd_director_t *director,
+                          gbd_service_id_t service, gbd_time_t now)
+{
+  if (!director->routes || director->settings.warm_up.overshoot < 1)
+    return (gbd_warm_up_share_t){ .is_limited = false };
+  gbd_warm_up_limits_t limits
+      = gbd_routes_get_warm_up (director->routes, service);
+  return gbd_warm_up_get_share (&director->settings.warm_up, &limits,
+                                &director->warm_up_group, now);
+}
+
 void
 gbd_director_tick (gbd_director_t *director, gbd_time_t now)
 {
+  gbd_warm_up_group_update (&director->warm_up_group, director->group.total,
+                            now);
   gbd_flow_tracker_tick (director->tracker, now);
   gbd_pool_tick (director->pool, now);
 }
@@ -201,6 +255,9 @@
 {
   for (int i = 0; i < GBD_DIRECTOR_RULE_COUNT; i++)
     stats->rules[i] = director->rules[i];
+  stats->cold_packets = director->cold_packets;
+  stats->cold_resets = director->cold_resets;
+  stats->cold_drops = director->cold_drops;
   stats->tracked_flows = gbd_flow_tracker_get_count (director->tracker);
 }
 
@@ -229,6 +286,8 @@
     .group = director->group,
     .is_idempotent = route->is_idempotent,
   };
+  placement.warm_up
+      = gbd_director_get_warm_up (director, placement.service, now);
   const gbd_tracked_flow_t *flow
       = gbd_flow_tracker_find (director->tracker, decision->hash);
   bool is_tracked = flow && flow->phase == GBD_FLOW_OPENING
@@ -245,25 +304,87 @@
     {
       decision->rule = GBD_DIRECTOR_RULE_SAME;
       decision->server = flow->server;
+      if (!accepts_duplicate (director, decision->server, now))
+        {
+          decide_drop (decision, GBD_DIRECTOR_RULE_SAME, GBD_DROP_UNCERTAIN);
+          decision->is_limited = true;
+          return;
+        }
     }
   else
     decision->server = gbd_placement_choose (director->pool, &placement, now);
   decision->previous = placement.avoid;
   if (decision->server == GBD_POOL_NONE)
     {
-      if (gbd_pool_is_synced (director->pool))
-        decide_reset (decision, GBD_DIRECTOR_RULE_NO_SERVER);
-      else
-        decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY,
-                     GBD_DROP_NOT_JOINED);
+      decision->is_limited = placement.warm_up.is_limited;
+      decide_without_server (director, packet, is_tracked, decision);
       return;
     }
   const gbd_pool_server_t *server
       = gbd_pool_peek (director->pool, decision->server);
+  decision->is_to_cold = is_limited_server (director, server, now);
   decision->cookie
       = gbd_cookie_encode (director->key, &packet->flow, server->fingerprint);
 }
 
+/* Whether the limit for cold servers applies to a server now. */
+static bool
+is_limited_server (const gbd_director_t *director,
+                   const gbd_pool_server_t *server, gbd_time_t now)
+{
+  gbd_warm_up_share_t share
+      = gbd_director_get_warm_up (director, server->entry.service, now);
+  return share.is_limited && gbd_pool_is_cold (server, share.duration, now);
+}
+
+/* Whether a duplicate of an opening packet may follow the first one. */
+static bool
+accepts_duplicate (const gbd_director_t *director, gbd_pool_handle_t handle,
+                   gbd_time_t now)
+{
+  const gbd_pool_server_t *server = gbd_pool_peek (director->pool, handle);
+  gbd_warm_up_share_t share
+      = gbd_director_get_warm_up (director, server->entry.service, now);
+  return !share.is_limited || !gbd_pool_is_cold (server, share.duration, now)
+         || gbd_warm_up_allows (&share, &server->warm_up,
+                                server->entry.backend.id, now);
+}
+
+/* Rejects an opening packet that no server can accept.  While a limit for cold
+   servers is in force, a copy is dropped: its first transmission may have been
+   forwarded, and its flow may be opening. */
+static void
+decide_without_server (const gbd_director_t *director,
+                       const gbd_packet_t *packet, bool is_tracked,
+                       gbd_director_decision_t *decision)
+{
+  if (!gbd_pool_is_synced (director->pool))
+    decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY, GBD_DROP_NOT_JOINED);
+  else if (decision->is_limited && (is_tracked || packet->acknowledgment > 0))
+    decide_drop (decision, GBD_DIRECTOR_RULE_NO_SERVER, GBD_DROP_UNCERTAIN);
+  else
+    decide_reset (decision, GBD_DIRECTOR_RULE_NO_SERVER);
+}
+
+static void
+record_opening (gbd_director_t *director,
+                const gbd_director_decision_t *decision, gbd_time_t now)
+{
+  if (decision->kind == GBD_ACTION_BACKEND)
+    gbd_warm_up_record_sent (
+        &gbd_pool_get (director->pool, decision->server)->warm_up, now);
+  if (decision->kind == GBD_ACTION_BACKEND && decision->is_to_cold)
+    {
+      director->cold_packets++;
+      if (director->cold_sent_at == GBD_TIME_NEVER)
+        director->cold_sent_at = now;
+    }
+  if (decision->is_limited && decision->kind == GBD_ACTION_RESET)
+    director->cold_resets++;
+  else if (decision->is_limited && decision->kind == GBD_ACTION_DROP)
+    director->cold_drops++;
+}
+
 static void
 route_subsequent (const gbd_director_t *director, const gbd_packet_t *packet,
                   gbd_time_t now, gbd_director_decision_t *decision)
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -18,6 +18,7 @@
 typedef enum
 {
   CLASS_HEALTHY,     /* not suspected, or a trial flow is due */
+  CLASS_COLD,        /* cold, while warm ones have free slots */
   CLASS_SUSPECTED,   /* suspected, and no trial flow is due yet */
   CLASS_AVOIDED,     /* did not respond to this flow */
   CLASS_LAST_RESORT, /* its entry was removed recently, or another backend
@@ -30,11 +31,19 @@
 {
   const gbd_zone_delays_t *zone_delays;
   gbd_peer_response_time_t peers;
+  bool has_free_warm; /* a warm server has free slots; only known where a
+                         limit for cold servers is in force */
 } observations_t;
 
 static class_t classify (const gbd_pool_server_t *server,
                          gbd_pool_handle_t handle,
                          const gbd_placement_t *placement, gbd_time_t now);
+static bool has_free_warm_server (const gbd_pool_t *pool,
+                                  const gbd_placement_t *placement,
+                                  gbd_time_t now);
+static class_t limit_cold (const gbd_pool_server_t *server, class_t class,
+                           const gbd_placement_t *placement,
+                           const observations_t *observations, gbd_time_t now);
 static void find_peers (const gbd_pool_t *pool,
                         const gbd_placement_t *placement, gbd_time_t now,
                         observations_t *observations);
@@ -59,13 +68,17 @@
   observations_t observations
       = { .zone_delays = gbd_pool_peek_zone_delays (pool) };
   find_peers (pool, placement, now, &observations);
+  if (placement->warm_up.is_limited && !placement->is_room_short)
+    observations.has_free_warm = has_free_warm_server (pool, placement, now);
   for (uint32_t i = 0; i < capacity; i++)
     {
       gbd_pool_handle_t handle = (gbd_pool_handle_t)i;
       const gbd_pool_server_t *server = gbd_pool_peek (pool, handle);
       if (!server->is_used || server->entry.service != placement->service)
         continue;
-      class_t class = classify (server, handle, placement, now);
+      class_t class
+          = limit_cold (server, classify (server, handle, placement, now),
+                        placement, &observations, now);
       if (class == CLASS_NONE)
         continue;
       uint64_t cost = class * CLASS_COST
@@ -98,6 +111,50 @@
              : CLASS_SUSPECTED;
 }
 
+/* Whether warm servers have free slots.  Each instance knows only its own
+   flows, so if the number of instances is known, the others are taken to have
+   as many. */
+static bool
+has_free_warm_server (const gbd_pool_t *pool, const gbd_placement_t *placement,
+                      gbd_time_t now)
+{
+  uint64_t instances = placement->group.total ? placement->group.total : 1;
+  uint64_t slots = 0;
+  uint64_t waiting = 0;
+  bool has_free = false;
+  uint32_t capacity = gbd_pool_get_capacity (pool);
+  for (uint32_t i = 0; i < capacity; i++)
+    {
+      gbd_pool_handle_t handle = (gbd_pool_handle_t)i;
+      const gbd_pool_server_t *server = gbd_pool_peek (pool, handle);
+      if (!server->is_used || server->entry.service != placement->service
+          || classify (server, handle, placement, now) != CLASS_HEALTHY
+          || gbd_pool_is_cold (server, placement->warm_up.duration, now))
+        continue;
+      slots += server->entry.slots;
+      waiting += server->load.waiting;
+      has_free |= server->load.waiting < server->entry.slots;
+    }
+  return has_free && waiting * instances < slots;
+}
+
+/* Returns the class of a candidate in view of the limit for cold servers. */
+static class_t
+limit_cold (const gbd_pool_server_t *server, class_t class,
+            const gbd_placement_t *placement,
+            const observations_t *observations, gbd_time_t now)
+{
+  const gbd_warm_up_share_t *share = &placement->warm_up;
+  if (!share->is_limited || class == CLASS_NONE
+      || !gbd_pool_is_cold (server, share->duration, now))
+    return class;
+  if (!gbd_warm_up_allows (share, &server->warm_up, server->entry.backend.id,
+                           now))
+    return CLASS_NONE;
+  return class == CLASS_HEALTHY && observations->has_free_warm ? CLASS_COLD
+                                                               : class;
+}
+
 static void
 find_peers (const gbd_pool_t *pool, const gbd_placement_t *placement,
             gbd_time_t now, observations_t *observations)
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -88,11 +88,18 @@
       if (handle == GBD_POOL_NONE)
         return GBD_ERROR_MEMORY;
       memset (&pool->servers[handle], 0, sizeof pool->servers[handle]);
+      gbd_warm_up_init (&pool->servers[handle].warm_up);
     }
   gbd_pool_server_t *server = &pool->servers[handle];
+  bool has_restarted = server->is_used
+                       && server->entry.start_time_ms != entry->start_time_ms;
+  /* The first list of an instance tells by its entries which servers are
+     cold; servers that are listed later have just started. */
+  if (has_restarted || (pool->is_synced && !server->is_listed))
+    server->warm_up.assumed_start_at = now;
   /* After a restart, the backend server has none of its previous flows, and
      earlier evidence of a failure is outdated. */
-  if (server->is_used && server->entry.start_time_ms != entry->start_time_ms)
+  if (has_restarted)
     memset (&server->load.suspicion, 0, sizeof server->load.suspicion);
   bool has_moved = !is_new
                    && !gbd_address_is_equal (&server->entry.backend.address,
@@ -250,6 +257,17 @@
   return pool->is_platform_unreachable;
 }
 
+bool
+gbd_pool_is_cold (const gbd_pool_server_t *server, gbd_time_t duration,
+                  gbd_time_t now)
+{
+  const gbd_suspicion_t *suspicion = &server->load.suspicion;
+  return now < server->entry.warm_at || !server->is_listed
+         || gbd_suspicion_get_probe (suspicion, now) == GBD_PROBE_REFUSED
+         || now - server->warm_up.assumed_start_at < duration
+         || (suspicion->refused_at && now - suspicion->refused_at < duration);
+}
+
 gbd_pool_handle_t
 gbd_pool_find (const gbd_pool_t *pool, gbd_fingerprint_t fingerprint)
 {
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -9,6 +9,8 @@
 void
 gbd_suspicion_record_response (gbd_suspicion_t *suspicion, gbd_time_t now)
 {
+  if (suspicion->probe == GBD_PROBE_REFUSED)
+    suspicion->refused_at = now;
   suspicion->last_response_at = now;
   suspicion->unanswered = 0;
   suspicion->probe = GBD_PROBE_NONE;
@@ -74,6 +76,8 @@
   if (!needs_probe (suspicion) || suspicion->last_response_at >= began_at)
     return false;
   bool has_changed = gbd_suspicion_get_probe (suspicion, now) != result;
+  if (suspicion->probe == GBD_PROBE_REFUSED || result == GBD_PROBE_REFUSED)
+    suspicion->refused_at = now;
   suspicion->probe_count = has_changed ? 1 : suspicion->probe_count + 1;
   suspicion->probe = (uint8_t)result;
   suspicion->probed_at = began_at;
