--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -81,10 +81,10 @@
                                    GBD_POOL_NONE */
   gbd_cookie_t cookie;        /**< cookie to write into the packet */
   gbd_flow_hash_t hash;
-  bool is_to_cold;       /**< an opening packet to a backend server that is
-                              cold, where a limit for it is in force */
-  bool is_limited;       /**< reset or dropped; a limit for cold backend servers
-                              is in force for the service */
+  bool is_to_cold;  /**< an opening packet to a backend server that is
+                         cold, where a limit for it is in force */
+  bool is_limited;  /**< reset or dropped; a limit for cold backend servers
+                         is in force for the service */
   uint64_t version; /**< version of the routes used; 0 if no routes are
                          installed */
 } gbd_director_decision_t;
@@ -161,9 +161,9 @@
 bool gbd_director_has_sent_to_cold (const gbd_director_t *director);
 
 /** What this instance may send to cold backend servers of a service. */
-gbd_warm_up_share_t
-gbd_director_get_warm_up (const gbd_director_t *director,
-                          gbd_service_id_t service, gbd_time_t now);
+gbd_warm_up_share_t gbd_director_get_warm_up (const gbd_director_t *director,
+                                              gbd_service_id_t service,
+                                              gbd_time_t now);
 
 /** Run periodic work; call about ten times a second. */
 void gbd_director_tick (gbd_director_t *director, gbd_time_t now);
--- a/include/gooseberrydrum/warm_up.h
+++ b/include/gooseberrydrum/warm_up.h
@@ -8,8 +8,8 @@
  *
  *  The limit applies to all instances together, without messages.  A hash of
  *  instance and server selects few instances for each cold server, and each of
- *  them leaves more than a second between two opening packets.  The design note
- *  docs/design/cold-servers.md states why the limit holds.
+ *  them leaves more than a second between two opening packets.  The design
+ * note docs/design/cold-servers.md states why the limit holds.
  *
  *  Rates are packets per second, times are microseconds.  Rate and duration
  *  are those of the configuration (routes.h), overshoot and slack those of the
--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -184,6 +184,10 @@
     json_object_set_new (
         fields, "former",
         json_string (get_server_name (serve, decision->previous)));
+  if (decision->is_to_cold)
+    json_object_set_new (fields, "cold", json_true ());
+  if (decision->is_limited)
+    json_object_set_new (fields, "cold_limit", json_true ());
   if (decision->kind == GBD_ACTION_DROP)
     json_object_set_new (fields, "cause",
                          json_string (gbd_drop_strings[decision->drop]));
@@ -330,6 +334,22 @@
     add_counter (counters, "gooseberrydrum_decisions_total",
                  "Routing decisions by rule.", GBD_COUNTER_MONOTONIC, "rule",
                  gbd_director_rule_strings[i], stats.rules[i]);
+  add_counter (counters, "gooseberrydrum_cold_packets_total",
+               "Opening packets sent to cold backend servers with a limit.",
+               GBD_COUNTER_MONOTONIC, NULL, NULL, stats.cold_packets);
+  add_counter (counters, "gooseberrydrum_cold_refusals_total",
+               "Opening packets without a backend server while a limit for "
+               "cold ones applies, by action.",
+               GBD_COUNTER_MONOTONIC, "action", "reset", stats.cold_resets);
+  add_counter (counters, "gooseberrydrum_cold_refusals_total",
+               "Opening packets without a backend server while a limit for "
+               "cold ones applies, by action.",
+               GBD_COUNTER_MONOTONIC, "action", "drop", stats.cold_drops);
+  for (uint32_t i = 0; i < serve->cold_service_count; i++)
+    add_counter (counters, "gooseberrydrum_cold_servers",
+                 "Cold backend servers of a service with a limit.",
+                 GBD_COUNTER_GAUGE, "service", serve->cold_services[i].name,
+                 serve->cold_services[i].cold_servers);
   add_counter (counters, "gooseberrydrum_watched_flows",
                "Flows tracked for responses.", GBD_COUNTER_GAUGE, NULL, NULL,
                stats.tracked_flows);
@@ -435,6 +455,7 @@
       gbd_cookie_servers_use_platform (serve) ? "platform" : "relay");
   add_age (status, "routes_age_ms", serve->routes_read_at, now);
   add_age (status, "list_age_ms", serve->servers_confirmed_at, now);
+  gbd_cookie_warm_up_add_status (serve, status);
   return status;
 }
 
@@ -504,19 +525,19 @@
         continue;
       char address[GBD_ADDRESS_TEXT_MAX];
       gbd_address_format (&server->entry.backend.address, address);
-      json_array_append_new (
-          servers,
-          json_pack ("{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:I, s:I, s:s}",
-                     "name", server->entry.name, "address", address, "state",
-                     state_strings[server->entry.backend.state], "listed",
-                     server->is_listed, "cold", now < server->entry.warm_at,
-                     "waiting", (int)server->load.waiting, "open",
-                     (int)server->load.open, "suspected",
-                     (int)server->load.suspicion.unanswered, "placed",
-                     (json_int_t)server->load.placed, "unanswered",
-                     (json_int_t)server->load.unanswered, "probe",
-                     gbd_probe_strings[gbd_suspicion_get_probe (
-                         &server->load.suspicion, now)]));
+      json_t *fields = json_pack (
+          "{s:s, s:s, s:s, s:b, s:b, s:i, s:i, s:i, s:I, s:I, s:s}", "name",
+          server->entry.name, "address", address, "state",
+          state_strings[server->entry.backend.state], "listed",
+          server->is_listed, "cold", now < server->entry.warm_at, "waiting",
+          (int)server->load.waiting, "open", (int)server->load.open,
+          "suspected", (int)server->load.suspicion.unanswered, "placed",
+          (json_int_t)server->load.placed, "unanswered",
+          (json_int_t)server->load.unanswered, "probe",
+          gbd_probe_strings[gbd_suspicion_get_probe (&server->load.suspicion,
+                                                     now)]);
+      gbd_cookie_warm_up_add_server (serve, server, fields, now);
+      json_array_append_new (servers, fields);
     }
   return servers;
 }
--- a/src/gooseberrydrum/cookie_serve.c
+++ b/src/gooseberrydrum/cookie_serve.c
@@ -132,6 +132,12 @@
     .zone = gbd_zone_from_name (serve->settings->zone),
     .flow_capacity = TRACKED_FLOWS,
   };
+  if (serve->settings->warmup_overshoot.is_set)
+    director.warm_up = (gbd_warm_up_settings_t){
+      .instance = gbd_id_from_name (serve->settings->name),
+      .overshoot = serve->settings->warmup_overshoot.value,
+      .slack = serve->settings->warmup_slack.value,
+    };
   serve->director = gbd_director_new (&director);
   if (!serve->director)
     return false;
@@ -347,6 +353,7 @@
   gbd_director_tick (serve->director, now);
   if (serve->prober)
     gbd_prober_tick (serve->prober, now);
+  gbd_cookie_warm_up_tick (serve, now);
   check_readiness (serve, now);
   check_settings_file (serve, now);
   check_shutdown (serve, now);
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -28,6 +28,20 @@
  *  of a millisecond. */
 #define GBD_SETUP_TIME_BUCKETS 12
 
+/** Services whose limits for cold backend servers are reported. */
+#define GBD_COLD_SERVICES_MAX 32
+
+/** A service whose limit for cold backend servers is in force. */
+typedef struct
+{
+  gbd_service_id_t service;
+  char name[GBD_NAME_MAX + 1];
+  gbd_time_t since;
+  uint32_t cold_servers;
+  uint32_t own_servers; /**< cold ones to which this instance may send */
+  gbd_warm_up_share_t share;
+} gbd_cold_service_t;
+
 typedef struct
 {
   gbd_settings_t *settings;
@@ -120,6 +134,9 @@
   uint64_t setup_time_counts[GBD_SETUP_TIME_BUCKETS]; /**< flows by time from
                                                          the opening packet to
                                                          the next packet */
+  uint32_t cold_service_count;
+  gbd_cold_service_t cold_services[GBD_COLD_SERVICES_MAX]; /**< at the last
+                                                                tick */
   lws_sorted_usec_list_t timer;
 } gbd_cookie_serve_t;
 
@@ -187,6 +204,18 @@
 /** Another instance has announced itself; a gbd_relay_holder_callback_t. */
 void gbd_cookie_holder_seen (void *data, const gbd_address_t *holder);
 
+/* cookie_warm_up.c: reports on the limit for cold backend servers */
+
+/** Log where the limit has come into force or ended. */
+void gbd_cookie_warm_up_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+/** Add the services where it is in force; nothing if there are none. */
+void gbd_cookie_warm_up_add_status (const gbd_cookie_serve_t *serve,
+                                    json_t *status);
+/** Add to the description of a backend server whether the limit applies. */
+void gbd_cookie_warm_up_add_server (const gbd_cookie_serve_t *serve,
+                                    const gbd_pool_server_t *server,
+                                    json_t *fields, gbd_time_t now);
+
 /* cookie_report.c */
 
 extern const gbd_admin_callbacks_t gbd_cookie_admin_callbacks;
--- a/src/gooseberrydrum/settings.h
+++ b/src/gooseberrydrum/settings.h
@@ -38,6 +38,13 @@
   gbd_address_t addresses[GBD_ADDRESS_LIST_MAX];
 } gbd_address_list_t;
 
+/** A number that need not be specified. */
+typedef struct
+{
+  bool is_set;
+  double value;
+} gbd_decimal_t;
+
 /** Values of the settings, checked one by one and against each other.  Each
  *  field belongs to the flag of the same name, unless its comment names
  *  another flag. */
@@ -66,6 +73,8 @@
   bool insecure_links;
   bool probe_servers;
   bool first_start;
+  gbd_decimal_t warmup_overshoot; /**< both are set, or none */
+  gbd_decimal_t warmup_slack;
   uint32_t heartbeat_ms;
   uint32_t lease_timeout_ms;   /**< --touch-timeout-ms */
   uint32_t failure_timeout_ms; /**< --silence-timeout-ms */
--- a/src/gooseberrydrum/settings_check.c
+++ b/src/gooseberrydrum/settings_check.c
@@ -26,6 +26,7 @@
 failure_timeout_exceeds_lease_timeout (const gbd_settings_t *settings);
 static bool udp_addresses_differ (const gbd_settings_t *settings);
 static bool tcp_addresses_differ (const gbd_settings_t *settings);
+static bool has_complete_warm_up (const gbd_settings_t *settings);
 static bool admin_is_local_or_has_token (const gbd_settings_t *settings);
 
 static const rule_t rules[] = {
@@ -60,6 +61,9 @@
     "choose another port" },
   { tcp_addresses_differ, "admin-listen", "is the same as --link-listen",
     "choose another port" },
+  { has_complete_warm_up, "warmup-overshoot",
+    "and warmup-slack are not specified together",
+    "specify --warmup-overshoot and --warmup-slack, or neither" },
   { admin_is_local_or_has_token, "admin-listen",
     "is not a loopback address, and there is no token",
     "set GOOSEBERRYDRUM_ADMIN_TOKEN or --admin-token-file, or use "
@@ -170,6 +174,12 @@
                                    &settings->link_listen);
 }
 
+static bool
+has_complete_warm_up (const gbd_settings_t *settings)
+{
+  return settings->warmup_overshoot.is_set == settings->warmup_slack.is_set;
+}
+
 static bool
 admin_is_local_or_has_token (const gbd_settings_t *settings)
 {
--- a/src/gooseberrydrum/settings_kinds.c
+++ b/src/gooseberrydrum/settings_kinds.c
@@ -7,6 +7,8 @@
 #include <syslog.h>
 #include <unistd.h>
 
+#include <glib.h>
+
 static const char *parse_name (const gbd_setting_t *setting, const char *text,
                                void *field);
 static const char *parse_address (const gbd_setting_t *setting,
@@ -17,6 +19,8 @@
                                     const char *text, void *field);
 static const char *parse_number (const gbd_setting_t *setting,
                                  const char *text, void *field);
+static const char *parse_decimal (const gbd_setting_t *setting,
+                                  const char *text, void *field);
 static const char *parse_power_of_two (const gbd_setting_t *setting,
                                        const char *text, void *field);
 static const char *parse_flag (const gbd_setting_t *setting, const char *text,
@@ -41,6 +45,8 @@
                                 size_t size);
 static void describe_number (const gbd_setting_t *setting, char *text,
                              size_t size);
+static void describe_decimal (const gbd_setting_t *setting, char *text,
+                              size_t size);
 static void describe_power_of_two (const gbd_setting_t *setting, char *text,
                                    size_t size);
 static void describe_flag (const gbd_setting_t *setting, char *text,
@@ -65,6 +71,8 @@
     = { parse_addresses, describe_addresses, false };
 const gbd_setting_kind_t gbd_kind_number
     = { parse_number, describe_number, false };
+const gbd_setting_kind_t gbd_kind_decimal
+    = { parse_decimal, describe_decimal, false };
 const gbd_setting_kind_t gbd_kind_power_of_two
     = { parse_power_of_two, describe_power_of_two, false };
 const gbd_setting_kind_t gbd_kind_flag = { parse_flag, describe_flag, true };
@@ -156,6 +164,25 @@
   return NULL;
 }
 
+static const char *
+parse_decimal (const gbd_setting_t *setting, const char *text, void *field)
+{
+  gbd_decimal_t *decimal = field;
+  *decimal = (gbd_decimal_t){ .is_set = text[0] != '\0' };
+  /* A template expands to an empty text if the platform has no number. */
+  if (!decimal->is_set)
+    return NULL;
+  char *end;
+  errno = 0;
+  decimal->value = g_ascii_strtod (text, &end);
+  if (text[strspn (text, "0123456789.")] || end == text || *end || errno != 0)
+    return "is not a number";
+  if (decimal->value < (double)setting->minimum
+      || decimal->value > (double)setting->maximum)
+    return "is out of range";
+  return NULL;
+}
+
 static const char *
 parse_power_of_two (const gbd_setting_t *setting, const char *text,
                     void *field)
@@ -289,6 +316,15 @@
             (unsigned long long)setting->maximum, setting->unit);
 }
 
+static void
+describe_decimal (const gbd_setting_t *setting, char *text, size_t size)
+{
+  snprintf (text, size,
+            "a number from %llu to %llu%s, such as 1.5, or nothing",
+            (unsigned long long)setting->minimum,
+            (unsigned long long)setting->maximum, setting->unit);
+}
+
 static void
 describe_power_of_two (const gbd_setting_t *setting, char *text, size_t size)
 {
--- a/src/gooseberrydrum/settings_kinds.h
+++ b/src/gooseberrydrum/settings_kinds.h
@@ -13,6 +13,8 @@
 /** Up to GBD_ADDRESS_LIST_MAX addresses. */
 extern const gbd_setting_kind_t gbd_kind_addresses;
 extern const gbd_setting_kind_t gbd_kind_number;
+/** A number that may have a fraction, or nothing. */
+extern const gbd_setting_kind_t gbd_kind_decimal;
 extern const gbd_setting_kind_t gbd_kind_power_of_two;
 extern const gbd_setting_kind_t gbd_kind_flag;
 extern const gbd_setting_kind_t gbd_kind_file;
--- a/src/gooseberrydrum/settings_table.c
+++ b/src/gooseberrydrum/settings_table.c
@@ -4,6 +4,7 @@
 #include <ctype.h>
 #include <string.h>
 
+#include "gooseberrydrum/warm_up.h"
 #include "settings_kinds.h"
 
 #define FIELD(field) offsetof (gbd_settings_t, field)
@@ -75,6 +76,16 @@
     "Connect to a backend server that does not respond to flows, to detect "
     "whether it has terminated; all backend servers must accept TCP "
     "connections at their address.  Only for the policy cookie." },
+  { "warmup-overshoot", &gbd_kind_decimal, FIELD (warmup_overshoot), "", "", 1,
+    GBD_WARM_UP_OVERSHOOT_MAX, NULL, false,
+    "Factor on the requests per second that the configuration states for cold "
+    "backend servers (warmup_per_s).  With warmup-slack it limits the opening "
+    "packets that each of them gets from all instances together; without both "
+    "settings there is no limit.  Only for the policy cookie." },
+  { "warmup-slack", &gbd_kind_decimal, FIELD (warmup_slack), "", " packets/s",
+    0, GBD_WARM_UP_SLACK_MAX, NULL, false,
+    "Opening packets per second that a cold backend server may get beyond the "
+    "stated requests per second times warmup-overshoot." },
   { "admin-listen", &gbd_kind_optional_address, FIELD (admin_listen),
     "127.0.0.1:7480", "", 0, 0, NULL, false,
     "Address at which status, dump, explain and counters are served (HTTP).  "
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -10,8 +10,9 @@
   gbd_routes_t *routes; /* NULL until routes are installed */
   gbd_group_view_t group;
   gbd_warm_up_group_t warm_up_group;
-  gbd_time_t cold_sent_at; /* first decision for a cold server whose packet may
-                              not have left the process; GBD_TIME_NEVER: none */
+  gbd_time_t
+      cold_sent_at; /* first decision for a cold server whose packet may
+                       not have left the process; GBD_TIME_NEVER: none */
   uint64_t cold_packets;
   uint64_t cold_resets;
   uint64_t cold_drops;
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -76,9 +76,9 @@
       const gbd_pool_server_t *server = gbd_pool_peek (pool, handle);
       if (!server->is_used || server->entry.service != placement->service)
         continue;
-      class_t class
-          = limit_cold (server, classify (server, handle, placement, now),
-                        placement, &observations, now);
+      class_t class = limit_cold (server,
+                                  classify (server, handle, placement, now),
+                                  placement, &observations, now);
       if (class == CLASS_NONE)
         continue;
       uint64_t cost = class * CLASS_COST
--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -91,8 +91,8 @@
       gbd_warm_up_init (&pool->servers[handle].warm_up);
     }
   gbd_pool_server_t *server = &pool->servers[handle];
-  bool has_restarted = server->is_used
-                       && server->entry.start_time_ms != entry->start_time_ms;
+  bool has_restarted
+      = server->is_used && server->entry.start_time_ms != entry->start_time_ms;
   /* The first list of an instance tells by its entries which servers are
      cold; servers that are listed later have just started. */
   if (has_restarted || (pool->is_synced && !server->is_listed))
--- a/src/libgooseberrydrum/warm_up.c
+++ b/src/libgooseberrydrum/warm_up.c
@@ -55,8 +55,8 @@
   double budget = floor (limits->rate * settings->overshoot + settings->slack);
   gbd_warm_up_share_t share = {
     .is_limited = true,
-    .is_starting = !group->is_started
-                   || now - group->started_at < GBD_WARM_UP_INTERVAL,
+    .is_starting
+    = !group->is_started || now - group->started_at < GBD_WARM_UP_INTERVAL,
     .duration = limits->duration,
     .budget = budget < UINT32_MAX ? (uint32_t)budget : UINT32_MAX,
     .group_bound = gbd_warm_up_group_get_bound (group, now),
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -57,6 +57,8 @@
   EVENT (SERVER_HEARD,   606, LOG_NOTICE,  "backend server responds again") \
   EVENT (FLOW_WAITS,     607, LOG_INFO,    "data retransmitted before the backend server responded") \
   EVENT (SERVER_PROBED,  608, LOG_NOTICE,  "probe of a backend server that does not respond to flows") \
+  EVENT (COLD_LIMIT,     620, LOG_NOTICE,  "limit for cold backend servers of a service is in force") \
+  EVENT (COLD_LIMIT_END, 621, LOG_NOTICE,  "limit for cold backend servers of a service has ended") \
   EVENT (STANDIN_READY,  801, LOG_INFO,    "stand-in %s listens on %s") \
   EVENT (STANDIN_FAILED, 802, LOG_ERR,     "stand-in %s: %s")
 /* clang-format on */
--- a/src/test_gooseberrydrum/test_adapter.c
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -230,6 +230,10 @@
   { "negative warm-up rate", NULL,
     "{'version':7,'routes':[],'backends':[{'name':'web','warmup_per_s':-1}]}",
     false },
+  { "warm-up rate that is too large", NULL,
+    "{'version':7,'routes':[],'backends':[{'name':'web',"
+    "'warmup_per_s':1000001}]}",
+    false },
   { "warm-up that is too long", NULL,
     "{'version':7,'routes':[],'backends':[{'name':'web','warmup_s':601}]}",
     false },
@@ -531,6 +535,7 @@
       = gbd_routes_get_warm_up (routes, gbd_id_from_name ("web"));
   assert_int_equal (limits.duration, 2 * GBD_SECOND);
   assert_float_equal (limits.rate, 12.5, 0);
+  assert_string_equal (limits.name, "web");
   limits = gbd_routes_get_warm_up (routes, gbd_id_from_name ("mail"));
   assert_int_equal (limits.duration, 0);
   assert_float_equal (limits.rate, 0, 0);
--- a/src/test_gooseberrydrum/test_settings.c
+++ b/src/test_gooseberrydrum/test_settings.c
@@ -376,6 +376,18 @@
       "policy: is not available with --packet-form=echo" },
     { 8, "--relay-listen=", NULL },
     { 8, "--relays=", NULL },
+    { 8, "--warmup-overshoot=1.5",
+      "warmup-overshoot: and warmup-slack are not specified together; specify "
+      "--warmup-overshoot and --warmup-slack, or neither" },
+    { 8, "--warmup-slack=5", "warmup-overshoot: and warmup-slack are not" },
+    { 8, "--warmup-overshoot=", NULL },
+    { 8, "--warmup-overshoot=0.99",
+      "--warmup-overshoot: is out of range; specify a number from 1 to 1000" },
+    { 8, "--warmup-overshoot=1001", "--warmup-overshoot: is out of range" },
+    { 8, "--warmup-overshoot=nan", "--warmup-overshoot: is not a number" },
+    { 8, "--warmup-overshoot=.", "--warmup-overshoot: is not a number" },
+    { 8, "--warmup-slack=-1", "--warmup-slack: is not a number" },
+    { 8, "--warmup-slack=1000001", "--warmup-slack: is out of range" },
   };
   unsetenv ("GOOSEBERRYDRUM_GROUP_KEY");
   for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
@@ -398,6 +410,58 @@
   set_key (NULL);
 }
 
+/* Guards against a limit at a platform that states no bounds, and against a
+   slack of 0 that counts as absent. */
+static void
+warm_up_settings_may_be_absent_or_empty (void **state)
+{
+  (void)state;
+  static const struct
+  {
+    const char *overshoot;
+    const char *slack;
+    bool is_set;
+  } rows[] = {
+    { NULL, NULL, false },
+    { "", "", false },
+    { "1.5", "0", true },
+    { "1", "5.25", true },
+  };
+  for (size_t i = 0; i < sizeof rows / sizeof rows[0]; i++)
+    {
+      unsetenv ("GOOSEBERRYDRUM_WARMUP_OVERSHOOT");
+      unsetenv ("GOOSEBERRYDRUM_WARMUP_SLACK");
+      if (rows[i].overshoot)
+        setenv ("GOOSEBERRYDRUM_WARMUP_OVERSHOOT", rows[i].overshoot, 1);
+      if (rows[i].slack)
+        setenv ("GOOSEBERRYDRUM_WARMUP_SLACK", rows[i].slack, 1);
+      char *arguments[] = { "serve",
+                            "--name=a",
+                            "--zone=z",
+                            "--platform=127.0.0.1:1",
+                            "--fabric-listen=127.0.0.1:2",
+                            "--policy=cookie",
+                            "--packet-form=echo",
+                            NULL };
+      int count = (int)(sizeof arguments / sizeof arguments[0]) - 1;
+      char **argv = arguments;
+      gbd_settings_t settings;
+      assert_int_equal (
+          gbd_settings_read (&count, &argv, &settings, append_report, NULL),
+          GBD_OK);
+      assert_int_equal (settings.warmup_overshoot.is_set, rows[i].is_set);
+      assert_int_equal (settings.warmup_slack.is_set, rows[i].is_set);
+      if (!rows[i].is_set)
+        continue;
+      assert_float_equal (settings.warmup_overshoot.value,
+                          strtod (rows[i].overshoot, NULL), 1e-9);
+      assert_float_equal (settings.warmup_slack.value,
+                          strtod (rows[i].slack, NULL), 1e-9);
+    }
+  unsetenv ("GOOSEBERRYDRUM_WARMUP_OVERSHOOT");
+  unsetenv ("GOOSEBERRYDRUM_WARMUP_SLACK");
+}
+
 static void
 manual_page_is_up_to_date (void **state)
 {
@@ -433,6 +497,7 @@
     cmocka_unit_test (secrets_are_read_from_files),
     cmocka_unit_test (flags_and_variables_override_the_file),
     cmocka_unit_test (cookie_policy_needs_no_peer_settings),
+    cmocka_unit_test (warm_up_settings_may_be_absent_or_empty),
     cmocka_unit_test (manual_page_is_up_to_date),
   };
   return cmocka_run_group_tests (tests, set_key, NULL);
--- a/src/test_libgooseberrydrum/prop_warm_up.cc
+++ b/src/test_libgooseberrydrum/prop_warm_up.cc
@@ -24,8 +24,8 @@
   gbd_warm_up_settings_t settings;
   gbd_warm_up_limits_t limits;
   uint32_t instance_count;
-  bool has_equal_views; /* all views are as small as they may be */
-  int attempt_count;    /* at each instance, besides the bursts */
+  bool has_equal_views;           /* all views are as small as they may be */
+  int attempt_count;              /* at each instance, besides the bursts */
   std::vector<gbd_time_t> bursts; /* when many callers open flows */
   std::vector<gbd_backend_id_t> servers;
 };
@@ -111,8 +111,8 @@
   receive (gbd_time_t now, allow_t allow, transmissions_t &transmissions)
   {
     update_view (now);
-    const gbd_warm_up_share_t share = gbd_warm_up_get_share (
-        &settings, &scenario.limits, &group, now);
+    const gbd_warm_up_share_t share
+        = gbd_warm_up_get_share (&settings, &scenario.limits, &group, now);
     const bool is_frozen = pick (0, 19) == 0;
     const gbd_time_t sent_at
         = now + (is_frozen ? pick (0, 3 * GBD_SECOND / 2) : pick (0, 1000));
@@ -180,9 +180,9 @@
   transmissions_t transmissions (server_count);
   for (uint32_t i = 0; i < scenario.instance_count; i++)
     instance_t (scenario, random ()).run (allow, transmissions);
-  const auto budget = uint32_t (
-      scenario.limits.rate * scenario.settings.overshoot
-      + scenario.settings.slack);
+  const auto budget
+      = uint32_t (scenario.limits.rate * scenario.settings.overshoot
+                  + scenario.settings.slack);
   RC_ASSERT (find_maximum (transmissions) <= budget);
 }
 
@@ -195,8 +195,7 @@
       "no cold server gets more than the budget in any sliding second",
       [] { check_limit (gbd_warm_up_allows); });
   std::cout << "The next property has a planted fault and must fail.\n";
-  const bool is_fault_missed
-      = rc::check ("budget by fixed windows",
-                   [] { check_limit (allow_by_fixed_windows); });
+  const bool is_fault_missed = rc::check (
+      "budget by fixed windows", [] { check_limit (allow_by_fixed_windows); });
   return holds && !is_fault_missed ? 0 : 1;
 }
--- a/src/test_libgooseberrydrum/test_cold_servers.c
+++ b/src/test_libgooseberrydrum/test_cold_servers.c
@@ -29,9 +29,8 @@
   gbd_director_settings_t settings
       = { .zone = gbd_zone_from_name (zone),
           .flow_capacity = FLOWS,
-          .warm_up = { .instance = instance,
-                       .overshoot = overshoot,
-                       .slack = SLACK } };
+          .warm_up
+          = { .instance = instance, .overshoot = overshoot, .slack = SLACK } };
   gbd_director_t *director = gbd_director_new (&settings);
   assert_non_null (director);
   gbd_director_set_key (director, KEY);
@@ -403,8 +402,7 @@
         {
           if (!strstr (cold_zones, zones[j % ZONES]))
             continue;
-          gbd_pool_entry_t entry
-              = make_entry (j + 1, "web", zones[j % ZONES]);
+          gbd_pool_entry_t entry = make_entry (j + 1, "web", zones[j % ZONES]);
           entry.warm_at = warm_at;
           put_entry (director, &entry, START);
         }
--- a/src/test_libgooseberrydrum/test_warm_up.c
+++ b/src/test_libgooseberrydrum/test_warm_up.c
@@ -104,12 +104,10 @@
   assert_true (gbd_warm_up_allows (&share, &server, 1, now));
   gbd_warm_up_record_sent (&server, now);
   assert_false (gbd_warm_up_allows (&share, &server, 1, now + GBD_SECOND));
-  assert_true (gbd_warm_up_allows (&share, &server, 1,
-                                   now + share.interval));
+  assert_true (gbd_warm_up_allows (&share, &server, 1, now + share.interval));
   /* The packet left the process later than it was decided on. */
   gbd_warm_up_record_sent (&server, now + GBD_SECOND);
-  assert_false (gbd_warm_up_allows (&share, &server, 1,
-                                    now + share.interval));
+  assert_false (gbd_warm_up_allows (&share, &server, 1, now + share.interval));
 }
 
 /* Guards against a burst when the view shrinks although the instances still
