--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -73,6 +73,11 @@
 static void start_list_metadata (void *data, uint32_t removal_grace_ms,
                                  uint64_t hint, bool is_connected);
 static void set_routes_watch_wait (gbd_cookie_serve_t *serve, gbd_time_t now);
+static void relay_change (gbd_cookie_serve_t *serve, const char *name,
+                          uint64_t version, const gbd_pool_entry_t *entry,
+                          gbd_time_t now);
+static bool is_warming_up (const gbd_cookie_serve_t *serve,
+                           const gbd_pool_entry_t *entry);
 static bool is_unchanged (const gbd_cookie_serve_t *serve,
                           const gbd_pool_entry_t *entry);
 static void remove_server (gbd_cookie_serve_t *serve, const char *name,
@@ -406,13 +411,8 @@
     status = api->read_server (name, value, now, &entry, &problem);
   if (status == GBD_OK && serve->is_restoring)
     is_suspect = gbd_pool_correct_restored (pool, &entry);
-  if (serve->relay && !(status == GBD_OK && is_unchanged (serve, &entry)))
-    {
-      json_t *description
-          = status == GBD_OK ? gbd_relay_describe_server (&entry, now) : NULL;
-      gbd_relay_apply (serve->relay, name, version, description);
-      json_decref (description);
-    }
+  if (serve->relay)
+    relay_change (serve, name, version, status == GBD_OK ? &entry : NULL, now);
   if (!value)
     {
       remove_server (serve, name, version, "deleted", now);
@@ -444,6 +444,38 @@
                                  "cold", entry.warm_at != 0));
 }
 
+/* Passes an entry on to readers.
+   @param entry NULL: deleted or invalid */
+static void
+relay_change (gbd_cookie_serve_t *serve, const char *name, uint64_t version,
+              const gbd_pool_entry_t *entry, gbd_time_t now)
+{
+  bool is_known = entry && is_unchanged (serve, entry);
+  if (is_known && !is_warming_up (serve, entry))
+    return;
+  json_t *description = entry ? gbd_relay_describe_server (entry, now) : NULL;
+  /* A reader that starts later would otherwise count the warm-up from its own
+     start. */
+  if (is_known)
+    gbd_relay_refresh (serve->relay, name, description);
+  else
+    gbd_relay_apply (serve->relay, name, version, description);
+  json_decref (description);
+}
+
+/* Whether an entry, or the previous one of the same server, states a warm-up.
+ */
+static bool
+is_warming_up (const gbd_cookie_serve_t *serve, const gbd_pool_entry_t *entry)
+{
+  const gbd_pool_t *pool = gbd_director_peek_pool (serve->director);
+  gbd_pool_handle_t handle
+      = gbd_pool_find (pool, gbd_cookie_fingerprint (entry->backend.id));
+  return entry->warm_at != 0
+         || (handle != GBD_POOL_NONE
+             && gbd_pool_peek (pool, handle)->entry.warm_at != 0);
+}
+
 /* Whether an entry contains nothing new for readers.  The remaining warm-up
    time changes with each heartbeat, but readers can compute it themselves. */
 static bool
--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -104,6 +104,7 @@
   gbd_time_t now; /* time of the last tick */
 };
 
+static GBytes *pack_value (const json_t *value);
 static void publish_objects (gbd_relay_t *relay, uint64_t version,
                              gbd_time_t now);
 static int handle_callback (struct lws *wsi, enum lws_callback_reasons reason,
@@ -231,21 +232,25 @@
     }
   object_t *object = g_new0 (object_t, 1);
   if (value)
-    {
-      msgpack_sbuffer buffer;
-      msgpack_packer packer;
-      msgpack_sbuffer_init (&buffer);
-      msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-      if (gbd_relay_pack (&packer, value))
-        object->value = take_bytes (&buffer);
-      msgpack_sbuffer_destroy (&buffer);
-    }
+    object->value = pack_value (value);
   object->version = version;
   object->is_in_list = true;
   relay->change_count++;
   g_hash_table_replace (relay->objects, g_strdup (name), object);
 }
 
+void
+gbd_relay_refresh (gbd_relay_t *relay, const char *name, const json_t *value)
+{
+  object_t *current = g_hash_table_lookup (relay->objects, name);
+  GBytes *bytes = current && current->value ? pack_value (value) : NULL;
+  if (!bytes)
+    return;
+  g_bytes_unref (current->value);
+  current->value = bytes;
+  relay->cached_response.is_valid = false;
+}
+
 void
 gbd_relay_publish (gbd_relay_t *relay, uint64_t version,
                    uint32_t removal_grace_ms, gbd_time_t now)
@@ -411,6 +416,21 @@
 
 /* Makes the applied changes part of the list with a version of the platform.
  */
+/* Returns NULL if the value cannot be packed. */
+static GBytes *
+pack_value (const json_t *value)
+{
+  GBytes *bytes = NULL;
+  msgpack_sbuffer buffer;
+  msgpack_packer packer;
+  msgpack_sbuffer_init (&buffer);
+  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
+  if (gbd_relay_pack (&packer, value))
+    bytes = take_bytes (&buffer);
+  msgpack_sbuffer_destroy (&buffer);
+  return bytes;
+}
+
 static void
 publish_objects (gbd_relay_t *relay, uint64_t version, gbd_time_t now)
 {
--- a/src/gooseberrydrum/relay.h
+++ b/src/gooseberrydrum/relay.h
@@ -68,6 +68,10 @@
  *  @param value of a type that gbd_relay_pack() accepts */
 void gbd_relay_apply (gbd_relay_t *relay, const char *name, uint64_t version,
                       const json_t *value);
+/** Replace the value of an object for later listings only; readers that have
+ * the object are not sent the new value. */
+void gbd_relay_refresh (gbd_relay_t *relay, const char *name,
+                        const json_t *value);
 /** Make the applied changes visible to readers.  All changes up to `version`,
  *  a version of the platform, were applied.
  *  @param removal_grace_ms remaining removal grace period of the entries */
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -317,8 +317,9 @@
   decision->previous = placement.avoid;
   if (decision->server == GBD_POOL_NONE)
     {
-      decision->is_limited = placement.warm_up.is_limited;
-      decide_without_server (director, packet, is_tracked, decision);
+      decision->is_limited = placement.warm_up.is_limited
+                             && gbd_pool_is_synced (director->pool);
+      decide_without_server (director, packet, flow != NULL, decision);
       return;
     }
   const gbd_pool_server_t *server
@@ -353,7 +354,7 @@
 
 /* Rejects an opening packet that no server can accept.  While a limit for cold
    servers is in force, a copy is dropped: its first transmission may have been
-   forwarded, and its flow may be opening. */
+   forwarded, and its flow may be opening or open. */
 static void
 decide_without_server (const gbd_director_t *director,
                        const gbd_packet_t *packet, bool is_tracked,
--- a/src/test_gooseberrydrum/test_cookie_store.c
+++ b/src/test_gooseberrydrum/test_cookie_store.c
@@ -826,6 +826,36 @@
   close_group (&group);
 }
 
+/* A reader starts after a backend server has become warm.  Guards against a
+   relay whose list still states the warm-up, so that the limit for cold
+   servers would apply at each start of an instance. */
+static void
+list_for_a_later_reader_has_no_warm_up (void **state)
+{
+  (void)state;
+  group_t group;
+  open_group (&group);
+  const gbd_cookie_serve_t *relay = start_relay (&group);
+  run_for (&group, 3 * GBD_SECOND);
+  for (uint32_t left_ms = 4000; left_ms > 0; left_ms -= 1000)
+    {
+      write_server_in_warm_up (&group, SERVERS + 1, true, left_ms);
+      run_for (&group, GBD_SECOND);
+    }
+  write_server (&group, SERVERS + 1, true);
+  run_for (&group, GBD_SECOND);
+  uint64_t changes = gbd_relay_get_change_count (relay->relay);
+  const gbd_cookie_serve_t *reader = start_reader (&group);
+  run_for (&group, 2 * GBD_SECOND);
+  const gbd_pool_t *pool = gbd_director_peek_pool (reader->director);
+  gbd_pool_handle_t handle
+      = gbd_pool_find (pool, gbd_cookie_fingerprint (SERVERS + 1));
+  assert_int_not_equal (handle, GBD_POOL_NONE);
+  assert_int_equal (gbd_pool_peek (pool, handle)->entry.warm_at, 0);
+  assert_int_equal (gbd_relay_get_change_count (relay->relay), changes);
+  close_group (&group);
+}
+
 /* A new backend server updates its remaining warm-up time every second.
    Readers compute it themselves, so these updates need not be relayed. */
 static void
@@ -879,7 +909,8 @@
     cmocka_unit_test (reader_that_predates_its_relay_lists_once_more),
     cmocka_unit_test (relay_that_starts_beside_another_polls_each_second),
     cmocka_unit_test (instance_with_timeouts_limits_its_requests),
-    cmocka_unit_test (unchanged_entries_are_not_relayed)
+    cmocka_unit_test (unchanged_entries_are_not_relayed),
+    cmocka_unit_test (list_for_a_later_reader_has_no_warm_up),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_libgooseberrydrum/test_cold_servers.c
+++ b/src/test_libgooseberrydrum/test_cold_servers.c
@@ -157,6 +157,24 @@
   gbd_director_delete (director);
 }
 
+/* Guards against a reset of an open flow by a late duplicate of its opening
+   packet. */
+static void
+late_duplicate_of_an_open_flow_is_dropped (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_participant (RATE);
+  list_servers (director, 1, "a", START + WARM_UP);
+  gbd_director_tick (director, START);
+  gbd_time_t now = START + GBD_WARM_UP_INTERVAL;
+  open_flow (director, 1, now);
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  assert_int_equal (
+      route_packet (director, &packet, now + GBD_SECOND / 2).kind,
+      GBD_ACTION_DROP);
+  gbd_director_delete (director);
+}
+
 /* Guards against a duplicate that is not counted: it starts the interval
    again. */
 static void
@@ -503,6 +521,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (decisions_without_a_figure_are_the_same_as_before),
     cmocka_unit_test (packet_without_budget_is_reset_and_its_copy_dropped),
+    cmocka_unit_test (late_duplicate_of_an_open_flow_is_dropped),
     cmocka_unit_test (duplicate_counts),
     cmocka_unit_test (interval_starts_at_the_transmission),
     cmocka_unit_test (server_that_may_have_restarted_is_cold),
