--- a/src/test_gooseberrydrum/test_cookie_datapath.c
+++ b/src/test_gooseberrydrum/test_cookie_datapath.c
@@ -26,11 +26,14 @@
 static uint32_t observed_count;
 static gbd_director_decision_t last_decision;
 
+static gbd_time_t clock_step; /* time between two reads of the clock */
+static uint32_t read_count;
+
 static gbd_time_t
 read_clock (void *data)
 {
   (void)data;
-  return NOW;
+  return NOW + clock_step * read_count++;
 }
 
 static void
@@ -66,7 +69,9 @@
     return -1;
 
   gbd_director_settings_t settings
-      = { .zone = gbd_zone_from_name ("a"), .flow_capacity = 64 };
+      = { .zone = gbd_zone_from_name ("a"),
+          .flow_capacity = 64,
+          .warm_up = { .instance = 1, .overshoot = 1.5, .slack = 5 } };
   director = gbd_director_new (&settings);
   gbd_cookie_datapath_settings_t datapath_settings
       = { .listen = caller_address,
@@ -94,6 +99,8 @@
   gbd_pool_put (pool, &entry, NOW);
   gbd_pool_end_listing (pool, NOW);
   observed_count = 0;
+  clock_step = 0;
+  read_count = 0;
   return datapath ? 0 : -1;
 }
 
@@ -207,6 +214,36 @@
   assert_int_equal (observed_count, 1);
 }
 
+/* The process is frozen after it has decided on an opening packet to a cold
+   server.  Guards against an interval that starts at the decision. */
+static void
+interval_to_a_cold_server_starts_after_transmission (void **state)
+{
+  (void)state;
+  gbd_routes_t *routes = gbd_routes_new (2);
+  gbd_route_t route
+      = { .target_count = 1, .targets = { { gbd_id_from_name ("web"), 1 } } };
+  gbd_address_parse ("198.18.0.1:443", &route.address);
+  assert_int_equal (gbd_routes_add (routes, &route), GBD_OK);
+  /* With this rate every instance takes part. */
+  gbd_warm_up_limits_t limits
+      = { .duration = GBD_SECOND, .rate = 1e5, .name = "web" };
+  assert_int_equal (
+      gbd_routes_set_warm_up (routes, gbd_id_from_name ("web"), &limits),
+      GBD_OK);
+  assert_int_equal (gbd_director_set_routes (director, routes), GBD_OK);
+  gbd_director_tick (director, NOW - 2 * GBD_SECOND);
+  gbd_pool_server_t *server
+      = gbd_pool_get (gbd_director_get_pool (director), 0);
+  server->entry.warm_at = NOW + 10 * GBD_SECOND;
+  clock_step = 900 * GBD_MILLISECOND;
+  uint8_t bytes[HEADER];
+  make_packet (bytes, 4, 443, 0);
+  send_packet (bytes, sizeof bytes);
+  assert_true (last_decision.is_to_cold);
+  assert_int_equal (server->warm_up.sent_at, NOW + clock_step);
+}
+
 int
 main (void)
 {
@@ -217,6 +254,9 @@
                                      set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         undecodable_packets_are_counted_and_dropped, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (
+        interval_to_a_cold_server_starts_after_transmission, set_up,
+        tear_down),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
