--- a/src/test_libgooseberrydrum/test_cold_servers.c
+++ b/src/test_libgooseberrydrum/test_cold_servers.c
@@ -511,7 +511,7 @@
   assert_int_equal (group->drops, 0);
   assert_true (group->resets > 0);
   /* The expected number of participants is 9 * 6 / 14 for each server. */
-  assert_true (group->placed >= 30 * 2 * WARM_UP / GBD_SECOND);
+  assert_true (group->placed >= 60 * WARM_UP / GBD_SECOND);
   delete_group (group);
 }
 
