--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -26,6 +26,11 @@
  *  response, recovery, reset of its flows, removal, start or new listing.
  *  Other servers are tried with requests that callers may repeat.
  *
+ *  Where a limit for cold backend servers is in force (warm_up.h), one without
+ *  budget is no candidate.  One with budget gets a flow if no warm server has
+ *  free slots, or if the service is short of room and the free slots that this
+ *  instance knows of prove little.
+ *
  *  Suspected backend servers get only trial flows, unless all backend servers
  *  of the service are suspected.  When many fail at once, a retransmitted
  *  opening packet preferably goes to a backend server that has responded
@@ -89,6 +94,7 @@
   bool is_room_short;      /**< the service has turned requests away lately */
   /** Zones whose backend servers are never chosen; NULL: none */
   const gbd_evacuations_t *evacuations;
+  gbd_warm_up_share_t warm_up; /**< what cold backend servers may get */
 } gbd_placement_t;
 
 /** Choose a backend server; has no side effects.
--- a/include/gooseberrydrum/suspicion.h
+++ b/include/gooseberrydrum/suspicion.h
@@ -75,6 +75,8 @@
   gbd_time_t failed_at;      /**< last missing response, reset of its flows, or
                                   response that ended the suspicion; 0: none */
   bool is_removed;           /**< the platform no longer lists it */
+  gbd_time_t refused_at;     /**< last time at which its last probe was
+                                  refused; 0: never */
 } gbd_suspicion_t;
 
 /** Record a response to a packet. */
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -37,6 +37,20 @@
 /** Watch on the evacuated zones; see cookie_evacuations.c. */
 typedef struct gbd_cookie_evacuations gbd_cookie_evacuations_t;
 
+/** Services whose limits for cold backend servers are reported. */
+#define GBD_COLD_SERVICES_MAX 32
+
+/** A service whose limit for cold backend servers is in force. */
+typedef struct
+{
+  gbd_service_id_t service;
+  char name[GBD_NAME_MAX + 1];
+  gbd_time_t since;
+  uint32_t cold_servers;
+  uint32_t own_servers; /**< cold ones to which this instance may send */
+  gbd_warm_up_share_t share;
+} gbd_cold_service_t;
+
 typedef struct
 {
   gbd_settings_t *settings;
@@ -137,6 +151,9 @@
   uint64_t setup_time_counts[GBD_SETUP_TIME_BUCKETS]; /**< flows by time from
                                                          the opening packet to
                                                          the next packet */
+  uint32_t cold_service_count;
+  gbd_cold_service_t cold_services[GBD_COLD_SERVICES_MAX]; /**< at the last
+                                                                tick */
   lws_sorted_usec_list_t timer;
 } gbd_cookie_serve_t;
 
@@ -258,6 +275,18 @@
                                    gbd_cookie_members_stats_t *stats,
                                    gbd_time_t now);
 
+/* cookie_warm_up.c: reports on the limit for cold backend servers */
+
+/** Log where the limit has come into force or ended. */
+void gbd_cookie_warm_up_tick (gbd_cookie_serve_t *serve, gbd_time_t now);
+/** Add the services where it is in force; nothing if there are none. */
+void gbd_cookie_warm_up_add_status (const gbd_cookie_serve_t *serve,
+                                    json_t *status);
+/** Add to the description of a backend server whether the limit applies. */
+void gbd_cookie_warm_up_add_server (const gbd_cookie_serve_t *serve,
+                                    const gbd_pool_server_t *server,
+                                    json_t *fields, gbd_time_t now);
+
 /* cookie_report.c */
 
 extern const gbd_admin_callbacks_t gbd_cookie_admin_callbacks;
--- a/src/share/events.h
+++ b/src/share/events.h
@@ -64,6 +64,8 @@
   EVENT (SERVER_PROBED,  608, LOG_NOTICE,  "probe of a backend server that does not respond to flows") \
   EVENT (ROOM_SHORT,     611, LOG_WARNING, "service is short of room") \
   EVENT (ROOM_FOUND,     612, LOG_NOTICE,  "service has room again") \
+  EVENT (COLD_LIMIT,     620, LOG_NOTICE,  "limit for cold backend servers of a service is in force") \
+  EVENT (COLD_LIMIT_END, 621, LOG_NOTICE,  "limit for cold backend servers of a service has ended") \
   EVENT (STANDIN_READY,  801, LOG_INFO,    "stand-in %s listens on %s") \
   EVENT (STANDIN_FAILED, 802, LOG_ERR,     "stand-in %s: %s")
 /* clang-format on */
