Room: entries for all configured routes, found by an index

The table held 512 routes in the order of their addresses, so that routes with traffic could be left out after a restart, and each lookup searched all of them. The flow tracker drops handles of former routes before they are reused, and looks up flows whose routes were installed later.

A service whose requests hardly wait is short of room only with a high share of short responses: a route with naturally short responses now and then made a calm service short of room.

--- a/include/gooseberrydrum/flow_tracker.h
+++ b/include/gooseberrydrum/flow_tracker.h
@@ -31,9 +31,9 @@
  *  not state an idle time-out: the longest duration of a flow. */
 #define GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT GBD_POOL_RETENTION_TIME
 /** A flow that has had neither a second packet nor a copy of its opening
- * packet for this time was reset by its backend server, if this one responds
- * to others.  Callers send a copy after 200 ms if there is no response
- * (platform contract); the rest allows for jitter on the path. */
+ *  packet for this time was reset by its backend server, if this one responds
+ *  to others.  Callers send a copy after 200 ms if there is no response
+ *  (platform contract); the rest allows for jitter on the path. */
 #define GBD_FLOW_TRACKER_LIMITED_MIN (400 * GBD_MILLISECOND)
 
 typedef enum
@@ -72,6 +72,10 @@
                                           uint32_t capacity);
 void gbd_flow_tracker_delete (gbd_flow_tracker_t *tracker);
 
+/** Forget the handles of routes that are no longer configured; called after
+ *  each gbd_room_set_routes(), which may reuse them at its next call. */
+void gbd_flow_tracker_update_routes (gbd_flow_tracker_t *tracker);
+
 /** Set the time after which flows without packets are removed; 0 sets the
  *  default. */
 void gbd_flow_tracker_set_idle_timeout (gbd_flow_tracker_t *tracker,
--- a/include/gooseberrydrum/room.h
+++ b/include/gooseberrydrum/room.h
@@ -11,8 +11,11 @@
  *
  *  Sizes are bytes, times gbd_time_t.  The evidence is kept per service and
  *  class.  A class is a set of routes of one service with equal priority,
- *  response-time goal and kind.  All tables have a fixed size; what does not
- *  fit gives no evidence.
+ *  response-time goal and kind.  The table of routes holds all configured
+ *  routes, since most of many routes have no traffic, and nothing tells which
+ *  ones have.  Its memory is in proportion to the largest number of routes so
+ *  far.  The other tables have a fixed size; what does not fit gives no
+ *  evidence.
  */
 #ifndef GOOSEBERRYDRUM_ROOM_H
 #define GOOSEBERRYDRUM_ROOM_H
@@ -24,7 +27,6 @@
 
 #define GBD_ROOM_SERVICES_MAX 32
 #define GBD_ROOM_CLASSES_MAX 8 /**< classes of one service */
-#define GBD_ROOM_ROUTES_MAX 512
 
 /** A response is short if it has less than the usual bytes of its route
  *  divided by this. */
@@ -47,6 +49,17 @@
  *  responses a second at an instance with few flows. */
 #define GBD_ROOM_STAY_SHORT_MIN 10
 #define GBD_ROOM_STAY_SHORT_COUNT_MIN 1
+/** The same while requests hardly wait for slots: their mean wait is less than
+ *  their work divided by GBD_ROOM_WAIT_DIVISOR.  Short responses now and then
+ *  are natural ones of a route then, as servers with a full queue delay
+ *  others.  A higher share is evidence all the same, as short responses come
+ *  before those of requests that waited. */
+#define GBD_ROOM_SURE_MIN 150
+#define GBD_ROOM_SURE_COUNT_MIN 8
+#define GBD_ROOM_WAIT_DIVISOR 2
+/** Responses of a service, without short ones, after which its work is known.
+ */
+#define GBD_ROOM_WORK_RESPONSES_MIN 100
 /** How long a service stays short of room after the last such second. */
 #define GBD_ROOM_HOLD_TIME (3 * GBD_SECOND)
 
@@ -56,6 +69,7 @@
  */
 typedef uint16_t gbd_room_route_t;
 #define GBD_ROOM_ROUTE_NONE ((gbd_room_route_t)0xffff)
+#define GBD_ROOM_ROUTES_MAX GBD_ROOM_ROUTE_NONE
 
 /** A class of a service, and what was observed of it. */
 typedef struct
@@ -91,8 +105,12 @@
 gbd_room_t *gbd_room_new (void);
 void gbd_room_delete (gbd_room_t *room);
 
-/** Set the routes.  Routes that stay keep their usual size; services whose
- *  classes stay the same keep their evidence. */
+/** Set the routes.  Routes that stay keep their handle and their usual size;
+ *  services whose classes stay the same keep their evidence.
+ *  Handles of routes that are removed are not reused before the next call;
+ *  until then, who stores handles must drop those that are no longer
+ *  configured.  If memory is exhausted, routes that are new may be left out.
+ */
 void gbd_room_set_routes (gbd_room_t *room, const gbd_routes_t *routes);
 
 /** Find the share of a route that goes to a service.
@@ -101,6 +119,10 @@
                                       const gbd_address_t *address,
                                       gbd_service_id_t service);
 
+/** @param route any value
+ *  @return false for a former route and GBD_ROOM_ROUTE_NONE. */
+bool gbd_room_is_configured (const gbd_room_t *room, gbd_room_route_t route);
+
 /** Record the first sign of the response to a request.
  *  @param route GBD_ROOM_ROUTE_NONE is ignored
  *  @param bytes by how much the acknowledgment number advanced
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -92,6 +92,7 @@
   gbd_routes_delete (director->routes);
   director->routes = routes;
   gbd_room_set_routes (director->room, routes);
+  gbd_flow_tracker_update_routes (director->tracker);
   gbd_admission_update_routes (director->admission);
   gbd_flow_tracker_set_idle_timeout (director->tracker,
                                      gbd_routes_get_idle_timeout (routes));
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -74,6 +74,14 @@
       = idle_timeout ? idle_timeout : GBD_FLOW_TRACKER_IDLE_TIMEOUT_DEFAULT;
 }
 
+void
+gbd_flow_tracker_update_routes (gbd_flow_tracker_t *tracker)
+{
+  for (uint32_t i = 0; i < tracker->capacity; i++)
+    if (!gbd_room_is_configured (tracker->room, tracker->flows[i].route))
+      tracker->flows[i].route = GBD_ROOM_ROUTE_NONE;
+}
+
 const gbd_tracked_flow_t *
 gbd_flow_tracker_find (const gbd_flow_tracker_t *tracker, gbd_flow_hash_t hash)
 {
@@ -98,14 +106,17 @@
     {
       flow = allocate_entry (tracker, hash);
       flow->server = server;
-      flow->route = gbd_room_find_route (
-          tracker->room, &packet->flow.service,
-          gbd_pool_peek (tracker->pool, server)->entry.service);
+      flow->route = GBD_ROOM_ROUTE_NONE;
       flow->sequence = packet->sequence;
       flow->acknowledgment = packet->acknowledgment;
       flow->sent_at = now;
       flow->last_response_at = now;
     }
+  /* Routes may have been installed after the first packet of a flow. */
+  if (flow->route == GBD_ROOM_ROUTE_NONE)
+    flow->route = gbd_room_find_route (
+        tracker->room, &packet->flow.service,
+        gbd_pool_peek (tracker->pool, server)->entry.service);
   gbd_flow_observation_t observation = { .is_newly_suspected = false };
   flow->last_packet_at = now;
   if (packet->kind == GBD_PACKET_OPENING)
--- a/src/libgooseberrydrum/room.c
+++ b/src/libgooseberrydrum/room.c
@@ -8,6 +8,7 @@
 #define THOUSAND 1000u
 #define USUAL_WEIGHT 8 /* a new sample's share of the usual size: 1/8 */
 #define WAIT_WEIGHT 16 /* the same for the wait */
+#define INDEX_SIZE_MIN 16
 /* The work is a low percentile of the response times: a shorter one counts 16
    times as much as a longer one. */
 #define WORK_FALL_WEIGHT 8
@@ -23,34 +24,56 @@
 {
   gbd_room_service_t public;
   gbd_time_t short_until;
+  gbd_time_t limited_at; /* last flow reset at the connection limit */
   bucket_t buckets[BUCKETS];
 } service_t;
 
+typedef enum
+{
+  ROUTE_FREE,
+  ROUTE_FORMER, /* no longer configured; flows may still refer to it */
+  ROUTE_CONFIGURED
+} route_state_t;
+
 typedef struct
 {
-  uint64_t key; /* 0: unused */
+  uint64_t key;
   uint32_t usual_bytes;
   uint8_t service;
   uint8_t class;
-  bool is_configured;
+  uint8_t state;          /* route_state_t */
   gbd_time_t last_usual_at; /* last response that was not short */
 } route_t;
 
 struct gbd_room
 {
   uint32_t service_count;
-  uint32_t route_count;
   service_t services[GBD_ROOM_SERVICES_MAX];
-  route_t routes[GBD_ROOM_ROUTES_MAX];
+  uint32_t route_count; /* entries of routes in use, including free ones */
+  uint32_t route_capacity;
+  route_t *routes;
+  /* Handles of routes by their key, open addressing with linear probing; at
+     most half of it is used. */
+  uint32_t index_size; /* a power of two */
+  gbd_room_route_t *index;
 };
 
 static uint64_t get_key (const gbd_address_t *address,
                          gbd_service_id_t service);
+static uint32_t find_slot (const gbd_room_t *room, uint64_t key);
 static gbd_room_route_t find_key (const gbd_room_t *room, uint64_t key);
+static void reserve_routes (gbd_room_t *room, const gbd_routes_t *routes);
+static void build_index (gbd_room_t *room);
+static uint32_t count_unknown (const gbd_room_t *room,
+                               const gbd_routes_t *routes);
+static void release_former_routes (gbd_room_t *room);
+static const route_t *get_configured (const gbd_room_t *room,
+                                      gbd_room_route_t route);
 static const service_t *find_service (const gbd_room_t *room,
                                       gbd_service_id_t id);
 static void add_route (gbd_room_t *room, const gbd_route_t *route,
-                       gbd_service_id_t service_id);
+                       gbd_service_id_t service_id, uint32_t *free_from);
+static gbd_room_route_t allocate_route (gbd_room_t *room, uint32_t *free_from);
 static service_t *add_service (gbd_room_t *room, gbd_service_id_t id);
 static uint32_t add_class (gbd_room_service_t *service,
                            const gbd_route_t *route);
@@ -58,8 +81,10 @@
 static bool is_short_response (route_t *route, uint32_t bytes, gbd_time_t now);
 static void count (service_t *service, uint32_t class, bool is_short,
                    gbd_time_t now);
+static void check_shortage (service_t *service, gbd_time_t now);
+static bool has_wait (const gbd_room_service_t *service);
 static void learn_times (gbd_room_service_t *service, gbd_room_class_t *class,
-                         gbd_time_t duration);
+                         gbd_time_t duration, bool is_room_short);
 static gbd_room_rate_t get_rate (const service_t *service, gbd_time_t duration,
                                  gbd_time_t now);
 
@@ -72,6 +97,10 @@
 void
 gbd_room_delete (gbd_room_t *room)
 {
+  if (!room)
+    return;
+  free (room->routes);
+  free (room->index);
   free (room);
 }
 
@@ -83,14 +112,15 @@
   if (old)
     memcpy (old, room->services, sizeof room->services);
   room->service_count = 0;
-  for (uint32_t i = 0; i < room->route_count; i++)
-    room->routes[i].is_configured = false;
+  release_former_routes (room);
+  reserve_routes (room, routes);
+  uint32_t free_from = 0;
   uint32_t route_count = gbd_routes_get_count (routes);
   for (uint32_t i = 0; i < route_count; i++)
     {
       const gbd_route_t *route = gbd_routes_get (routes, i);
       for (uint32_t j = 0; j < route->target_count; j++)
-        add_route (room, route, route->targets[j].service);
+        add_route (room, route, route->targets[j].service, &free_from);
     }
   for (uint32_t i = 0; i < room->service_count; i++)
     for (uint32_t j = 0; j < old_count; j++)
@@ -104,24 +134,30 @@
                      gbd_service_id_t service)
 {
   gbd_room_route_t route = find_key (room, get_key (address, service));
-  return route != GBD_ROOM_ROUTE_NONE && room->routes[route].is_configured
-             ? route
-             : GBD_ROOM_ROUTE_NONE;
+  return gbd_room_is_configured (room, route) ? route : GBD_ROOM_ROUTE_NONE;
+}
+
+bool
+gbd_room_is_configured (const gbd_room_t *room, gbd_room_route_t route)
+{
+  return get_configured (room, route) != NULL;
 }
 
 bool
 gbd_room_record_response (gbd_room_t *room, gbd_room_route_t route,
                           uint32_t bytes, gbd_time_t duration, gbd_time_t now)
 {
-  if (route == GBD_ROOM_ROUTE_NONE || !room->routes[route].is_configured)
+  if (!get_configured (room, route))
     return false;
   route_t *entry = &room->routes[route];
   service_t *service = &room->services[entry->service];
   bool is_short = is_short_response (entry, bytes, now);
   if (!is_short)
     learn_times (&service->public, &service->public.classes[entry->class],
-                 duration);
+                 duration, now < service->short_until);
   count (service, entry->class, is_short, now);
+  if (is_short)
+    check_shortage (service, now);
   return is_short;
 }
 
@@ -129,11 +165,13 @@
 gbd_room_record_limited_flow (gbd_room_t *room, gbd_room_route_t route,
                               gbd_time_t now)
 {
-  if (route == GBD_ROOM_ROUTE_NONE || !room->routes[route].is_configured)
+  if (!get_configured (room, route))
     return;
   service_t *service = &room->services[room->routes[route].service];
   service->public.limited_flows++;
   count (service, room->routes[route].class, true, now);
+  service->limited_at = now;
+  check_shortage (service, now);
 }
 
 bool
@@ -186,19 +224,106 @@
 {
   uint64_t parts[sizeof address->ip / sizeof (uint64_t)];
   memcpy (parts, address->ip, sizeof parts);
-  uint64_t key = gbd_rendezvous_weight (
+  return gbd_rendezvous_weight (
       parts[0] ^ service,
       parts[1] ^ ((uint64_t)address->family << 16 | address->port));
-  return key ? key : 1;
+}
+
+/* Returns the slot of the index that has a key, or the empty one where it
+   belongs. */
+static uint32_t
+find_slot (const gbd_room_t *room, uint64_t key)
+{
+  uint32_t slot = (uint32_t)key & (room->index_size - 1);
+  while (room->index[slot] != GBD_ROOM_ROUTE_NONE
+         && room->routes[room->index[slot]].key != key)
+    slot = (slot + 1) & (room->index_size - 1);
+  return slot;
 }
 
 static gbd_room_route_t
 find_key (const gbd_room_t *room, uint64_t key)
+{
+  return room->index_size ? room->index[find_slot (room, key)]
+                          : GBD_ROOM_ROUTE_NONE;
+}
+
+/* Makes space for routes that are not in the table.  If memory is exhausted,
+   the table stays as it is. */
+static void
+reserve_routes (gbd_room_t *room, const gbd_routes_t *routes)
+{
+  uint32_t count = count_unknown (room, routes);
+  for (uint32_t i = 0; i < room->route_count; i++)
+    count += room->routes[i].state == ROUTE_FORMER;
+  if (count > GBD_ROOM_ROUTES_MAX)
+    count = GBD_ROOM_ROUTES_MAX;
+  if (count <= room->route_capacity)
+    return;
+  uint32_t index_size = INDEX_SIZE_MIN;
+  while (index_size < 2 * count)
+    index_size *= 2;
+  gbd_room_route_t *index = malloc (index_size * sizeof *index);
+  route_t *resized = realloc (room->routes, count * sizeof *resized);
+  if (resized)
+    room->routes = resized;
+  if (!resized || !index)
+    {
+      free (index);
+      return;
+    }
+  free (room->index);
+  room->index = index;
+  room->index_size = index_size;
+  room->route_capacity = count;
+  build_index (room);
+}
+
+static void
+build_index (gbd_room_t *room)
+{
+  for (uint32_t i = 0; i < room->index_size; i++)
+    room->index[i] = GBD_ROOM_ROUTE_NONE;
+  for (uint32_t i = 0; i < room->route_count; i++)
+    if (room->routes[i].state != ROUTE_FREE)
+      room->index[find_slot (room, room->routes[i].key)] = (gbd_room_route_t)i;
+}
+
+/* Returns the number of routes' shares that have no entry. */
+static uint32_t
+count_unknown (const gbd_room_t *room, const gbd_routes_t *routes)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < gbd_routes_get_count (routes); i++)
+    {
+      const gbd_route_t *route = gbd_routes_get (routes, i);
+      for (uint32_t j = 0; j < route->target_count; j++)
+        count += find_key (room, get_key (&route->address,
+                                          route->targets[j].service))
+                 == GBD_ROOM_ROUTE_NONE;
+    }
+  return count;
+}
+
+/* Frees the entries of routes that were removed by the call before this one,
+   and marks the others as former ones until they are added again. */
+static void
+release_former_routes (gbd_room_t *room)
 {
   for (uint32_t i = 0; i < room->route_count; i++)
-    if (room->routes[i].key == key)
-      return (gbd_room_route_t)i;
-  return GBD_ROOM_ROUTE_NONE;
+    if (room->routes[i].state != ROUTE_FREE)
+      room->routes[i].state--;
+  build_index (room);
+}
+
+/* Returns NULL if a route is not configured. */
+static const route_t *
+get_configured (const gbd_room_t *room, gbd_room_route_t route)
+{
+  return route < room->route_count
+                 && room->routes[route].state == ROUTE_CONFIGURED
+             ? &room->routes[route]
+             : NULL;
 }
 
 static const service_t *
@@ -212,31 +337,45 @@
 
 static void
 add_route (gbd_room_t *room, const gbd_route_t *route,
-           gbd_service_id_t service_id)
+           gbd_service_id_t service_id, uint32_t *free_from)
 {
+  if (room->index_size == 0)
+    return;
   service_t *service = add_service (room, service_id);
   if (!service)
     return;
   uint64_t key = get_key (&route->address, service_id);
-  gbd_room_route_t index = find_key (room, key);
-  if (index == GBD_ROOM_ROUTE_NONE && room->route_count < GBD_ROOM_ROUTES_MAX)
-    index = (gbd_room_route_t)room->route_count++;
-  /* Entries of former routes are reused only when the table is full, as open
-     flows may still refer to them. */
-  for (uint32_t i = 0; index == GBD_ROOM_ROUTE_NONE && i < GBD_ROOM_ROUTES_MAX;
-       i++)
-    if (!room->routes[i].is_configured)
-      index = (gbd_room_route_t)i;
-  if (index == GBD_ROOM_ROUTE_NONE)
-    return;
-  route_t *entry = &room->routes[index];
-  if (entry->key != key)
-    *entry = (route_t){ .key = key, .last_usual_at = GBD_TIME_NEVER };
-  entry->is_configured = true;
+  uint32_t slot = find_slot (room, key);
+  if (room->index[slot] == GBD_ROOM_ROUTE_NONE)
+    {
+      gbd_room_route_t added = allocate_route (room, free_from);
+      if (added == GBD_ROOM_ROUTE_NONE)
+        return;
+      room->routes[added]
+          = (route_t){ .key = key, .last_usual_at = GBD_TIME_NEVER };
+      room->index[slot] = added;
+    }
+  route_t *entry = &room->routes[room->index[slot]];
+  entry->state = ROUTE_CONFIGURED;
   entry->service = (uint8_t)(service - room->services);
   entry->class = (uint8_t)add_class (&service->public, route);
 }
 
+/* Returns a free entry, or GBD_ROOM_ROUTE_NONE.
+   @param free_from entries below it are in use */
+static gbd_room_route_t
+allocate_route (gbd_room_t *room, uint32_t *free_from)
+{
+  while (*free_from < room->route_count
+         && room->routes[*free_from].state != ROUTE_FREE)
+    (*free_from)++;
+  if (*free_from == room->route_capacity)
+    return GBD_ROOM_ROUTE_NONE;
+  if (*free_from == room->route_count)
+    room->route_count++;
+  return (gbd_room_route_t)(*free_from)++;
+}
+
 static service_t *
 add_service (gbd_room_t *room, gbd_service_id_t id)
 {
@@ -245,7 +384,8 @@
     return service;
   service = &room->services[room->service_count++];
   *service = (service_t){ .public
-                          = { .id = id, .last_response_at = GBD_TIME_NEVER } };
+                          = { .id = id, .last_response_at = GBD_TIME_NEVER },
+                            .limited_at = GBD_TIME_NEVER };
   return service;
 }
 
@@ -315,7 +455,6 @@
   return false;
 }
 
-/* Counts a response, and checks whether the service is short of room. */
 static void
 count (service_t *service, uint32_t class, bool is_short, gbd_time_t now)
 {
@@ -330,26 +469,59 @@
     return;
   bucket->rate.short_count++;
   service->public.classes[class].short_responses++;
+}
+
+/* Checks after a short response whether the service is short of room. */
+static void
+check_shortage (service_t *service, gbd_time_t now)
+{
   gbd_room_rate_t rate = get_rate (service, GBD_ROOM_WINDOW, now);
   bool was_short = now < service->short_until;
   uint32_t count_min
       = was_short ? GBD_ROOM_STAY_SHORT_COUNT_MIN : GBD_ROOM_SHORT_COUNT_MIN;
   uint32_t share_min
       = was_short ? GBD_ROOM_STAY_SHORT_MIN : GBD_ROOM_SHORT_MIN;
+  if (!has_wait (&service->public)
+      && now - service->limited_at >= GBD_ROOM_WINDOW)
+    {
+      count_min = GBD_ROOM_SURE_COUNT_MIN;
+      share_min = GBD_ROOM_SURE_MIN;
+    }
   if (rate.short_count >= count_min
       && rate.short_count * THOUSAND >= rate.total * share_min)
     service->short_until = now + GBD_ROOM_HOLD_TIME;
 }
 
+/* Whether requests of a service wait for slots; true if this is not known. */
+static bool
+has_wait (const gbd_room_service_t *service)
+{
+  uint64_t learned = 0;
+  gbd_time_t least = 0;
+  for (uint32_t i = 0; i < service->class_count; i++)
+    {
+      gbd_time_t work = service->classes[i].work;
+      if (work > 0 && (least == 0 || work < least))
+        least = work;
+      learned += service->classes[i].responses
+                 - service->classes[i].short_responses;
+    }
+  return learned < GBD_ROOM_WORK_RESPONSES_MIN
+         || service->wait * GBD_ROOM_WAIT_DIVISOR >= least;
+}
+
 static void
 learn_times (gbd_room_service_t *service, gbd_room_class_t *class,
-             gbd_time_t duration)
+             gbd_time_t duration, bool is_room_short)
 {
   if (class->work == 0)
     class->work = duration;
   gbd_time_t difference = duration - class->work;
-  class->work
-      += difference / (difference < 0 ? WORK_FALL_WEIGHT : WORK_RISE_WEIGHT);
+  /* In a long shortage nearly all requests wait, which is not work. */
+  if (difference < 0)
+    class->work += difference / WORK_FALL_WEIGHT;
+  else if (!is_room_short)
+    class->work += difference / WORK_RISE_WEIGHT;
   gbd_time_t wait = duration > class->work ? duration - class->work : 0;
   service->wait += (wait - service->wait) / WAIT_WEIGHT;
 }
