Admission: control loops follow their services when services are added

A service added before others in the order of addresses made the loops of all services start again. A loop now also starts again when the attributes of classes change and their number stays the same.

--- a/include/gooseberrydrum/room.h
+++ b/include/gooseberrydrum/room.h
@@ -86,6 +86,7 @@
 typedef struct
 {
   gbd_service_id_t id;
+  uint64_t classes_id; /**< changes with the attributes of the classes */
   uint32_t class_count;
   gbd_room_class_t classes[GBD_ROOM_CLASSES_MAX];
   gbd_time_t wait;             /**< mean time that requests wait for a slot */
--- a/src/libgooseberrydrum/admission.c
+++ b/src/libgooseberrydrum/admission.c
@@ -2,6 +2,7 @@
 
 #include <math.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include "gooseberrydrum/packet.h"
 
@@ -53,6 +54,7 @@
 typedef struct
 {
   gbd_service_id_t id;
+  uint64_t classes_id;
   uint32_t class_count;
   double level; /* sum of the shares turned away */
   gbd_admission_service_t public;
@@ -73,6 +75,7 @@
 {
   const gbd_room_t *room;
   gbd_time_t stepped_at;
+  uint32_t service_count;
   service_t services[GBD_ROOM_SERVICES_MAX];
   caller_t callers[GBD_ADMISSION_CALLERS_MAX];
   uint32_t count_count;
@@ -125,20 +128,28 @@
 void
 gbd_admission_update_routes (gbd_admission_control_t *admission)
 {
+  /* Without memory, all services start again. */
+  service_t *old = malloc (sizeof admission->services);
+  if (old)
+    memcpy (old, admission->services, sizeof admission->services);
   uint32_t count = gbd_room_get_service_count (admission->room);
   for (uint32_t i = 0; i < count; i++)
     {
       service_t *service = &admission->services[i];
       const gbd_room_service_t *observed
           = gbd_room_get_service (admission->room, i);
-      if (service->id == observed->id
-          && service->class_count == observed->class_count)
-        continue;
       *service = (service_t){ .id = observed->id,
+                              .classes_id = observed->classes_id,
                               .class_count = observed->class_count };
       open_service (service);
       compute_ranks (service, observed);
+      for (uint32_t j = 0; old && j < admission->service_count; j++)
+        if (old[j].id == service->id
+            && old[j].classes_id == service->classes_id)
+          *service = old[j];
     }
+  admission->service_count = count;
+  free (old);
 }
 
 bool
--- a/src/libgooseberrydrum/room.c
+++ b/src/libgooseberrydrum/room.c
@@ -77,6 +77,7 @@
 static service_t *add_service (gbd_room_t *room, gbd_service_id_t id);
 static uint32_t add_class (gbd_room_service_t *service,
                            const gbd_route_t *route);
+static uint64_t get_classes_id (const gbd_room_service_t *service);
 static void keep_evidence (service_t *service, const service_t *old);
 static bool is_short_response (route_t *route, uint32_t bytes, gbd_time_t now);
 static void count (service_t *service, uint32_t class, bool is_short,
@@ -123,9 +124,13 @@
         add_route (room, route, route->targets[j].service, &free_from);
     }
   for (uint32_t i = 0; i < room->service_count; i++)
-    for (uint32_t j = 0; j < old_count; j++)
-      if (old[j].public.id == room->services[i].public.id)
-        keep_evidence (&room->services[i], &old[j]);
+    {
+      gbd_room_service_t *service = &room->services[i].public;
+      service->classes_id = get_classes_id (service);
+      for (uint32_t j = 0; j < old_count; j++)
+        if (old[j].public.id == service->id)
+          keep_evidence (&room->services[i], &old[j]);
+    }
   free (old);
 }
 
@@ -420,20 +425,25 @@
   return service->class_count++;
 }
 
-static void
-keep_evidence (service_t *service, const service_t *old)
+static uint64_t
+get_classes_id (const gbd_room_service_t *service)
 {
-  if (service->public.class_count != old->public.class_count)
-    return;
-  for (uint32_t i = 0; i < service->public.class_count; i++)
+  uint64_t id = service->class_count;
+  for (uint32_t i = 0; i < service->class_count; i++)
     {
-      const gbd_room_class_t *a = &service->public.classes[i];
-      const gbd_room_class_t *b = &old->public.classes[i];
-      if (a->priority != b->priority || a->response_goal != b->response_goal
-          || a->is_idempotent != b->is_idempotent)
-        return;
+      const gbd_room_class_t *class = &service->classes[i];
+      id = gbd_rendezvous_weight (id, class->priority);
+      id = gbd_rendezvous_weight (id, (uint64_t)class->response_goal);
+      id = gbd_rendezvous_weight (id, class->is_idempotent);
     }
-  *service = *old;
+  return id;
+}
+
+static void
+keep_evidence (service_t *service, const service_t *old)
+{
+  if (service->public.classes_id == old->public.classes_id)
+    *service = *old;
 }
 
 static bool
--- a/src/test_libgooseberrydrum/test_admission.c
+++ b/src/test_libgooseberrydrum/test_admission.c
@@ -316,6 +316,50 @@
     }
 }
 
+/* Guards against a control loop that starts again, or applies to another
+   service or class, when a configuration adds a service whose address comes
+   first; and against one that goes on after classes have changed. */
+static void
+control_loop_follows_the_configuration (void **state)
+{
+  (void)state;
+  const kind_t kinds[2]
+      = { { .priority = 1, .work_ms = 29 }, { .priority = 2, .work_ms = 22 } };
+  single_t single = make_single (kinds, 2);
+  feed (&single, kinds, 2, 0, GBD_SECOND);
+  feed (&single, kinds, 2, 4, GBD_SECOND);
+  double share = get_class (&single, 1)->share;
+  assert_true (share < 0.9);
+  for (uint32_t first_priority = 1; first_priority <= 3; first_priority += 2)
+    {
+      gbd_routes_t *routes = gbd_routes_new (2);
+      gbd_route_t route = { .address = parse_address ("198.18.0.0:443"),
+                            .target_count = 1,
+                            .targets = { { gbd_id_from_name ("mail"), 1 } } };
+      assert_int_equal (gbd_routes_add (routes, &route), GBD_OK);
+      route.address = parse_address ("198.18.0.1:443");
+      route.targets[0].service = gbd_id_from_name ("web");
+      route.priority = first_priority;
+      assert_int_equal (gbd_routes_add (routes, &route), GBD_OK);
+      route.address.port++;
+      route.priority = 2;
+      assert_int_equal (gbd_routes_add (routes, &route), GBD_OK);
+      gbd_room_set_routes (single.room, routes);
+      gbd_admission_update_routes (single.admission);
+      gbd_routes_delete (routes);
+      const gbd_admission_service_t *mail
+          = gbd_admission_get_service (single.admission, 0);
+      const gbd_admission_service_t *web
+          = gbd_admission_get_service (single.admission, 1);
+      assert_false (mail->is_active);
+      if (first_priority == 1)
+        assert_true (web->classes[1].share == share);
+      else
+        assert_false (web->is_active);
+    }
+  delete_single (&single);
+}
+
 /* Asks for one opening packet and records the decision. */
 static bool
 open_as (single_t *single, uint32_t kind, uint32_t caller)
@@ -433,6 +477,7 @@
     cmocka_unit_test (no_class_starves),
     cmocka_unit_test (restarted_instance_learns_within_a_second),
     cmocka_unit_test (classes_yield_in_the_stated_order),
+    cmocka_unit_test (control_loop_follows_the_configuration),
     cmocka_unit_test (callers_that_come_back_go_first),
     cmocka_unit_test (rare_flows_do_not_starve),
     cmocka_unit_test (admission_opens_without_evidence),
