Admission: classes without requests do not count, open flows push no urgent class out

A configuration also has routes of priority 0 with hardly any requests, so commands were not the most urgent class and yielded once the streams were at their floor, while requests of open streams went on.

--- a/src/libgooseberrydrum/admission.c
+++ b/src/libgooseberrydrum/admission.c
@@ -43,6 +43,14 @@
 /* Largest change of the share of a class in a step, also when the order of
    classes changes. */
 #define SHARE_CHANGE_MAX 0.15
+/* A class without a response for this time is not in use. */
+#define USE_TIME (10 * GBD_SECOND)
+/* Share of the responses that is left after a step; the sum extends over two
+   seconds. */
+#define RESPONSES_DECAY 0.95
+/* Share of a class and the more urgent ones in the responses, above which the
+   class may yield. */
+#define YIELDING_LOAD_MIN 0.5
 #define YIELD_MAX (1 - GBD_ADMISSION_FLOOR)
 /* Flows that callers that come back may draw in advance. */
 #define RETURN_CREDIT 2.0
@@ -62,6 +70,11 @@
   double flows[GBD_ROOM_CLASSES_MAX]; /* new flows, a decaying sum */
   double credits[GBD_ROOM_CLASSES_MAX];
   bool has_missed_goal[GBD_ROOM_CLASSES_MAX];
+  uint32_t used_count;                       /* classes in use */
+  bool is_used[GBD_ROOM_CLASSES_MAX];        /* had a response lately */
+  gbd_time_t used_at[GBD_ROOM_CLASSES_MAX];  /* last response */
+  uint64_t responses[GBD_ROOM_CLASSES_MAX];  /* at the last step */
+  double recent[GBD_ROOM_CLASSES_MAX];       /* responses, a decaying sum */
   gbd_time_t admitted_at[GBD_ROOM_CLASSES_MAX];
 } service_t;
 
@@ -99,6 +112,10 @@
                               uint32_t index, double level_max,
                               gbd_time_t now);
 static double get_flow_share (const service_t *service);
+static void count_responses (service_t *service,
+                             const gbd_room_service_t *observed,
+                             gbd_time_t now);
+static double get_level_max (const service_t *service);
 static void compute_ranks (service_t *service,
                            const gbd_room_service_t *observed);
 static bool yields_before (const service_t *service,
@@ -338,19 +355,21 @@
                                             GBD_ADMISSION_STEP_TIME, now);
   service->clean_count
       = rate.short_count > 0 ? 0 : service->clean_count + rate.total;
-  double level_max = YIELD_MAX * service->class_count;
+  count_responses (service, observed, now);
+  compute_ranks (service, observed);
+  double level_max = get_level_max (service);
   service->level += compute_change (admission, index, level_max, now);
   if (service->level < 0)
     service->level = 0;
   if (service->level > level_max)
     service->level = level_max;
-  compute_ranks (service, observed);
   service->public.is_active = false;
   for (uint32_t i = 0; i < service->class_count; i++)
     {
       gbd_admission_class_t *class = &service->public.classes[i];
-      uint32_t before = service->class_count - 1 - class->rank;
-      double yield = service->level - before * YIELD_MAX;
+      double before
+          = ((double)service->used_count - 1 - class->rank) * YIELD_MAX;
+      double yield = service->is_used[i] ? service->level - before : 0;
       yield = yield < 0 ? 0 : yield > YIELD_MAX ? YIELD_MAX : yield;
       double change = 1 - yield - class->share;
       if (change > SHARE_CHANGE_MAX)
@@ -399,13 +418,58 @@
   for (uint32_t i = 0; i < service->class_count; i++)
     {
       total += service->flows[i];
-      if (service->public.classes[i].rank + full + 1 == service->class_count)
+      if (service->is_used[i]
+          && service->public.classes[i].rank + full + 1
+                 == service->used_count)
         yielding = service->flows[i];
     }
   return total > 0 ? fmax (yielding / total, FLOW_SHARE_MIN) : 1;
 }
 
-/* Orders the classes; rank 0 yields last. */
+/* Determines which classes are in use.  A configuration may have many routes
+   without requests, whose classes must not stand between those that have
+   some. */
+static void
+count_responses (service_t *service, const gbd_room_service_t *observed,
+                 gbd_time_t now)
+{
+  service->used_count = 0;
+  for (uint32_t i = 0; i < service->class_count; i++)
+    {
+      uint64_t responses = observed->classes[i].responses;
+      uint64_t added = responses - service->responses[i];
+      service->responses[i] = responses;
+      service->recent[i] = service->recent[i] * RESPONSES_DECAY + (double)added;
+      if (added > 0)
+        service->used_at[i] = now;
+      service->is_used[i] = now - service->used_at[i] < USE_TIME;
+      service->used_count += service->is_used[i];
+    }
+}
+
+/* Returns the highest level.  A class yields only if it and the more urgent ones
+   are most of the load.  Otherwise the requests of open flows, which cannot be
+   turned away, would keep the servers full and push the urgent ones out. */
+static double
+get_level_max (const service_t *service)
+{
+  double total = 0;
+  for (uint32_t i = 0; i < service->class_count; i++)
+    total += service->recent[i];
+  uint32_t yielding_count = 0;
+  for (uint32_t i = 0; i < service->class_count; i++)
+    {
+      double urgent = 0;
+      for (uint32_t j = 0; j < service->class_count; j++)
+        if (service->public.classes[j].rank <= service->public.classes[i].rank)
+          urgent += service->recent[j];
+      yielding_count
+          += service->is_used[i] && urgent > total * YIELDING_LOAD_MIN;
+    }
+  return YIELD_MAX * yielding_count;
+}
+
+/* Orders the classes in use; rank 0 yields last. */
 static void
 compute_ranks (service_t *service, const gbd_room_service_t *observed)
 {
@@ -421,7 +485,8 @@
     {
       uint32_t rank = 0;
       for (uint32_t j = 0; j < service->class_count; j++)
-        rank += j != i && yields_before (service, observed, i, j);
+        rank += j != i && service->is_used[j]
+                && yields_before (service, observed, i, j);
       service->public.classes[i].rank = rank;
     }
 }
