Admission: control loop independent of the time of its steps

It counts the responses since the last step now, and recognizes the end of an overload by requests that no longer wait.

--- a/include/gooseberrydrum/admission.h
+++ b/include/gooseberrydrum/admission.h
@@ -10,8 +10,8 @@
  *  Classes yield in this order: the one with the higher priority number; of
  *  equal priority, one whose response-time goal cannot be met any more at the
  *  present wait; then the one with the longer goal; then the one whose
- *  requests need more work.  The next class yields when the one before it is at
- * its floor.  A service whose routes are all alike is never subject to
+ *  requests need more work.  The next class yields when the one before it is
+ * at its floor.  A service whose routes are all alike is never subject to
  * admission.
  *
  *  The share that is turned away follows the rate of short responses (room.h)
--- a/include/gooseberrydrum/room.h
+++ b/include/gooseberrydrum/room.h
@@ -141,6 +141,10 @@
 bool gbd_room_is_short (const gbd_room_t *room, gbd_service_id_t service,
                         gbd_time_t now);
 
+/** Whether requests of a service wait for slots; true if this is not known.
+ *  @param index of the service */
+bool gbd_room_has_wait (const gbd_room_t *room, uint32_t index);
+
 /** @return number of services, whose indices are below it. */
 uint32_t gbd_room_get_service_count (const gbd_room_t *room);
 const gbd_room_service_t *gbd_room_get_service (const gbd_room_t *room,
--- a/src/libgooseberrydrum/admission.c
+++ b/src/libgooseberrydrum/admission.c
@@ -6,9 +6,6 @@
 
 #include "gooseberrydrum/packet.h"
 
-/* Time over which the rate of short responses is measured.  A longer one would
-   make the control loop slower and less stable. */
-#define RATE_TIME (200 * GBD_MILLISECOND)
 /* Responses at the target that are added to the measured ones, so that a few
    responses do not move the share much. */
 #define PRIOR_RESPONSES 4
@@ -31,14 +28,10 @@
 /* Change of the level in a step without any short responses.  It is less in
    proportion to the square of the distance to the target. */
 #define FALL_MAX 0.03
-/* Responses without a short one after which the level falls twice as fast, and
-   the limit of this factor.  At the target, so many have a short one with a
-   probability of 78 %. */
-#define CLEAN_RESPONSES 50.0
-#define CLEAN_FACTOR_MAX 4
 /* Share of the counted flows that is left after a step. */
 #define FLOWS_DECAY 0.9
-/* Steps in which admission opens from any level without evidence. */
+/* Steps in which admission opens from any level without evidence, or after an
+   overload. */
 #define OPENING_STEPS 20
 /* Largest change of the share of a class in a step, also when the order of
    classes changes. */
@@ -58,7 +51,10 @@
   uint32_t class_count;
   double level; /* sum of the shares turned away */
   gbd_admission_service_t public;
-  double clean_count;                 /* responses since the last short one */
+  /* Sums of all classes at the last step. */
+  uint64_t responses;
+  uint64_t short_responses;
+  bool is_calm;                       /* an overload has ended */
   double flows[GBD_ROOM_CLASSES_MAX]; /* new flows, a decaying sum */
   double credits[GBD_ROOM_CLASSES_MAX];
   bool has_missed_goal[GBD_ROOM_CLASSES_MAX];
@@ -95,9 +91,13 @@
                             uint32_t priority);
 static void step (gbd_admission_control_t *admission, uint32_t index,
                   gbd_time_t now);
-static double compute_change (const gbd_admission_control_t *admission,
+static double compute_change (gbd_admission_control_t *admission,
                               uint32_t index, double level_max,
-                              gbd_time_t now);
+                              gbd_room_rate_t rate, gbd_time_t now);
+static bool update_calm (gbd_admission_control_t *admission, uint32_t index,
+                         gbd_time_t now);
+static gbd_room_rate_t count_responses (service_t *service,
+                                        const gbd_room_service_t *observed);
 static double get_flow_share (const service_t *service);
 static void compute_ranks (service_t *service,
                            const gbd_room_service_t *observed);
@@ -328,18 +328,15 @@
   service_t *service = &admission->services[index];
   const gbd_room_service_t *observed
       = gbd_room_get_service (admission->room, index);
+  gbd_room_rate_t rate = count_responses (service, observed);
   if (service->class_count < 2
       || !gbd_room_is_short (admission->room, service->id, now))
     {
       open_service (service);
       return;
     }
-  gbd_room_rate_t rate = gbd_room_get_rate (admission->room, index,
-                                            GBD_ADMISSION_STEP_TIME, now);
-  service->clean_count
-      = rate.short_count > 0 ? 0 : service->clean_count + rate.total;
   double level_max = YIELD_MAX * service->class_count;
-  service->level += compute_change (admission, index, level_max, now);
+  service->level += compute_change (admission, index, level_max, rate, now);
   if (service->level < 0)
     service->level = 0;
   if (service->level > level_max)
@@ -363,17 +360,56 @@
     }
 }
 
-/* Returns the change of the level in this step. */
+/* Counts the responses since the last step. */
+static gbd_room_rate_t
+count_responses (service_t *service, const gbd_room_service_t *observed)
+{
+  uint64_t responses = 0;
+  uint64_t short_responses = 0;
+  for (uint32_t i = 0; i < observed->class_count; i++)
+    {
+      responses += observed->classes[i].responses;
+      short_responses += observed->classes[i].short_responses;
+    }
+  const gbd_room_rate_t rate = {
+    .total = (uint32_t)(responses - service->responses),
+    .short_count = (uint32_t)(short_responses - service->short_responses),
+  };
+  service->responses = responses;
+  service->short_responses = short_responses;
+  return rate;
+}
+
+/* Whether an overload has ended: requests hardly wait for slots, and there has
+   been no short response for a second.  It stays so until the next short
+   response, as the wait at half of the load varies. */
+static bool
+update_calm (gbd_admission_control_t *admission, uint32_t index,
+             gbd_time_t now)
+{
+  service_t *service = &admission->services[index];
+  if (gbd_room_get_rate (admission->room, index, GBD_ROOM_WINDOW, now)
+          .short_count
+      > 0)
+    service->is_calm = false;
+  else if (!gbd_room_has_wait (admission->room, index))
+    service->is_calm = true;
+  return service->is_calm;
+}
+
+/* Returns the change of the level in this step.
+   @param rate of the responses since the last step.  Those of a longer time
+   would make the control loop slower and less stable. */
 static double
-compute_change (const gbd_admission_control_t *admission, uint32_t index,
-                double level_max, gbd_time_t now)
+compute_change (gbd_admission_control_t *admission, uint32_t index,
+                double level_max, gbd_room_rate_t rate, gbd_time_t now)
 {
   const service_t *service = &admission->services[index];
-  if (gbd_room_get_rate (admission->room, index, GBD_ROOM_WINDOW, now).total
-      == 0)
+  bool is_calm = update_calm (admission, index, now);
+  if (is_calm
+      || gbd_room_get_rate (admission->room, index, GBD_ROOM_WINDOW, now).total
+             == 0)
     return -level_max / OPENING_STEPS;
-  gbd_room_rate_t rate
-      = gbd_room_get_rate (admission->room, index, RATE_TIME, now);
   double full = floor (service->level / YIELD_MAX);
   double progress = service->level / YIELD_MAX - full;
   double target = TARGET_START + full * TARGET_RANK_STEP
@@ -384,9 +420,7 @@
   if (error >= 0)
     return fmin (error * RISE_GAIN / get_flow_share (service), RISE_MAX);
   double distance = error / target;
-  double factor
-      = fmin (1 + service->clean_count / CLEAN_RESPONSES, CLEAN_FACTOR_MAX);
-  return -FALL_MAX * factor * distance * distance;
+  return -FALL_MAX * distance * distance;
 }
 
 /* Returns the share of the class that yields at present in the new flows. */
@@ -451,7 +485,6 @@
 open_service (service_t *service)
 {
   service->level = 0;
-  service->clean_count = 0;
   service->public.is_active = false;
   for (uint32_t i = 0; i < GBD_ROOM_CLASSES_MAX; i++)
     {
--- a/src/libgooseberrydrum/room.c
+++ b/src/libgooseberrydrum/room.c
@@ -41,7 +41,7 @@
   uint32_t usual_bytes;
   uint8_t service;
   uint8_t class;
-  uint8_t state;          /* route_state_t */
+  uint8_t state;            /* route_state_t */
   gbd_time_t last_usual_at; /* last response that was not short */
 } route_t;
 
@@ -187,6 +187,12 @@
   return found && now < found->short_until;
 }
 
+bool
+gbd_room_has_wait (const gbd_room_t *room, uint32_t index)
+{
+  return has_wait (&room->services[index].public);
+}
+
 uint32_t
 gbd_room_get_service_count (const gbd_room_t *room)
 {
@@ -390,7 +396,7 @@
   service = &room->services[room->service_count++];
   *service = (service_t){ .public
                           = { .id = id, .last_response_at = GBD_TIME_NEVER },
-                            .limited_at = GBD_TIME_NEVER };
+                          .limited_at = GBD_TIME_NEVER };
   return service;
 }
 
@@ -433,7 +439,7 @@
     {
       const gbd_room_class_t *class = &service->classes[i];
       id = gbd_rendezvous_weight (id, class->priority);
-      id = gbd_rendezvous_weight (id, (uint64_t)class->response_goal);
+      id = gbd_rendezvous_weight (id, (uint64_t) class->response_goal);
       id = gbd_rendezvous_weight (id, class->is_idempotent);
     }
   return id;
--- a/src/test_libgooseberrydrum/overload_fixture.h
+++ b/src/test_libgooseberrydrum/overload_fixture.h
@@ -47,6 +47,7 @@
   uint32_t calm_ms; /* after the overload: demand of half the slots */
   uint32_t instances;
   uint32_t servers;
+  uint32_t tick_ms;    /* after each 0.1 s, when the control loops step */
   uint32_t restart_ms; /* when the first instance restarts; 0: never */
   bool has_admission;
   uint64_t seed;
@@ -464,7 +465,7 @@
             respond (&replay, event);
           free (event);
         }
-      if (replay.now_ms % 100 != 0)
+      if (replay.now_ms % 100 != load->tick_ms)
         continue;
       if (load->restart_ms && replay.now_ms == load->restart_ms)
         restart_instance (&replay, &replay.instances[0]);
--- a/src/test_libgooseberrydrum/test_admission.c
+++ b/src/test_libgooseberrydrum/test_admission.c
@@ -92,7 +92,9 @@
 }
 
 /* Priority decides also when each urgent request takes three times the work,
-   and so much room that most of the others are turned away. */
+   and so much room that most of the others are turned away.  The goodput is
+   not asserted: it falls by 7 to 8 %, the price of strict priority (design
+   note). */
 static void
 heavy_urgent_requests_go_first (void **state)
 {
@@ -106,6 +108,22 @@
   assert_true (with.refused * 10 < with.attempts);
 }
 
+/* Guards against a control loop whose decisions depend on when its steps fall
+   within the intervals in which responses are counted. */
+static void
+time_of_steps_does_not_matter (void **state)
+{
+  (void)state;
+  overload_t load = burst;
+  load.kinds[0].work_ms = 66;
+  for (load.tick_ms = 0; load.tick_ms < 100; load.tick_ms += 25)
+    {
+      overload_result_t with = replay_overload (&load);
+      assert_true (get_served (&with, 0) >= 0.95);
+      assert_true (with.refused * 10 < with.attempts);
+    }
+}
+
 /* Most of the requests are urgent: turning away all others does not make
    enough room.  Urgent ones yield then, but no more than necessary. */
 static void
@@ -471,6 +489,7 @@
     cmocka_unit_test (nothing_is_turned_away_while_there_is_room),
     cmocka_unit_test (admission_ends_after_the_overload),
     cmocka_unit_test (heavy_urgent_requests_go_first),
+    cmocka_unit_test (time_of_steps_does_not_matter),
     cmocka_unit_test (urgent_requests_yield_when_they_are_most_of_the_load),
     cmocka_unit_test (three_priorities_yield_in_their_order),
     cmocka_unit_test (admitted_share_does_not_oscillate),
--- a/src/test_libgooseberrydrum/test_room.c
+++ b/src/test_libgooseberrydrum/test_room.c
@@ -276,8 +276,7 @@
       gbd_time_t time = (clock () - start) * GBD_SECOND / CLOCKS_PER_SEC;
       least = time < least ? time : least;
     }
-  print_message ("%d routes set in %lld us\n", MANY_ROUTES,
-                 (long long)least);
+  print_message ("%d routes set in %lld us\n", MANY_ROUTES, (long long)least);
   assert_true (least < 2 * GBD_MILLISECOND);
   gbd_room_route_t route = find_port (room, MANY_ROUTES);
   assert_int_not_equal (route, GBD_ROOM_ROUTE_NONE);
