--- a/src/gooseberrydrum/cookie_room.c
+++ b/src/gooseberrydrum/cookie_room.c
@@ -7,6 +7,8 @@
 
 static void format_name (const gbd_director_t *director, gbd_service_id_t id,
                          char *name);
+static void update_services (gbd_cookie_room_t *report,
+                             const gbd_room_t *room);
 static json_t *make_classes (const gbd_director_t *director, uint32_t index,
                              const double *least_shares);
 static void log_change (gbd_cookie_room_service_t *reported, uint32_t index,
@@ -28,12 +30,11 @@
   const gbd_admission_control_t *admission
       = gbd_director_peek_admission (director);
   uint32_t count = gbd_room_get_service_count (room);
+  update_services (report, room);
   for (uint32_t i = 0; i < count; i++)
     {
       const gbd_room_service_t *service = gbd_room_get_service (room, i);
       gbd_cookie_room_service_t *reported = &report->services[i];
-      if (reported->service != service->id)
-        *reported = (gbd_cookie_room_service_t){ .service = service->id };
       bool is_short = gbd_room_is_short (room, service->id, now);
       if (is_short != reported->is_short)
         log_change (reported, i, director, event_log, now);
@@ -158,6 +159,33 @@
     snprintf (name, GBD_NAME_MAX + 1, "%llx", (unsigned long long)id);
 }
 
+/* Brings the reported services into the order of the room, which a new
+   configuration may have changed. */
+static void
+update_services (gbd_cookie_room_t *report, const gbd_room_t *room)
+{
+  uint32_t count = gbd_room_get_service_count (room);
+  uint32_t same = 0;
+  while (same < count
+         && report->services[same].service
+                == gbd_room_get_service (room, same)->id)
+    same++;
+  if (same == count)
+    return;
+  const gbd_cookie_room_t old = *report;
+  for (uint32_t i = same; i < count; i++)
+    {
+      gbd_service_id_t id = gbd_room_get_service (room, i)->id;
+      report->services[i] = (gbd_cookie_room_service_t){ .service = id };
+      for (uint32_t j = same; j < GBD_ROOM_SERVICES_MAX; j++)
+        if (old.services[j].service == id)
+          report->services[i] = old.services[j];
+    }
+  /* Services that are no longer configured are forgotten. */
+  for (uint32_t i = count; i < GBD_ROOM_SERVICES_MAX; i++)
+    report->services[i] = (gbd_cookie_room_service_t){ .service = 0 };
+}
+
 /* Describes the classes of a service.
    @param least_shares of each class, or NULL */
 static json_t *
--- a/src/test_gooseberrydrum/test_cookie_room.c
+++ b/src/test_gooseberrydrum/test_cookie_room.c
@@ -19,12 +19,17 @@
   return now;
 }
 
-/* Two routes of one service with the priorities 1 and 2. */
-static gbd_director_t *
-make_prioritized_director (void)
+/* Installs two routes of one service with the priorities 1 and 2, and one of
+   another service whose address comes first. */
+static void
+install_routes (gbd_director_t *director, uint64_t version, bool has_first)
 {
-  gbd_director_t *director = make_ready_director ();
-  gbd_routes_t *routes = gbd_routes_new (2);
+  gbd_routes_t *routes = gbd_routes_new (version);
+  gbd_route_t first = { .address = parse_address ("198.18.0.0:443"),
+                        .target_count = 1,
+                        .targets = { { gbd_id_from_name ("mail"), 1 } } };
+  if (has_first)
+    assert_int_equal (gbd_routes_add (routes, &first), GBD_OK);
   gbd_route_t route = { .address = parse_address ("198.18.0.1:443"),
                         .priority = 1,
                         .target_count = 1,
@@ -35,6 +40,13 @@
   assert_int_equal (gbd_routes_add (routes, &route), GBD_OK);
   assert_int_equal (gbd_routes_set_service_name (routes, "web"), GBD_OK);
   assert_int_equal (gbd_director_set_routes (director, routes), GBD_OK);
+}
+
+static gbd_director_t *
+make_prioritized_director (void)
+{
+  gbd_director_t *director = make_ready_director ();
+  install_routes (director, 2, false);
   return director;
 }
 
@@ -137,6 +149,8 @@
     }
   assert_true (has_rule);
 
+  /* A new configuration changes the order of the services. */
+  install_routes (serve.director, 3, true);
   run_flows (&serve, 0, 6 * GBD_SECOND);
   gbd_event_log_flush (serve.event_log);
   assert_true (read (ends[0], text, sizeof text - 1) > 0);
