--- a/src/libgooseberrydrum/room.c
+++ b/src/libgooseberrydrum/room.c
@@ -1,4 +1,4 @@
-#include "gooseberrydrum/room.h"
+#include "libgooseberrydrum/room_routes.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -8,7 +8,6 @@
 #define THOUSAND 1000u
 #define USUAL_WEIGHT 8 /* a new sample's share of the usual size: 1/8 */
 #define WAIT_WEIGHT 16 /* the same for the wait */
-#define INDEX_SIZE_MIN 16
 /* The work is a low percentile of the response times: a shorter one counts 16
    times as much as a longer one. */
 #define WORK_FALL_WEIGHT 8
@@ -28,58 +27,24 @@
   bucket_t buckets[BUCKETS];
 } service_t;
 
-typedef enum
-{
-  ROUTE_FREE,
-  ROUTE_FORMER, /* no longer configured; flows may still refer to it */
-  ROUTE_CONFIGURED
-} route_state_t;
-
-typedef struct
-{
-  uint64_t key;
-  uint32_t usual_bytes;
-  uint8_t service;
-  uint8_t class;
-  uint8_t state;            /* route_state_t */
-  gbd_time_t last_usual_at; /* last response that was not short */
-} route_t;
-
 struct gbd_room
 {
   uint32_t service_count;
   service_t services[GBD_ROOM_SERVICES_MAX];
-  uint32_t route_count; /* entries of routes in use, including free ones */
-  uint32_t route_capacity;
-  route_t *routes;
-  /* Handles of routes by their key, open addressing with linear probing; at
-     most half of it is used. */
-  uint32_t index_size; /* a power of two */
-  gbd_room_route_t *index;
+  gbd_room_routes_t routes;
 };
 
-static uint64_t get_key (const gbd_address_t *address,
-                         gbd_service_id_t service);
-static uint32_t find_slot (const gbd_room_t *room, uint64_t key);
-static gbd_room_route_t find_key (const gbd_room_t *room, uint64_t key);
-static void reserve_routes (gbd_room_t *room, const gbd_routes_t *routes);
-static void build_index (gbd_room_t *room);
-static uint32_t count_unknown (const gbd_room_t *room,
-                               const gbd_routes_t *routes);
-static void release_former_routes (gbd_room_t *room);
-static const route_t *get_configured (const gbd_room_t *room,
-                                      gbd_room_route_t route);
 static const service_t *find_service (const gbd_room_t *room,
                                       gbd_service_id_t id);
 static void add_route (gbd_room_t *room, const gbd_route_t *route,
-                       gbd_service_id_t service_id, uint32_t *free_from);
-static gbd_room_route_t allocate_route (gbd_room_t *room, uint32_t *free_from);
+                       gbd_service_id_t service_id);
 static service_t *add_service (gbd_room_t *room, gbd_service_id_t id);
 static uint32_t add_class (gbd_room_service_t *service,
                            const gbd_route_t *route);
 static uint64_t get_classes_id (const gbd_room_service_t *service);
 static void keep_evidence (service_t *service, const service_t *old);
-static bool is_short_response (route_t *route, uint32_t bytes, gbd_time_t now);
+static bool is_short_response (gbd_room_route_entry_t *route, uint32_t bytes,
+                               gbd_time_t now);
 static void count (service_t *service, uint32_t class, bool is_short,
                    gbd_time_t now);
 static void check_shortage (service_t *service, gbd_time_t now);
@@ -100,8 +65,7 @@
 {
   if (!room)
     return;
-  free (room->routes);
-  free (room->index);
+  gbd_room_routes_clear (&room->routes);
   free (room);
 }
 
@@ -113,15 +77,13 @@
   if (old)
     memcpy (old, room->services, sizeof room->services);
   room->service_count = 0;
-  release_former_routes (room);
-  reserve_routes (room, routes);
-  uint32_t free_from = 0;
+  gbd_room_routes_prepare (&room->routes, routes);
   uint32_t route_count = gbd_routes_get_count (routes);
   for (uint32_t i = 0; i < route_count; i++)
     {
       const gbd_route_t *route = gbd_routes_get (routes, i);
       for (uint32_t j = 0; j < route->target_count; j++)
-        add_route (room, route, route->targets[j].service, &free_from);
+        add_route (room, route, route->targets[j].service);
     }
   for (uint32_t i = 0; i < room->service_count; i++)
     {
@@ -138,23 +100,24 @@
 gbd_room_find_route (const gbd_room_t *room, const gbd_address_t *address,
                      gbd_service_id_t service)
 {
-  gbd_room_route_t route = find_key (room, get_key (address, service));
+  gbd_room_route_t route
+      = gbd_room_routes_find (&room->routes, address, service);
   return gbd_room_is_configured (room, route) ? route : GBD_ROOM_ROUTE_NONE;
 }
 
 bool
 gbd_room_is_configured (const gbd_room_t *room, gbd_room_route_t route)
 {
-  return get_configured (room, route) != NULL;
+  return gbd_room_routes_is_configured (&room->routes, route);
 }
 
 bool
 gbd_room_record_response (gbd_room_t *room, gbd_room_route_t route,
                           uint32_t bytes, gbd_time_t duration, gbd_time_t now)
 {
-  if (!get_configured (room, route))
+  if (!gbd_room_is_configured (room, route))
     return false;
-  route_t *entry = &room->routes[route];
+  gbd_room_route_entry_t *entry = &room->routes.entries[route];
   service_t *service = &room->services[entry->service];
   bool is_short = is_short_response (entry, bytes, now);
   if (!is_short)
@@ -170,11 +133,11 @@
 gbd_room_record_limited_flow (gbd_room_t *room, gbd_room_route_t route,
                               gbd_time_t now)
 {
-  if (!get_configured (room, route))
+  if (!gbd_room_is_configured (room, route))
     return;
-  service_t *service = &room->services[room->routes[route].service];
+  service_t *service = &room->services[room->routes.entries[route].service];
   service->public.limited_flows++;
-  count (service, room->routes[route].class, true, now);
+  count (service, room->routes.entries[route].class, true, now);
   service->limited_at = now;
   check_shortage (service, now);
 }
@@ -208,13 +171,13 @@
 uint32_t
 gbd_room_get_service_index (const gbd_room_t *room, gbd_room_route_t route)
 {
-  return room->routes[route].service;
+  return room->routes.entries[route].service;
 }
 
 uint32_t
 gbd_room_get_class_index (const gbd_room_t *room, gbd_room_route_t route)
 {
-  return room->routes[route].class;
+  return room->routes.entries[route].class;
 }
 
 gbd_room_rate_t
@@ -227,114 +190,7 @@
 uint32_t
 gbd_room_get_usual_bytes (const gbd_room_t *room, gbd_room_route_t route)
 {
-  return room->routes[route].usual_bytes;
-}
-
-static uint64_t
-get_key (const gbd_address_t *address, gbd_service_id_t service)
-{
-  uint64_t parts[sizeof address->ip / sizeof (uint64_t)];
-  memcpy (parts, address->ip, sizeof parts);
-  return gbd_rendezvous_weight (
-      parts[0] ^ service,
-      parts[1] ^ ((uint64_t)address->family << 16 | address->port));
-}
-
-/* Returns the slot of the index that has a key, or the empty one where it
-   belongs. */
-static uint32_t
-find_slot (const gbd_room_t *room, uint64_t key)
-{
-  uint32_t slot = (uint32_t)key & (room->index_size - 1);
-  while (room->index[slot] != GBD_ROOM_ROUTE_NONE
-         && room->routes[room->index[slot]].key != key)
-    slot = (slot + 1) & (room->index_size - 1);
-  return slot;
-}
-
-static gbd_room_route_t
-find_key (const gbd_room_t *room, uint64_t key)
-{
-  return room->index_size ? room->index[find_slot (room, key)]
-                          : GBD_ROOM_ROUTE_NONE;
-}
-
-/* Makes space for routes that are not in the table.  If memory is exhausted,
-   the table stays as it is. */
-static void
-reserve_routes (gbd_room_t *room, const gbd_routes_t *routes)
-{
-  uint32_t count = count_unknown (room, routes);
-  for (uint32_t i = 0; i < room->route_count; i++)
-    count += room->routes[i].state == ROUTE_FORMER;
-  if (count > GBD_ROOM_ROUTES_MAX)
-    count = GBD_ROOM_ROUTES_MAX;
-  if (count <= room->route_capacity)
-    return;
-  uint32_t index_size = INDEX_SIZE_MIN;
-  while (index_size < 2 * count)
-    index_size *= 2;
-  gbd_room_route_t *index = malloc (index_size * sizeof *index);
-  route_t *resized = realloc (room->routes, count * sizeof *resized);
-  if (resized)
-    room->routes = resized;
-  if (!resized || !index)
-    {
-      free (index);
-      return;
-    }
-  free (room->index);
-  room->index = index;
-  room->index_size = index_size;
-  room->route_capacity = count;
-  build_index (room);
-}
-
-static void
-build_index (gbd_room_t *room)
-{
-  for (uint32_t i = 0; i < room->index_size; i++)
-    room->index[i] = GBD_ROOM_ROUTE_NONE;
-  for (uint32_t i = 0; i < room->route_count; i++)
-    if (room->routes[i].state != ROUTE_FREE)
-      room->index[find_slot (room, room->routes[i].key)] = (gbd_room_route_t)i;
-}
-
-/* Returns the number of routes' shares that have no entry. */
-static uint32_t
-count_unknown (const gbd_room_t *room, const gbd_routes_t *routes)
-{
-  uint32_t count = 0;
-  for (uint32_t i = 0; i < gbd_routes_get_count (routes); i++)
-    {
-      const gbd_route_t *route = gbd_routes_get (routes, i);
-      for (uint32_t j = 0; j < route->target_count; j++)
-        count += find_key (room, get_key (&route->address,
-                                          route->targets[j].service))
-                 == GBD_ROOM_ROUTE_NONE;
-    }
-  return count;
-}
-
-/* Frees the entries of routes that were removed by the call before this one,
-   and marks the others as former ones until they are added again. */
-static void
-release_former_routes (gbd_room_t *room)
-{
-  for (uint32_t i = 0; i < room->route_count; i++)
-    if (room->routes[i].state != ROUTE_FREE)
-      room->routes[i].state--;
-  build_index (room);
-}
-
-/* Returns NULL if a route is not configured. */
-static const route_t *
-get_configured (const gbd_room_t *room, gbd_room_route_t route)
-{
-  return route < room->route_count
-                 && room->routes[route].state == ROUTE_CONFIGURED
-             ? &room->routes[route]
-             : NULL;
+  return room->routes.entries[route].usual_bytes;
 }
 
 static const service_t *
@@ -348,45 +204,19 @@
 
 static void
 add_route (gbd_room_t *room, const gbd_route_t *route,
-           gbd_service_id_t service_id, uint32_t *free_from)
+           gbd_service_id_t service_id)
 {
-  if (room->index_size == 0)
-    return;
   service_t *service = add_service (room, service_id);
   if (!service)
     return;
-  uint64_t key = get_key (&route->address, service_id);
-  uint32_t slot = find_slot (room, key);
-  if (room->index[slot] == GBD_ROOM_ROUTE_NONE)
-    {
-      gbd_room_route_t added = allocate_route (room, free_from);
-      if (added == GBD_ROOM_ROUTE_NONE)
-        return;
-      room->routes[added]
-          = (route_t){ .key = key, .last_usual_at = GBD_TIME_NEVER };
-      room->index[slot] = added;
-    }
-  route_t *entry = &room->routes[room->index[slot]];
-  entry->state = ROUTE_CONFIGURED;
+  gbd_room_route_entry_t *entry
+      = gbd_room_routes_add (&room->routes, &route->address, service_id);
+  if (!entry)
+    return;
   entry->service = (uint8_t)(service - room->services);
   entry->class = (uint8_t)add_class (&service->public, route);
 }
 
-/* Returns a free entry, or GBD_ROOM_ROUTE_NONE.
-   @param free_from entries below it are in use */
-static gbd_room_route_t
-allocate_route (gbd_room_t *room, uint32_t *free_from)
-{
-  while (*free_from < room->route_count
-         && room->routes[*free_from].state != ROUTE_FREE)
-    (*free_from)++;
-  if (*free_from == room->route_capacity)
-    return GBD_ROOM_ROUTE_NONE;
-  if (*free_from == room->route_count)
-    room->route_count++;
-  return (gbd_room_route_t)(*free_from)++;
-}
-
 static service_t *
 add_service (gbd_room_t *room, gbd_service_id_t id)
 {
@@ -453,7 +283,8 @@
 }
 
 static bool
-is_short_response (route_t *route, uint32_t bytes, gbd_time_t now)
+is_short_response (gbd_room_route_entry_t *route, uint32_t bytes,
+                   gbd_time_t now)
 {
   if (bytes > GBD_ROOM_RESPONSE_BYTES_MAX)
     bytes = GBD_ROOM_RESPONSE_BYTES_MAX;
--- a/src/test_libgooseberrydrum/test_room.c
+++ b/src/test_libgooseberrydrum/test_room.c
@@ -425,7 +425,7 @@
   const gbd_room_service_t *service = gbd_room_get_service (room, 0);
   assert_int_equal (service->classes[0].responses, 0);
   install_route (director, 13, "198.18.0.1:443");
-  complete_request (director, &packet, NORMAL_BYTES, now += 100 * MS);
+  complete_request (director, &packet, NORMAL_BYTES, now + 100 * MS);
   assert_int_equal (service->classes[0].responses, 1);
   gbd_director_delete (director);
 }
