--- a/include/gooseberrydrum/admission.h
+++ b/include/gooseberrydrum/admission.h
@@ -10,9 +10,11 @@
  *  Classes yield in this order: the one with the higher priority number; of
  *  equal priority, one whose response-time goal cannot be met any more at the
  *  present wait; then the one with the longer goal; then the one whose
- *  requests need more work.  The next class yields when the one before it is at
- * its floor.  A service whose routes are all alike is never subject to
- * admission.
+ * requests need more work.  The next class yields when the one before it is at
+ * its floor, if it and the more urgent ones are most of the load: requests of
+ * open flows cannot be turned away, and urgent ones must not make room for
+ * them. Classes without requests do not count.  A service whose routes are all
+ * alike is never subject to admission.
  *
  *  The share that is turned away follows the rate of short responses (room.h)
  *  of this instance only.  Instances exchange nothing.  Shares are between 0
--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -73,10 +73,10 @@
   GBD_DIRECTOR_RULE_SERVER_DOWN, /**< the flow's backend server, usually still
                                       listed, has stopped or does not
                                       respond */
-  GBD_DIRECTOR_RULE_EVACUATED, /**< only backend servers of evacuated zones
-                                    could accept the flow */
-  GBD_DIRECTOR_RULE_NO_ROOM    /**< the service is short of room, and more
-                                    urgent flows go first (admission.h) */
+  GBD_DIRECTOR_RULE_EVACUATED,   /**< only backend servers of evacuated zones
+                                      could accept the flow */
+  GBD_DIRECTOR_RULE_NO_ROOM      /**< the service is short of room, and more
+                                      urgent flows go first (admission.h) */
 } gbd_director_rule_t;
 #define GBD_DIRECTOR_RULE_COUNT 12
 extern const char *const gbd_director_rule_strings[GBD_DIRECTOR_RULE_COUNT];
