Placement: windows outlast a shortage; silence breaks the record of a server

Servers were divided among the instances for 3 s after the last evidence, and the division ended the evidence, so it went on and off; it now lasts 30 s longer. A server that accepts flows and resets them before it responds left no trace, as callers of requests that must not run twice send nothing further; a request whose waiting ends without a response now breaks the server's record for 5 s.

--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -91,7 +91,8 @@
   bool is_idempotent;      /**< callers may retry the requests of the route */
   bool has_both_kinds;     /**< the service has routes that are idempotent and
                                 routes that are not */
-  bool is_room_short;      /**< the service has turned requests away lately */
+  bool is_room_short;      /**< the service is or was short of room
+                                (gbd_room_was_short()) */
   /** Zones whose backend servers are never chosen; NULL: none */
   const gbd_evacuations_t *evacuations;
   gbd_warm_up_share_t warm_up; /**< what cold backend servers may get */
--- a/include/gooseberrydrum/room.h
+++ b/include/gooseberrydrum/room.h
@@ -62,6 +62,11 @@
 #define GBD_ROOM_WORK_RESPONSES_MIN 100
 /** How long a service stays short of room after the last such second. */
 #define GBD_ROOM_HOLD_TIME (3 * GBD_SECOND)
+/** How long placement goes on dividing the servers among the instances after
+ *  that.  With the division the shortage itself ends, while the demand that
+ *  caused it goes on; without it the shortage would return every few seconds.
+ */
+#define GBD_ROOM_SPREAD_TIME (30 * GBD_SECOND)
 
 typedef struct gbd_room gbd_room_t;
 
@@ -145,6 +150,10 @@
  *  @param index of the service */
 bool gbd_room_has_wait (const gbd_room_t *room, uint32_t index);
 
+/** Whether a service is short of room, or was within GBD_ROOM_SPREAD_TIME. */
+bool gbd_room_was_short (const gbd_room_t *room, gbd_service_id_t service,
+                         gbd_time_t now);
+
 /** @return number of services, whose indices are below it. */
 uint32_t gbd_room_get_service_count (const gbd_room_t *room);
 const gbd_room_service_t *gbd_room_get_service (const gbd_room_t *room,
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -166,7 +166,13 @@
         release_entry (tracker, flow);
       else if (flow->is_waiting
                && now - flow->last_packet_at > response_timeout)
-        set_waiting (tracker, flow, false);
+        {
+          set_waiting (tracker, flow, false);
+          if (flow->phase == GBD_FLOW_ESTABLISHED && !was_paused)
+            gbd_suspicion_record_silence (
+                &gbd_pool_get (tracker->pool, flow->server)->load.suspicion,
+                now);
+        }
     }
 }
 
--- a/src/libgooseberrydrum/room.c
+++ b/src/libgooseberrydrum/room.c
@@ -156,6 +156,15 @@
   return has_wait (&room->services[index].public);
 }
 
+bool
+gbd_room_was_short (const gbd_room_t *room, gbd_service_id_t service,
+                    gbd_time_t now)
+{
+  const service_t *found = find_service (room, service);
+  return found && now < found->short_until + GBD_ROOM_SPREAD_TIME
+         && found->short_until > 0;
+}
+
 uint32_t
 gbd_room_get_service_count (const gbd_room_t *room)
 {
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -71,6 +71,12 @@
          || (suspicion->failed_at != 0 && now - suspicion->failed_at < within);
 }
 
+void
+gbd_suspicion_record_silence (gbd_suspicion_t *suspicion, gbd_time_t now)
+{
+  suspicion->failed_at = now;
+}
+
 bool
 gbd_suspicion_is_probe_due (const gbd_suspicion_t *suspicion, gbd_time_t now)
 {
--- a/src/test_libgooseberrydrum/test_flow_tracker.c
+++ b/src/test_libgooseberrydrum/test_flow_tracker.c
@@ -175,6 +175,32 @@
   gbd_director_delete (director);
 }
 
+/* A server accepts flows and resets them before it responds: the callers of
+   requests that must not run twice send nothing further, and no packet shows
+   the failure.  Without this evidence such a server gets the next one too. */
+static void
+request_without_response_breaks_the_record (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_director_decision_t opening = open_flow (director, 1, START);
+  const gbd_suspicion_t *suspicion
+      = &get_load (director, opening.server)->suspicion;
+  gbd_packet_t packet = make_data (&opening, 1);
+  gbd_time_t sent_at = START + GBD_SECOND;
+  route_packet (director, &packet, sent_at);
+  gbd_time_t end = sent_at + GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN;
+  for (gbd_time_t now = sent_at; now <= end; now += 100 * MS)
+    gbd_director_tick (director, now);
+  assert_false (
+      gbd_suspicion_has_failed (suspicion, GBD_PLACEMENT_RECORD_TIME, end));
+  gbd_director_tick (director, end + 100 * MS);
+  assert_true (gbd_suspicion_has_failed (suspicion, GBD_PLACEMENT_RECORD_TIME,
+                                         end + 100 * MS));
+  assert_false (gbd_suspicion_is_suspected (suspicion));
+  gbd_director_delete (director);
+}
+
 int
 main (void)
 {
@@ -185,6 +211,7 @@
     cmocka_unit_test (idle_flow_stops_waiting_and_is_removed),
     cmocka_unit_test (idle_timeout_of_the_configuration_applies),
     cmocka_unit_test (waiting_follows_the_response_times),
+    cmocka_unit_test (request_without_response_breaks_the_record),
     cmocka_unit_test (eviction_keeps_load_counters_consistent),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/test_libgooseberrydrum/test_room.c
+++ b/src/test_libgooseberrydrum/test_room.c
@@ -131,6 +131,26 @@
   gbd_room_delete (room);
 }
 
+/* Guards against servers that are divided among the instances for three
+   seconds at a time while demand stays high, and against a service that counts
+   as short without any evidence. */
+static void
+placement_remembers_a_shortage (void **state)
+{
+  (void)state;
+  gbd_room_t *room = make_room ();
+  assert_false (gbd_room_was_short (room, web (), START));
+  gbd_time_t now = record_second (room, 100, 0, START);
+  assert_false (gbd_room_was_short (room, web (), now));
+  now = record_second (room, 100, 10, now);
+  assert_true (gbd_room_was_short (room, web (), now));
+  gbd_time_t end = now + GBD_ROOM_HOLD_TIME + GBD_ROOM_SPREAD_TIME;
+  assert_true (gbd_room_was_short (room, web (), end - 2 * GBD_SECOND));
+  assert_false (gbd_room_is_short (room, web (), end - 2 * GBD_SECOND));
+  assert_false (gbd_room_was_short (room, web (), end));
+  gbd_room_delete (room);
+}
+
 /* Guards against an instance that starts in an overload and takes the
    responses of full servers for the usual ones, and against a usual size that
    falls when nine of ten responses are short for a minute. */
@@ -496,6 +516,7 @@
     cmocka_unit_test (shortage_begins_at_two_percent),
     cmocka_unit_test (natural_short_responses_are_no_shortage),
     cmocka_unit_test (shortage_ends_three_seconds_after_its_last_evidence),
+    cmocka_unit_test (placement_remembers_a_shortage),
     cmocka_unit_test (usual_size_holds_in_an_overload),
     cmocka_unit_test (usual_size_is_limited_to_two_packets),
     cmocka_unit_test (usual_size_adapts_to_shorter_responses),
