--- a/src/gooseberrydrum/commands.h
+++ b/src/gooseberrydrum/commands.h
@@ -6,6 +6,7 @@
 
 int gbd_command_customers (int argc, char **argv);
 int gbd_command_plans (int argc, char **argv);
+int gbd_command_config (int argc, char **argv);
 int gbd_command_predict (int argc, char **argv);
 int gbd_command_status (int argc, char **argv);
 int gbd_command_dump (int argc, char **argv);
--- a/src/gooseberrydrum/platform_api.h
+++ b/src/gooseberrydrum/platform_api.h
@@ -7,6 +7,7 @@
 
 #include <jansson.h>
 
+#include "gooseberrydrum/config_check.h"
 #include "gooseberrydrum/pool.h"
 #include "gooseberrydrum/routes.h"
 
@@ -74,6 +75,13 @@
   /** Decode the object that contains all routes.
    *  @return NULL, with `problem` set to the cause, if it is malformed. */
   gbd_routes_t *(*read_routes) (const json_t *value, const char **problem);
+  /** Decode the same object for a check of its content: adds all errors to
+   *  the findings instead of stopping at the first one, and warnings about
+   *  values that read_routes() ignores.  There are errors exactly if
+   *  read_routes() returns NULL.  NULL: the API has no such check.
+   *  @param value borrowed by the result
+   *  @return what could be decoded; NULL if memory is exhausted. */
+  gbd_config_t *(*read_config) (const json_t *value, gbd_findings_t *findings);
 } gbd_platform_api_t;
 
 /** Parse a body that is JSON. */
