--- a/src/libgooseberrydrum/config_findings.c
+++ b/src/libgooseberrydrum/config_findings.c
@@ -20,8 +20,6 @@
     = { "difference", "warning", "error" };
 
 static bool reserve (gbd_findings_t *findings);
-static char *format_text (const char *format, va_list arguments)
-    __attribute__ ((format (printf, 1, 0)));
 
 gbd_findings_t *
 gbd_findings_new (void)
@@ -50,7 +48,12 @@
 {
   va_list arguments;
   va_start (arguments, cause);
-  char *text = format_text (cause, arguments);
+  int length = vsnprintf (NULL, 0, cause, arguments);
+  va_end (arguments);
+  char *text = length < 0 ? NULL : malloc ((size_t)length + 1);
+  va_start (arguments, cause);
+  if (text)
+    vsnprintf (text, (size_t)length + 1, cause, arguments);
   va_end (arguments);
   char *name = strdup (subject->name);
   if (!text || !name || !reserve (findings))
@@ -112,16 +115,3 @@
   findings->capacity = capacity;
   return true;
 }
-
-static char *
-format_text (const char *format, va_list arguments)
-{
-  va_list copy;
-  va_copy (copy, arguments);
-  int length = vsnprintf (NULL, 0, format, copy);
-  va_end (copy);
-  char *text = length < 0 ? NULL : malloc ((size_t)length + 1);
-  if (text)
-    vsnprintf (text, (size_t)length + 1, format, arguments);
-  return text;
-}
--- a/src/test_gooseberrydrum/test_adapter.c
+++ b/src/test_gooseberrydrum/test_adapter.c
@@ -296,6 +296,41 @@
   json_decref (value);
 }
 
+typedef struct
+{
+  const char *text;
+  const char *problem;
+} problem_case_t;
+
+/* The first error decides. */
+static const problem_case_t problem_cases[] = {
+  { "{'routes':[]}", "version or routes are missing" },
+  { "{'version':7}", "version or routes are missing" },
+  { "{'version':7,'routes':[{}," ROUTE_A "," ROUTE_A "]}",
+    "a route is invalid" },
+  { "{'version':7,'routes':[" ROUTE_A "," ROUTE_A ",{}]}",
+    "two routes share an address" },
+  { "{'version':7,'routes':[],'backends':[{}]}",
+    "warmup_s or warmup_per_s of a service is invalid" },
+  { "{'version':7,'routes':[{}],'backends':[{}]}", "a route is invalid" },
+};
+
+/* Guards against other causes in event 204: monitoring and the documentation
+   of operators refer to these texts. */
+static void
+cause_of_rejected_routes_is_that_of_the_first_error (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof problem_cases / sizeof problem_cases[0]; i++)
+    {
+      const char *problem = NULL;
+      json_t *value = parse_json (problem_cases[i].text);
+      assert_null (platform_api->read_routes (value, &problem));
+      assert_string_equal (problem, problem_cases[i].problem);
+      json_decref (value);
+    }
+}
+
 typedef struct
 {
   const char *limits;
@@ -554,6 +589,7 @@
     cmocka_unit_test (invalid_entries_are_rejected),
     cmocka_unit_test (entry_fields_are_decoded),
     cmocka_unit_test (invalid_routes_are_rejected_with_a_reason),
+    cmocka_unit_test (cause_of_rejected_routes_is_that_of_the_first_error),
     cmocka_unit_test (route_kinds_tell_which_requests_may_be_repeated),
     cmocka_unit_test (priority_times_and_warm_up_are_read),
     cmocka_unit_test (responses_are_translated_to_the_native_api),
