--- a/src/gooseberrydrum/command.h
+++ b/src/gooseberrydrum/command.h
@@ -8,12 +8,14 @@
 typedef enum
 {
   GBD_EXIT_OK = 0,
-  GBD_EXIT_FAILED = 1,   /**< the command ran and failed */
+  GBD_EXIT_FAILED = 1,   /**< the command ran and failed; `config check`:
+                            warnings */
   GBD_EXIT_CONFLICT = 2, /**< a concurrent change was accepted first */
   GBD_EXIT_REFUSED = 3,  /**< the input is invalid; nothing changed */
   GBD_EXIT_UNKNOWN = 4,  /**< it is unknown whether the change took effect */
   GBD_EXIT_UNAVAILABLE = 5, /**< the server is unreachable; nothing changed */
-  GBD_EXIT_USAGE = 64       /**< invalid options or settings */
+  GBD_EXIT_USAGE = 64       /**< invalid options or settings; `config
+                                 check`: errors */
 } gbd_exit_t;
 
 /** One subcommand; argv[0] is its name. */
--- a/src/gooseberrydrum/config_command.c
+++ b/src/gooseberrydrum/config_command.c
@@ -130,11 +130,19 @@
                         position.line, position.column, position.text);
     }
   g_free (text);
-  return document ? unwrap (document) : NULL;
+  if (!document)
+    return NULL;
+  json_t *value = unwrap (document);
+  if (!value)
+    gbd_findings_add (findings, GBD_FINDING_ERROR, "bad_object", &subject,
+                      "give the configuration or the whole object of the "
+                      "platform, not a list of objects",
+                      "the file contains no configuration");
+  return value;
 }
 
 /* Takes ownership of the document.  Returns the configuration in it, as
-   instances get it from the object of the platform. */
+   instances get it from the object of the platform; NULL if it has none. */
 static json_t *
 unwrap (json_t *document)
 {
--- a/src/libgooseberrydrum/config_findings.c
+++ b/src/libgooseberrydrum/config_findings.c
@@ -63,12 +63,13 @@
       free (name);
       return;
     }
-  findings->findings[findings->count++]
-      = (gbd_finding_t){ .severity = severity,
-                         .rule = rule,
-                         .subject = { subject->kind, name },
-                         .cause = text,
-                         .remedy = remedy };
+  gbd_finding_t *finding = &findings->findings[findings->count++];
+  finding->severity = severity;
+  finding->rule = rule;
+  finding->subject.kind = subject->kind;
+  finding->subject.name = name;
+  finding->cause = text;
+  finding->remedy = remedy;
 }
 
 uint32_t
