Flow tracker: a reopened flow is no longer open at its first server

An opening packet on a flow that was tracked as open decremented the count of open flows of the newly chosen server instead of that of the earlier one.

--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -276,10 +276,11 @@
   if (is_retransmission)
     record_retransmission (tracker, flow, now, observation);
   gbd_pool_server_t *new_server = gbd_pool_get (tracker->pool, server);
+  gbd_pool_server_t *old_server = gbd_pool_get (tracker->pool, flow->server);
   if (is_retransmission)
-    gbd_pool_get (tracker->pool, flow->server)->load.unanswered++;
-  if (flow->phase == GBD_FLOW_ESTABLISHED && new_server->load.open > 0)
-    new_server->load.open--;
+    old_server->load.unanswered++;
+  if (flow->phase == GBD_FLOW_ESTABLISHED && old_server->load.open > 0)
+    old_server->load.open--;
 
   set_waiting (tracker, flow, false);
   if (flow->phase != GBD_FLOW_OPENING || flow->server != server)
--- a/src/test_libgooseberrydrum/test_flow_tracker.c
+++ b/src/test_libgooseberrydrum/test_flow_tracker.c
@@ -175,6 +175,27 @@
   gbd_director_delete (director);
 }
 
+/* A caller opens a flow again while its earlier one is tracked as open, and
+   another server is chosen.  Guards against an open flow that stays counted at
+   the first server, and is missing at another one. */
+static void
+reopened_flow_is_no_longer_open_at_its_first_server (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_director_decision_t first = open_flow (director, 1, START);
+  gbd_pool_get (gbd_director_get_pool (director), first.server)->load.waiting
+      = 20;
+  assert_int_equal (get_load (director, first.server)->open, 1);
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  packet.sequence = 50000;
+  gbd_director_decision_t second
+      = route_packet (director, &packet, START + GBD_SECOND);
+  assert_int_not_equal (second.server, first.server);
+  assert_int_equal (get_load (director, first.server)->open, 0);
+  gbd_director_delete (director);
+}
+
 /* A server accepts flows and resets them before it responds: the callers of
    requests that must not run twice send nothing further, and no packet shows
    the failure.  Without this evidence such a server gets the next one too. */
@@ -213,6 +234,7 @@
     cmocka_unit_test (waiting_follows_the_response_times),
     cmocka_unit_test (request_without_response_breaks_the_record),
     cmocka_unit_test (eviction_keeps_load_counters_consistent),
+    cmocka_unit_test (reopened_flow_is_no_longer_open_at_its_first_server),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
