Cold servers: warm ones come first again as soon as a shortage has ended

Windows apply for 30 s after a shortage, and the preference for warm servers was off for as long. Placement now gets both times: the shortage itself for cold servers, the longer one for windows.

--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -13,9 +13,10 @@
  *  slots, flows are also spread by how many each got recently, because the
  *  flows of a server that fails at once never wait (recent_flows.h).
  *
- *  While the service is short of room, an instance that sees a small part of
- *  the load prefers few servers, whose load it knows (subset.h): a zone with
- *  more demand than slots then overflows before its queues fill.  The figures
+ *  While the service is short of room, and for GBD_ROOM_SPREAD_TIME after that
+ *  (room.h), an instance that sees a small part of the load prefers few
+ *  servers, whose load it knows (subset.h): a zone with more demand than slots
+ *  then overflows before its queues fill.  The figures
  *  come from the list and the group view; without a shortage or a view,
  *  decisions do not depend on them.
  *
@@ -55,10 +56,10 @@
  * instance that receives few responses knows few such servers, and chooses
  * among them. */
 #define GBD_PLACEMENT_RESPONSE_WINDOW GBD_SECOND
-/** Cost, while a service is short of room, of a backend server outside the
- *  window of this instance (subset.h), in thousandths of the processing time
- * of one request: a flow goes there when it would wait for more than two
- * requests inside. */
+/** Cost, while windows apply (subset.h), of a backend server outside the
+ *  window of this instance, in thousandths of the processing time of one
+ *  request: a flow goes there when it would wait for more than two requests
+ *  inside. */
 #define GBD_PLACEMENT_OUTSIDE_COST 2000
 /** Cost, for a request that must not run twice, of a backend server without an
  *  unbroken record, in thousandths of the processing time of one request: the
@@ -91,8 +92,10 @@
   bool is_idempotent;      /**< callers may retry the requests of the route */
   bool has_both_kinds;     /**< the service has routes that are idempotent and
                                 routes that are not */
-  bool is_room_short;      /**< the service is or was short of room
-                                (gbd_room_was_short()) */
+  bool is_room_short;      /**< the service is short of room now
+                                (gbd_room_is_short()) */
+  bool was_room_short;     /**< it is or was short of room
+                                (gbd_room_was_short()); windows apply */
   /** Zones whose backend servers are never chosen; NULL: none */
   const gbd_evacuations_t *evacuations;
   gbd_warm_up_share_t warm_up; /**< what cold backend servers may get */
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -368,6 +368,8 @@
     .evacuations = &director->evacuations,
   };
   placement.is_room_short
+      = gbd_room_is_short (director->room, placement.service, now);
+  placement.was_room_short
       = gbd_room_was_short (director->room, placement.service, now);
   placement.has_both_kinds
       = gbd_routes_has_both_kinds (director->routes, placement.service);
--- a/src/libgooseberrydrum/placement.c
+++ b/src/libgooseberrydrum/placement.c
@@ -74,7 +74,7 @@
   observations_t observations
       = { .zone_delays = gbd_pool_peek_zone_delays (pool),
           .prefers_proven = prefers_proven (pool, placement, now),
-          .has_windows = placement->is_room_short
+          .has_windows = placement->was_room_short
                          && gbd_subset_has_windows (&placement->group) };
   find_peers (pool, placement, now, &observations);
   if (placement->warm_up.is_limited && !placement->is_room_short)
--- a/src/test_libgooseberrydrum/load_fixture.h
+++ b/src/test_libgooseberrydrum/load_fixture.h
@@ -317,7 +317,7 @@
           .group = instance->group,
           .is_idempotent = !is_command,
           .has_both_kinds = load->spares_commands,
-          .is_room_short
+          .was_room_short
           = load->has_windows || load->now < instance->short_until };
   gbd_pool_handle_t handle
       = gbd_placement_choose (instance->pool, &placement, load->now);
--- a/src/test_libgooseberrydrum/test_cold_servers.c
+++ b/src/test_libgooseberrydrum/test_cold_servers.c
@@ -289,6 +289,54 @@
   gbd_director_delete (director);
 }
 
+/* Lets the service become short of room: every second response is as short as
+   that of a full server.  Returns the time of the last response. */
+static gbd_time_t
+make_room_short (gbd_director_t *director, gbd_time_t now)
+{
+  for (uint16_t i = 0; i < 400; i++)
+    {
+      uint16_t port = (uint16_t)(5000 + i);
+      now += 10 * GBD_MILLISECOND;
+      gbd_director_decision_t opening = open_flow (director, port, now);
+      gbd_packet_t packet = make_data (&opening, port);
+      now += 10 * GBD_MILLISECOND;
+      route_packet (director, &packet, now);
+      packet.sequence += packet.payload_length;
+      packet.payload_length = 0;
+      packet.acknowledgment += i >= 200 && i % 2 == 0 ? 125 : 800;
+      now += 10 * GBD_MILLISECOND;
+      route_packet (director, &packet, now);
+    }
+  return now;
+}
+
+/* Windows outlast a shortage.  Guards against cold servers that get flows for
+   as long, although warm ones have free slots again. */
+static void
+warm_servers_come_first_after_a_shortage (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_participant (RATE);
+  list_servers (director, 2, "ab", 0);
+  gbd_director_tick (director, START);
+  gbd_time_t now = make_room_short (director, START);
+  gbd_pool_entry_t entry = make_entry (1, "web", "a");
+  entry.warm_at = now + GBD_ROOM_SPREAD_TIME;
+  put_entry (director, &entry, now);
+  gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, 1);
+  gbd_director_decision_t decision;
+  now += GBD_ROOM_HOLD_TIME - GBD_SECOND;
+  gbd_director_route (director, &packet, now, &decision);
+  assert_int_equal (get_backend_id (director, &decision), 1);
+  now += 2 * GBD_SECOND;
+  assert_true (gbd_room_was_short (gbd_director_peek_room (director),
+                                   gbd_id_from_name ("web"), now));
+  gbd_director_route (director, &packet, now, &decision);
+  assert_int_equal (get_backend_id (director, &decision), 2);
+  gbd_director_delete (director);
+}
+
 #define ZONES 3
 #define INSTANCES 9
 #define SERVERS 30
@@ -526,6 +574,7 @@
     cmocka_unit_test (interval_starts_at_the_transmission),
     cmocka_unit_test (server_that_may_have_restarted_is_cold),
     cmocka_unit_test (warm_servers_come_first_while_they_have_free_slots),
+    cmocka_unit_test (warm_servers_come_first_after_a_shortage),
     cmocka_unit_test (returning_zone_is_filled_along_the_ramp),
     cmocka_unit_test (cold_group_serves_within_the_limit),
   };
--- a/src/test_libgooseberrydrum/test_placement.c
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -260,14 +260,14 @@
 
 static gbd_pool_handle_t
 choose_in_group (gbd_director_t *director, const gbd_group_view_t *group,
-                 bool is_room_short, gbd_flow_hash_t hash)
+                 bool was_room_short, gbd_flow_hash_t hash)
 {
   gbd_placement_t placement = { .service = gbd_id_from_name ("web"),
                                 .zone = gbd_zone_from_name ("a"),
                                 .hash = hash * 0x9e3779b97f4a7c15u,
                                 .avoid = GBD_POOL_NONE,
                                 .group = *group,
-                                .is_room_short = is_room_short };
+                                .was_room_short = was_room_short };
   return gbd_placement_choose (gbd_director_get_pool (director), &placement,
                                START);
 }
