--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -152,7 +152,7 @@
                                        .zone = 1,
                                        .avoid = GBD_POOL_NONE,
                                        .group = { 76, 19, 7 },
-                                       .is_room_short = i == 1,
+                                       .was_room_short = i == 1,
                                        .has_both_kinds = i == 2 };
   double times[3];
   for (int i = 0; i < 3; i++)
