--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -1,64 +1,15 @@
-#include "gooseberrydrum/director.h"
+#include "libgooseberrydrum/director_private.h"
 
 #include <stdlib.h>
 
-struct gbd_director
-{
-  gbd_director_settings_t settings;
-  gbd_pool_t *pool;
-  gbd_room_t *room;
-  gbd_admission_control_t *admission;
-  gbd_flow_tracker_t *tracker;
-  gbd_routes_t *routes; /* NULL until routes are installed */
-  gbd_group_view_t group;
-  gbd_evacuations_t evacuations;
-  bool detects_pauses;
-  gbd_time_t ticked_at;
-  gbd_time_t hold_end; /* opening packets are dropped before this time */
-  uint64_t evacuation_resets;
-  gbd_warm_up_group_t warm_up_group;
-  gbd_time_t
-      cold_sent_at; /* first decision for a cold server whose packet may
-                       not have left the process; GBD_TIME_NEVER: none */
-  uint64_t cold_packets;
-  uint64_t cold_resets;
-  uint64_t cold_drops;
-  uint64_t key;
-  bool has_key;
-  uint64_t rules[GBD_DIRECTOR_RULE_COUNT];
-};
-
 const char *const gbd_director_rule_strings[GBD_DIRECTOR_RULE_COUNT]
     = { "not_ready",   "no_route",    "no_server", "placed",
         "same",        "moved",       "cookie",    "no_cookie",
         "server_gone", "server_down", "evacuated", "no_room" };
 
-static void route_opening (const gbd_director_t *director,
-                           const gbd_packet_t *packet, gbd_time_t now,
-                           gbd_director_decision_t *decision);
-static bool is_held (const gbd_director_t *director, gbd_time_t now);
-static bool is_evacuated (const gbd_director_t *director,
-                          gbd_pool_handle_t server);
-static void decide_without_server (const gbd_director_t *director,
-                                   const gbd_packet_t *packet,
-                                   const gbd_placement_t *placement,
-                                   bool is_tracked, gbd_time_t now,
-                                   gbd_director_decision_t *decision);
-static bool is_limited_server (const gbd_director_t *director,
-                               const gbd_pool_server_t *server,
-                               gbd_time_t now);
-static bool accepts_duplicate (const gbd_director_t *director,
-                               gbd_pool_handle_t handle, gbd_time_t now);
-static void record_opening (gbd_director_t *director,
-                            const gbd_director_decision_t *decision,
-                            gbd_time_t now);
 static void route_subsequent (const gbd_director_t *director,
                               const gbd_packet_t *packet, gbd_time_t now,
                               gbd_director_decision_t *decision);
-static void decide_drop (gbd_director_decision_t *decision,
-                         gbd_director_rule_t rule, gbd_drop_t cause);
-static void decide_reset (gbd_director_decision_t *decision,
-                          gbd_director_rule_t rule);
 static bool has_failed_after_removal (const gbd_pool_server_t *server,
                                       gbd_time_t now);
 static bool is_terminated (const gbd_director_t *director,
@@ -217,9 +168,10 @@
   if (director->routes)
     decision->version = gbd_routes_get_version (director->routes);
   if (!gbd_director_is_ready (director))
-    decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY, GBD_DROP_NOT_JOINED);
+    gbd_director_decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY,
+                              GBD_DROP_NOT_JOINED);
   else if (packet->kind == GBD_PACKET_OPENING)
-    route_opening (director, packet, now, decision);
+    gbd_director_route_opening (director, packet, now, decision);
   else
     route_subsequent (director, packet, now, decision);
 }
@@ -262,7 +214,7 @@
       && decision->kind == GBD_ACTION_RESET)
     director->evacuation_resets++;
   if (packet->kind == GBD_PACKET_OPENING)
-    record_opening (director, decision, now);
+    gbd_director_record_opening (director, decision, now);
   if (decision->kind != GBD_ACTION_BACKEND)
     {
       if (decision->rule == GBD_DIRECTOR_RULE_SERVER_REMOVED
@@ -336,185 +288,21 @@
   stats->tracked_flows = gbd_flow_tracker_get_count (director->tracker);
 }
 
-static void
-route_opening (const gbd_director_t *director, const gbd_packet_t *packet,
-               gbd_time_t now, gbd_director_decision_t *decision)
-{
-  const gbd_route_t *route
-      = gbd_routes_find (director->routes, &packet->flow.service);
-  if (!route)
-    {
-      /* While the platform is unreachable, a route may exist that this
-         instance has not received yet. */
-      if (gbd_pool_is_platform_unreachable (director->pool))
-        decide_drop (decision, GBD_DIRECTOR_RULE_NO_ROUTE,
-                     GBD_DROP_NO_SERVICE);
-      else
-        decide_reset (decision, GBD_DIRECTOR_RULE_NO_ROUTE);
-      return;
-    }
-  if (is_held (director, now))
-    {
-      decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY, GBD_DROP_UNCERTAIN);
-      return;
-    }
-  gbd_placement_t placement = {
-    .service = gbd_route_choose (route, decision->hash),
-    .zone = director->settings.zone,
-    .hash = decision->hash,
-    .avoid = GBD_POOL_NONE,
-    .group = director->group,
-    .is_idempotent = route->is_idempotent,
-    .evacuations = &director->evacuations,
-  };
-  placement.is_room_short
-      = gbd_room_is_short (director->room, placement.service, now);
-  placement.was_room_short
-      = gbd_room_was_short (director->room, placement.service, now);
-  placement.has_both_kinds
-      = gbd_routes_has_both_kinds (director->routes, placement.service);
-  placement.warm_up
-      = gbd_director_get_warm_up (director, placement.service, now);
-  const gbd_tracked_flow_t *flow
-      = gbd_flow_tracker_find (director->tracker, decision->hash);
-  bool is_tracked = flow && flow->phase == GBD_FLOW_OPENING
-                    && flow->sequence == packet->sequence;
-  /* Opening packets count their retransmissions in the acknowledgment
-     field. */
-  bool is_retransmission
-      = is_tracked && packet->acknowledgment > flow->acknowledgment;
-  bool is_moved = is_retransmission
-                  || (is_tracked && is_evacuated (director, flow->server));
-  if (is_moved)
-    placement.avoid = flow->server;
-  decision->rule
-      = is_moved ? GBD_DIRECTOR_RULE_MOVED : GBD_DIRECTOR_RULE_PLACED;
-  if (is_tracked && !is_moved)
-    {
-      decision->rule = GBD_DIRECTOR_RULE_SAME;
-      decision->server = flow->server;
-      if (!accepts_duplicate (director, decision->server, now))
-        {
-          decide_drop (decision, GBD_DIRECTOR_RULE_SAME, GBD_DROP_UNCERTAIN);
-          decision->is_limited = true;
-          return;
-        }
-    }
-  else
-    decision->server = gbd_placement_choose (director->pool, &placement, now);
-  decision->previous = placement.avoid;
-  if (decision->server == GBD_POOL_NONE)
-    {
-      decision->is_limited = placement.warm_up.is_limited
-                             && gbd_pool_is_synced (director->pool);
-      decide_without_server (director, packet, &placement, flow != NULL, now,
-                             decision);
-      return;
-    }
-  /* The first transmission of a copy, and the packets of a tracked flow, may
-     have been forwarded, so that a reset might end an open flow. */
-  if (!flow && packet->acknowledgment == 0)
-    decision->route = gbd_room_find_route (
-        director->room, &packet->flow.service, placement.service);
-  if (!gbd_admission_admits (director->admission, decision->route,
-                             &packet->flow.caller, now))
-    {
-      decision->server = GBD_POOL_NONE;
-      decide_reset (decision, GBD_DIRECTOR_RULE_NO_ROOM);
-      return;
-    }
-  const gbd_pool_server_t *server
-      = gbd_pool_peek (director->pool, decision->server);
-  decision->is_to_cold = is_limited_server (director, server, now);
-  decision->cookie
-      = gbd_cookie_encode (director->key, &packet->flow, server->fingerprint);
-}
-
-/* Whether the evacuated zones may have changed while the process was
-   paused. */
-static bool
-is_held (const gbd_director_t *director, gbd_time_t now)
-{
-  return now < director->hold_end
-         || (director->detects_pauses && director->ticked_at
-             && now - director->ticked_at > GBD_DIRECTOR_PAUSE_MIN);
-}
-
-static bool
-is_evacuated (const gbd_director_t *director, gbd_pool_handle_t server)
-{
-  return gbd_evacuations_contain (
-      &director->evacuations,
-      gbd_pool_peek (director->pool, server)->entry.backend.zone);
-}
-
-/* Whether the limit for cold servers applies to a server now. */
-static bool
-is_limited_server (const gbd_director_t *director,
-                   const gbd_pool_server_t *server, gbd_time_t now)
-{
-  gbd_warm_up_share_t share
-      = gbd_director_get_warm_up (director, server->entry.service, now);
-  return share.is_limited && gbd_pool_is_cold (server, share.duration, now);
-}
-
-/* Whether a duplicate of an opening packet may follow the first one. */
-static bool
-accepts_duplicate (const gbd_director_t *director, gbd_pool_handle_t handle,
-                   gbd_time_t now)
-{
-  const gbd_pool_server_t *server = gbd_pool_peek (director->pool, handle);
-  gbd_warm_up_share_t share
-      = gbd_director_get_warm_up (director, server->entry.service, now);
-  return !share.is_limited || !gbd_pool_is_cold (server, share.duration, now)
-         || gbd_warm_up_allows (&share, &server->warm_up,
-                                server->entry.backend.id, now);
-}
-
-/* Decides on an opening packet that no backend server can accept.  While zones
-   are evacuated or cold servers limited, a copy is dropped: its first
-   transmission may have been forwarded, and its flow may be opening or open.
-   @param is_tracked whether a flow of the same addresses is tracked */
-static void
-decide_without_server (const gbd_director_t *director,
-                       const gbd_packet_t *packet,
-                       const gbd_placement_t *placement, bool is_tracked,
-                       gbd_time_t now, gbd_director_decision_t *decision)
+void
+gbd_director_decide_drop (gbd_director_decision_t *decision,
+                          gbd_director_rule_t rule, gbd_drop_t cause)
 {
-  gbd_placement_t unrestricted = *placement;
-  unrestricted.evacuations = NULL;
-  bool may_be_forwarded = is_tracked || packet->acknowledgment > 0;
-  bool is_evacuated_only
-      = placement->evacuations->count > 0
-        && gbd_placement_choose (director->pool, &unrestricted, now)
-               != GBD_POOL_NONE;
-  gbd_director_rule_t rule = is_evacuated_only ? GBD_DIRECTOR_RULE_EVACUATED
-                                               : GBD_DIRECTOR_RULE_NO_SERVER;
-  if (!gbd_pool_is_synced (director->pool))
-    decide_drop (decision, GBD_DIRECTOR_RULE_NOT_READY, GBD_DROP_NOT_JOINED);
-  else if (may_be_forwarded && (is_evacuated_only || decision->is_limited))
-    decide_drop (decision, rule, GBD_DROP_UNCERTAIN);
-  else
-    decide_reset (decision, rule);
+  decision->kind = GBD_ACTION_DROP;
+  decision->rule = rule;
+  decision->drop = cause;
 }
 
-static void
-record_opening (gbd_director_t *director,
-                const gbd_director_decision_t *decision, gbd_time_t now)
+void
+gbd_director_decide_reset (gbd_director_decision_t *decision,
+                           gbd_director_rule_t rule)
 {
-  if (decision->kind == GBD_ACTION_BACKEND)
-    gbd_warm_up_record_sent (
-        &gbd_pool_get (director->pool, decision->server)->warm_up, now);
-  if (decision->kind == GBD_ACTION_BACKEND && decision->is_to_cold)
-    {
-      director->cold_packets++;
-      if (director->cold_sent_at == GBD_TIME_NEVER)
-        director->cold_sent_at = now;
-    }
-  if (decision->is_limited && decision->kind == GBD_ACTION_RESET)
-    director->cold_resets++;
-  else if (decision->is_limited && decision->kind == GBD_ACTION_DROP)
-    director->cold_drops++;
+  decision->kind = GBD_ACTION_RESET;
+  decision->rule = rule;
 }
 
 static void
@@ -528,7 +316,8 @@
   decision->rule = GBD_DIRECTOR_RULE_COOKIE;
   if (decision->server == GBD_POOL_NONE)
     {
-      decide_drop (decision, GBD_DIRECTOR_RULE_NO_COOKIE, GBD_DROP_UNCERTAIN);
+      gbd_director_decide_drop (decision, GBD_DIRECTOR_RULE_NO_COOKIE,
+                                GBD_DROP_UNCERTAIN);
       return;
     }
   const gbd_pool_server_t *server
@@ -536,25 +325,9 @@
   if (packet->is_reset)
     return;
   if (is_terminated (director, server, now))
-    decide_reset (decision, GBD_DIRECTOR_RULE_SERVER_REMOVED);
+    gbd_director_decide_reset (decision, GBD_DIRECTOR_RULE_SERVER_REMOVED);
   else if (is_down (director, packet, decision, now))
-    decide_reset (decision, GBD_DIRECTOR_RULE_SERVER_DOWN);
-}
-
-static void
-decide_drop (gbd_director_decision_t *decision, gbd_director_rule_t rule,
-             gbd_drop_t cause)
-{
-  decision->kind = GBD_ACTION_DROP;
-  decision->rule = rule;
-  decision->drop = cause;
-}
-
-static void
-decide_reset (gbd_director_decision_t *decision, gbd_director_rule_t rule)
-{
-  decision->kind = GBD_ACTION_RESET;
-  decision->rule = rule;
+    gbd_director_decide_reset (decision, GBD_DIRECTOR_RULE_SERVER_DOWN);
 }
 
 /* Whether responses of a backend server that is no longer listed are missing,
