--- a/src/test_libgooseberrydrum/test_cold_servers.c
+++ b/src/test_libgooseberrydrum/test_cold_servers.c
@@ -289,28 +289,6 @@
   gbd_director_delete (director);
 }
 
-/* Lets the service become short of room: every second response is as short as
-   that of a full server.  Returns the time of the last response. */
-static gbd_time_t
-make_room_short (gbd_director_t *director, gbd_time_t now)
-{
-  for (uint16_t i = 0; i < 400; i++)
-    {
-      uint16_t port = (uint16_t)(5000 + i);
-      now += 10 * GBD_MILLISECOND;
-      gbd_director_decision_t opening = open_flow (director, port, now);
-      gbd_packet_t packet = make_data (&opening, port);
-      now += 10 * GBD_MILLISECOND;
-      route_packet (director, &packet, now);
-      packet.sequence += packet.payload_length;
-      packet.payload_length = 0;
-      packet.acknowledgment += i >= 200 && i % 2 == 0 ? 125 : 800;
-      now += 10 * GBD_MILLISECOND;
-      route_packet (director, &packet, now);
-    }
-  return now;
-}
-
 /* Windows outlast a shortage.  Guards against cold servers that get flows for
    as long, although warm ones have free slots again. */
 static void
--- a/src/test_libgooseberrydrum/test_placement.c
+++ b/src/test_libgooseberrydrum/test_placement.c
@@ -312,6 +312,46 @@
   gbd_director_delete (director);
 }
 
+/* Counts the flows of new callers that leave the window of the instance. */
+static uint32_t
+count_outside (const gbd_director_t *director, gbd_time_t now)
+{
+  uint32_t count = 0;
+  for (uint16_t port = 1; port <= 100; port++)
+    {
+      gbd_packet_t packet = make_packet (GBD_PACKET_OPENING, port);
+      gbd_director_decision_t decision;
+      gbd_director_route (director, &packet, now, &decision);
+      assert_int_equal (decision.kind, GBD_ACTION_BACKEND);
+      const gbd_pool_server_t *server
+          = gbd_pool_peek (gbd_director_peek_pool (director), decision.server);
+      count += !gbd_subset_contains (gbd_director_get_group (director),
+                                     &server->position);
+    }
+  return count;
+}
+
+/* Guards against windows that go on and off with the evidence of a shortage,
+   and against windows that stay. */
+static void
+windows_apply_for_a_time_after_a_shortage (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_director_for_windows ();
+  gbd_group_view_t group = { .total = 12, .zone_count = 6, .zone_rank = 3 };
+  gbd_director_set_group (director, &group);
+  assert_in_range (count_outside (director, START), 40, 90);
+  gbd_time_t end = make_room_short (director, START) + GBD_ROOM_HOLD_TIME;
+  assert_int_equal (count_outside (director, end - GBD_SECOND), 0);
+  assert_false (gbd_room_is_short (gbd_director_peek_room (director),
+                                   gbd_id_from_name ("web"), end));
+  assert_int_equal (count_outside (director, end), 0);
+  end += GBD_ROOM_SPREAD_TIME;
+  assert_int_equal (count_outside (director, end - GBD_SECOND), 0);
+  assert_in_range (count_outside (director, end), 40, 90);
+  gbd_director_delete (director);
+}
+
 /* Guards against a window that has no effect, or that holds flows although
    they would wait for more than two requests in it. */
 static void
@@ -384,6 +424,7 @@
     cmocka_unit_test (draining_servers_get_no_new_flows),
     cmocka_unit_test (recently_removed_server_is_the_last_resort),
     cmocka_unit_test (decisions_without_shortage_or_view_are_unchanged),
+    cmocka_unit_test (windows_apply_for_a_time_after_a_shortage),
     cmocka_unit_test (short_room_keeps_flows_in_the_window),
     cmocka_unit_test (positions_follow_the_list),
   };
