Suspicion: no overdue trial while the last probe failed

After a pause of the process longer than a probe result is valid, a server that had refused connections counted as waiting for a trial flow, and got a request that must not run twice.

--- a/include/gooseberrydrum/suspicion.h
+++ b/include/gooseberrydrum/suspicion.h
@@ -135,7 +135,8 @@
                                  gbd_time_t now);
 
 /** Whether a trial flow has been due for GBD_SUSPICION_LONGEST_TRIAL: no flow
- *  whose loss does less harm has come by for it. */
+ *  whose loss does less harm has come by for it.  False while the last probe
+ *  failed. */
 bool gbd_suspicion_is_trial_overdue (const gbd_suspicion_t *suspicion,
                                      gbd_time_t now);
 
--- a/src/libgooseberrydrum/suspicion.c
+++ b/src/libgooseberrydrum/suspicion.c
@@ -142,7 +142,10 @@
 gbd_suspicion_is_trial_overdue (const gbd_suspicion_t *suspicion,
                                 gbd_time_t now)
 {
-  return suspicion->unanswered > 0
+  /* The last result counts even when it is outdated, which it is after a pause
+     of the process: no trial was possible until then. */
+  return suspicion->unanswered > 0 && suspicion->probe != GBD_PROBE_REFUSED
+         && suspicion->probe != GBD_PROBE_NO_RESPONSE
          && now - suspicion->trial_due >= GBD_SUSPICION_LONGEST_TRIAL;
 }
 
--- a/src/test_libgooseberrydrum/test_suspicion.c
+++ b/src/test_libgooseberrydrum/test_suspicion.c
@@ -169,6 +169,31 @@
       gbd_suspicion_has_failed (&suspicion, GBD_SECOND, now + 2 * GBD_SECOND));
 }
 
+/* The process is paused longer than the result of a probe is valid.  Guards
+   against a server that was down, and counts as waiting for a trial flow that
+   was not possible. */
+static void
+trial_is_not_overdue_after_a_pause_while_a_server_is_down (void **state)
+{
+  (void)state;
+  static const gbd_probe_result_t results[]
+      = { GBD_PROBE_REFUSED, GBD_PROBE_NO_RESPONSE };
+  for (size_t i = 0; i < sizeof results / sizeof results[0]; i++)
+    {
+      gbd_suspicion_t suspicion = { 0 };
+      gbd_suspicion_record_failure (&suspicion, START, START);
+      gbd_suspicion_begin_probe (&suspicion, START);
+      gbd_suspicion_record_probe (&suspicion, results[i], START, START + 1);
+      gbd_time_t now = START + 2 * GBD_SUSPICION_PROBE_VALIDITY;
+      assert_false (gbd_suspicion_is_trial_overdue (&suspicion, now));
+      gbd_suspicion_begin_probe (&suspicion, now);
+      gbd_suspicion_record_probe (&suspicion, GBD_PROBE_ACCEPTED, now, now);
+      now += GBD_SUSPICION_LONGEST_TRIAL;
+      assert_false (gbd_suspicion_is_trial_overdue (&suspicion, now - 1));
+      assert_true (gbd_suspicion_is_trial_overdue (&suspicion, now));
+    }
+}
+
 int
 main (void)
 {
@@ -179,6 +204,8 @@
     cmocka_unit_test (response_clears_suspicion_and_outdates_earlier_packets),
     cmocka_unit_test (trial_interval_is_bounded),
     cmocka_unit_test (trial_is_not_overdue_right_after_the_return),
+    cmocka_unit_test (
+        trial_is_not_overdue_after_a_pause_while_a_server_is_down),
     cmocka_unit_test (record_is_broken_until_some_time_after_the_recovery),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
