Flow tracker: a flow without a request does not break the record of its server

A new flow counts as waiting before its first request. If the caller sent none within the response timeout, its server counted as one that failed.

--- a/include/gooseberrydrum/suspicion.h
+++ b/include/gooseberrydrum/suspicion.h
@@ -89,9 +89,9 @@
 bool gbd_suspicion_record_failure (gbd_suspicion_t *suspicion,
                                    gbd_time_t sent_at, gbd_time_t now);
 
-/** Record that a flow got no response while its caller sent nothing further:
- *  the server has reset it, or the caller has given up.  This breaks the
- *  record of the server, but is too weak to suspect it. */
+/** Record that a request got no response while its caller sent nothing
+ * further: the server has reset it, or the caller has given up.  This breaks
+ * the record of the server, but is too weak to suspect it. */
 void gbd_suspicion_record_silence (gbd_suspicion_t *suspicion, gbd_time_t now);
 
 /** Record that the entry of the backend server was removed, or listed again.
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -30,6 +30,7 @@
                            gbd_tracked_flow_t *flow);
 static void set_waiting (gbd_flow_tracker_t *tracker, gbd_tracked_flow_t *flow,
                          bool is_waiting);
+static bool has_request (const gbd_tracked_flow_t *flow);
 static void check_limit (gbd_flow_tracker_t *tracker, gbd_tracked_flow_t *flow,
                          gbd_time_t now);
 static void record_opening (gbd_flow_tracker_t *tracker,
@@ -168,7 +169,7 @@
                && now - flow->last_packet_at > response_timeout)
         {
           set_waiting (tracker, flow, false);
-          if (flow->phase == GBD_FLOW_ESTABLISHED && !was_paused)
+          if (has_request (flow) && !was_paused)
             gbd_suspicion_record_silence (
                 &gbd_pool_get (tracker->pool, flow->server)->load.suspicion,
                 now);
@@ -248,6 +249,15 @@
     server->load.waiting--;
 }
 
+/* Whether a request was sent on a flow since its last response.  A new flow
+   counts as waiting already before its first request. */
+static bool
+has_request (const gbd_tracked_flow_t *flow)
+{
+  return flow->phase == GBD_FLOW_ESTABLISHED
+         && flow->sent_at >= flow->last_response_at;
+}
+
 /* Detects that a backend server at its connection limit has reset a flow. */
 static void
 check_limit (gbd_flow_tracker_t *tracker, gbd_tracked_flow_t *flow,
--- a/src/test_libgooseberrydrum/test_flow_tracker.c
+++ b/src/test_libgooseberrydrum/test_flow_tracker.c
@@ -222,6 +222,26 @@
   gbd_director_delete (director);
 }
 
+/* A caller opens a flow before it has a request.  Guards against a server
+   whose record breaks because nobody asked for a response. */
+static void
+flow_without_request_does_not_break_the_record (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_director_decision_t opening = open_flow (director, 1, START);
+  gbd_time_t end = START + 2 * GBD_FLOW_TRACKER_RESPONSE_TIMEOUT_MIN;
+  for (gbd_time_t now = START; now <= end; now += 100 * MS)
+    {
+      gbd_director_tick (director, now);
+      assert_false (gbd_suspicion_has_failed (
+          &get_load (director, opening.server)->suspicion,
+          GBD_PLACEMENT_RECORD_TIME, now));
+    }
+  assert_int_equal (get_load (director, opening.server)->waiting, 0);
+  gbd_director_delete (director);
+}
+
 int
 main (void)
 {
@@ -233,6 +253,7 @@
     cmocka_unit_test (idle_timeout_of_the_configuration_applies),
     cmocka_unit_test (waiting_follows_the_response_times),
     cmocka_unit_test (request_without_response_breaks_the_record),
+    cmocka_unit_test (flow_without_request_does_not_break_the_record),
     cmocka_unit_test (eviction_keeps_load_counters_consistent),
     cmocka_unit_test (reopened_flow_is_no_longer_open_at_its_first_server),
   };
