--- a/src/libgooseberrydrum/pool.c
+++ b/src/libgooseberrydrum/pool.c
@@ -30,6 +30,10 @@
 static gbd_pool_handle_t find_backend (const gbd_pool_t *pool,
                                        gbd_backend_id_t id);
 static gbd_pool_handle_t allocate_handle (gbd_pool_t *pool);
+static void record_start (const gbd_pool_t *pool, gbd_pool_server_t *server,
+                          const gbd_pool_entry_t *entry, gbd_time_t now);
+static bool changes_positions (const gbd_pool_server_t *server,
+                               const gbd_pool_entry_t *entry);
 static bool build_index (gbd_pool_t *pool);
 static void add_to_index (gbd_pool_t *pool, gbd_pool_handle_t handle);
 static void insert_handle (const gbd_pool_t *pool, gbd_pool_handle_t *slots,
@@ -93,28 +97,13 @@
       gbd_warm_up_init (&pool->servers[handle].warm_up);
     }
   gbd_pool_server_t *server = &pool->servers[handle];
-  bool has_restarted
-      = server->is_used && server->entry.start_time_ms != entry->start_time_ms;
-  /* The first list of an instance tells by its entries which servers are
-     cold; servers that are listed later have just started. */
-  if (has_restarted || (pool->is_synced && !server->is_listed))
-    server->warm_up.assumed_start_at = now;
-  /* After a restart, the backend server has none of its previous flows, and
-     earlier evidence of a failure is outdated. */
-  if (has_restarted)
-    memset (&server->load.suspicion, 0, sizeof server->load.suspicion);
-  if (!server->is_listed
-      || server->entry.start_time_ms != entry->start_time_ms)
-    server->listed_at = now;
+  record_start (pool, server, entry, now);
   bool has_moved = !is_new
                    && !gbd_address_is_equal (&server->entry.backend.address,
                                              &entry->backend.address);
   if (!server->is_listed)
     pool->listed_count++;
-  if (!server->is_listed || server->superseded_at != GBD_TIME_NEVER
-      || server->entry.service != entry->service
-      || server->entry.backend.zone != entry->backend.zone
-      || server->entry.backend.state != entry->backend.state)
+  if (changes_positions (server, entry))
     pool->are_positions_outdated = true;
   server->entry = *entry;
   server->fingerprint = fingerprint;
@@ -365,6 +354,37 @@
   return handle;
 }
 
+/* Records a restart or a new listing of a backend server, before its entry is
+   replaced. */
+static void
+record_start (const gbd_pool_t *pool, gbd_pool_server_t *server,
+              const gbd_pool_entry_t *entry, gbd_time_t now)
+{
+  bool has_restarted
+      = server->is_used && server->entry.start_time_ms != entry->start_time_ms;
+  /* The first list of an instance tells by its entries which servers are
+     cold; servers that are listed later have just started. */
+  if (has_restarted || (pool->is_synced && !server->is_listed))
+    server->warm_up.assumed_start_at = now;
+  /* After a restart, the backend server has none of its previous flows, and
+     earlier evidence of a failure is outdated. */
+  if (has_restarted)
+    memset (&server->load.suspicion, 0, sizeof server->load.suspicion);
+  if (has_restarted || !server->is_listed)
+    server->listed_at = now;
+}
+
+/* Whether an entry changes which servers have positions, or their order. */
+static bool
+changes_positions (const gbd_pool_server_t *server,
+                   const gbd_pool_entry_t *entry)
+{
+  return !server->is_listed || server->superseded_at != GBD_TIME_NEVER
+         || server->entry.service != entry->service
+         || server->entry.backend.zone != entry->backend.zone
+         || server->entry.backend.state != entry->backend.state;
+}
+
 static bool
 build_index (gbd_pool_t *pool)
 {
