--- a/include/gooseberrydrum/placement.h
+++ b/include/gooseberrydrum/placement.h
@@ -29,8 +29,9 @@
  *
  *  Where a limit for cold backend servers is in force (warm_up.h), one without
  *  budget is no candidate.  One with budget gets a flow if no warm server has
- *  free slots, or if the service is short of room and the free slots that this
- *  instance knows of prove little.
+ *  free slots.  While the service is short of room, it competes by cost with
+ *  warm ones, because the flows of one instance do not show which slots are
+ *  free.
  *
  *  Suspected backend servers get only trial flows, unless all backend servers
  *  of the service are suspected.  When many fail at once, a retransmitted
@@ -68,12 +69,12 @@
 #define GBD_PLACEMENT_UNPROVEN_COST 4000
 /** Time without failure, recovery or new listing after which a record is
  *  unbroken.  A server that fails and returns by turns does so within seconds;
- *  this is also the longest interval between trial flows three times. */
+ *  this is about three times the longest interval between trial flows. */
 #define GBD_PLACEMENT_RECORD_TIME (5 * GBD_SECOND)
 /** Servers with an unbroken record are preferred only if they have at least
- *  this part of the slots that are in use: if most servers have failed within
+ *  one in this number of the slots in use: if most servers have failed within
  *  that time, the cause is rather in the network, and few servers would get
- * the requests of all instances. */
+ *  the requests of all instances. */
 #define GBD_PLACEMENT_PROVEN_PART_MIN 4
 /** How long after its removal an entry that was not draining may still be
  *  chosen if the service has no other backend server: a running one has
