Relay: waiting readers are holders; long arguments hide no others

lws_get_urlarg_by_name() of libwebsockets 4.1 leaves the name in the buffer and returns a pointer past it, so the address of a waiting reader was never parsed and a relay that starts during an outage could not ask it. An argument that does not fit into the buffer ends the search: with zone names over 58 bytes, the position of the evacuations was not read.

--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -10,7 +10,10 @@
 #include "relay_codec.h"
 #include "relay_members.h"
 
-#define ARGUMENT_SIZE 64
+/* More than any argument of a reader with its name and the NUL: an argument
+   that does not fit hides those that follow it (lws_get_urlarg_by_name() ends
+   there). */
+#define ARGUMENT_SIZE (sizeof "evacuations=" + GBD_NAME_MAX)
 #define HOLDERS_PATH GBD_RELAY_PREFIX GBD_RELAY_HOLDERS_KIND "/"
 #define MEMBERS_PATH GBD_RELAY_PREFIX GBD_RELAY_MEMBERS_KIND
 #define HOLDERS_MAX 8 /* the latest; a few of them suffice */
@@ -127,7 +130,7 @@
                                 reader_t *reader, const char *text);
 static void record_holder (gbd_relay_t *relay, const char *text);
 static void record_member (gbd_relay_t *relay, struct lws *wsi,
-                           reader_t *reader);
+                           reader_t *reader, const char *from);
 static int send_members (const gbd_relay_t *relay, struct lws *wsi,
                          reader_t *reader);
 static int send_filled_listing (gbd_relay_t *relay, reader_t *reader);
@@ -553,14 +556,15 @@
   uint64_t wait_ms = 0;
   uint64_t with_documents = 0;
   uint64_t evacuations = 0;
-  char from[ARGUMENT_SIZE] = "";
   reader->has_since = read_argument (wsi, "since=", &reader->since);
   read_argument (wsi, "documents=", &with_documents);
   reader->with_documents = with_documents != 0 && !reader->has_since;
-  if (reader->has_since
-      && lws_get_urlarg_by_name (wsi, "from=", from, sizeof from))
+  char buffer[ARGUMENT_SIZE];
+  const char *from
+      = lws_get_urlarg_by_name (wsi, "from=", buffer, sizeof buffer);
+  if (reader->has_since && from)
     record_holder (relay, from);
-  record_member (relay, wsi, reader);
+  record_member (relay, wsi, reader, from);
   if (!reader->has_since && relay->fill)
     return send_filled_listing (relay, reader);
   if (!reader->has_since)
@@ -660,20 +664,18 @@
   *oldest = (holder_t){ .address = address, .seen_at = relay->now };
 }
 
+/* @param from address by which the reader names itself; NULL: none */
 static void
-record_member (gbd_relay_t *relay, struct lws *wsi, reader_t *reader)
+record_member (gbd_relay_t *relay, struct lws *wsi, reader_t *reader,
+               const char *from)
 {
-  char from[sizeof "from=" + GBD_ADDRESS_TEXT_MAX];
-  char zone[sizeof "zone=" + GBD_NAME_MAX];
+  char zone[ARGUMENT_SIZE];
   reader->address = (gbd_address_t){ 0 };
-  if (!relay->members)
+  if (!relay->members || !from
+      || gbd_address_parse (from, &reader->address) != GBD_OK)
     return;
-  const char *address
-      = lws_get_urlarg_by_name (wsi, "from=", from, sizeof from);
   const char *zone_name
       = lws_get_urlarg_by_name (wsi, "zone=", zone, sizeof zone);
-  if (!address || gbd_address_parse (address, &reader->address) != GBD_OK)
-    return;
   /* A reader that is not counted is served all the same. */
   gbd_members_record (relay->members, &reader->address,
                       zone_name ? zone_name : "", relay->now);
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -486,6 +486,59 @@
   json_decref (value);
 }
 
+/* Lists from the relay and waits there, with further arguments. */
+static void
+wait_with_argument (const char *argument)
+{
+  gbd_platform_settings_t settings = reader->settings;
+  settings.watch_argument = argument;
+  apply_change ("a", 5, "one");
+  gbd_relay_publish (relay, 10, 0, now);
+  gbd_relay_tick (relay, now);
+  second_client = gbd_platform_new (context, &settings);
+  gbd_platform_watch_new (second_client, KIND, "", now, &callbacks, NULL);
+  run_until_count (&confirmations, 1);
+  run_loop_during_long_poll ();
+  gbd_platform_delete (second_client);
+  second_client = NULL;
+}
+
+/* Guards against a relay that starts without the platform and finds none of
+   the readers that have the list, since it does not understand the address by
+   which they name themselves. */
+static void
+waiting_reader_is_a_holder (void **state)
+{
+  (void)state;
+  gbd_address_t holder;
+  char text[GBD_ADDRESS_TEXT_MAX];
+  assert_false (gbd_relay_next_holder (relay, &holder, now));
+  wait_with_argument ("from=[2001:db8::7]:7000&zone=a");
+  assert_true (gbd_relay_next_holder (relay, &holder, now));
+  gbd_address_format (&holder, text);
+  assert_string_equal (text, "[2001:db8::7]:7000");
+}
+
+/* Guards against a reader that learns of an evacuation with its next response
+   only: an argument longer than the buffer hides those that follow it. */
+static void
+longest_zone_name_does_not_delay_an_evacuation (void **state)
+{
+  (void)state;
+  gbd_evacuations_t set = { 0 };
+  const char *zones[] = { "b" };
+  gbd_evacuations_update (&set, 7, zones, 1, now);
+  gbd_relay_set_evacuations (relay, &set);
+  char zone[GBD_NAME_MAX + 1];
+  memset (zone, 'z', GBD_NAME_MAX);
+  zone[GBD_NAME_MAX] = '\0';
+  char *argument
+      = g_strdup_printf ("from=127.0.0.1:7000&zone=%s&evacuations=6", zone);
+  wait_with_argument (argument);
+  g_free (argument);
+  assert_true (confirmations >= 2);
+}
+
 int
 main (void)
 {
@@ -513,6 +566,10 @@
         listing_is_sent_while_the_platform_is_unreachable, set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         rejection_reports_a_reader_with_a_newer_version, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (waiting_reader_is_a_holder, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (
+        longest_zone_name_does_not_delay_an_evacuation, set_up, tear_down),
     cmocka_unit_test_setup_teardown (document_is_read_by_its_name, set_up,
                                      tear_down),
   };
