--- a/src/gooseberrydrum/cookie_evacuations.c
+++ b/src/gooseberrydrum/cookie_evacuations.c
@@ -36,6 +36,8 @@
   gbd_time_t unknown_since; /* time since which relays have not known the
                                set; 0: they do */
   gbd_time_t last_tick_at;
+  bool is_watch_failing; /* the failure was logged */
+  bool is_full;          /* that zones were left out was logged */
 };
 
 static bool is_watch_needed (const gbd_cookie_serve_t *serve, gbd_time_t now);
@@ -130,6 +132,7 @@
     {
       gbd_platform_watch_delete (state->watch);
       state->watch = NULL;
+      state->is_watch_failing = false;
     }
   gbd_platform_tick (state->platform, now);
   gbd_evacuations_tick (gbd_director_get_evacuations (serve->director), now);
@@ -276,6 +279,7 @@
   gbd_time_t now = serve->clock (NULL);
   if (!state->watch)
     return;
+  state->is_watch_failing = false;
   guint count = 0;
   gpointer *names = g_hash_table_get_keys_as_array (state->names, &count);
   state->confirmed_at = now;
@@ -289,6 +293,9 @@
 objects_failed (void *data, gbd_time_t now)
 {
   gbd_cookie_serve_t *serve = data;
+  if (serve->evacuations->is_watch_failing)
+    return;
+  serve->evacuations->is_watch_failing = true;
   gbd_event_log_emit (serve->event_log, GBD_EVENT_PLATFORM_LOST, now,
                       json_pack ("{s:s, s:s}", "watch",
                                  serve->platform_api->evacuations_kind,
@@ -324,7 +331,10 @@
   if (status != GBD_ERROR_STALE)
     serve->evacuations->received_at = now;
   gbd_cookie_set_relay_argument (serve);
-  if (status == GBD_ERROR_MEMORY)
+  bool was_full = serve->evacuations->is_full;
+  if (status != GBD_ERROR_STALE)
+    serve->evacuations->is_full = status == GBD_ERROR_MEMORY;
+  if (serve->evacuations->is_full && !was_full)
     gbd_cookie_log_bad_object (serve, serve->platform_api->evacuations_kind,
                                "", position, gbd_status_strings[status], now);
   report_changes (serve, now);
--- a/src/test_gooseberrydrum/test_cookie_evacuations.c
+++ b/src/test_gooseberrydrum/test_cookie_evacuations.c
@@ -551,6 +551,47 @@
   close (ends[1]);
 }
 
+/* Guards against a log that is filled by the tries of the watch, or by the
+   responses that repeat a set with too many zones. */
+static void
+lasting_troubles_are_logged_once (void **state)
+{
+  (void)state;
+  group_t group;
+  int ends[2];
+  static char log[LOG_BYTES];
+  memset (log, 0, sizeof log);
+  assert_int_equal (pipe (ends), 0);
+  open_evacuating_group (&group);
+  group.log_fd = ends[1];
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  for (int i = 0; i <= GBD_EVACUATIONS_MAX; i++)
+    {
+      char zone[GBD_NAME_MAX + 1];
+      g_snprintf (zone, sizeof zone, "zone-%d", i);
+      evacuate (&group, zone);
+    }
+  run_for (&group, 5 * GBD_SECOND);
+  gbd_event_log_flush (relay->event_log);
+  for (int outage = 0; outage < 2; outage++)
+    {
+      fixture_set_switches (&group.fixture, "{\"down\":true}");
+      run_for (&group, 10 * GBD_SECOND);
+      fixture_set_switches (&group.fixture, "{\"down\":false}");
+      run_for (&group, 5 * GBD_SECOND);
+    }
+  gbd_event_log_flush (relay->event_log);
+  assert_true (read (ends[0], log, sizeof log - 1) > 0);
+  int lost = count_lines (log, "\"PLATFORM_LOST\"", "\"" KIND "\"");
+  int too_many = count_lines (log, "\"BAD_OBJECT\"", "\"" KIND "\"");
+  print_message ("%d losses, %d times too many zones\n", lost, too_many);
+  assert_int_equal (lost, 2);
+  assert_int_equal (too_many, 1);
+  close_group (&group);
+  close (ends[0]);
+  close (ends[1]);
+}
+
 /* A process that was paused for 10 s applies what changed meanwhile before it
    sends an opening packet.  Guards against the old set after the pause, and
    against openings that stay held back when the sources respond. */
@@ -615,6 +656,7 @@
     cmocka_unit_test (bad_values_neither_end_nor_prevent_an_evacuation),
     cmocka_unit_test (object_without_spec_exists),
     cmocka_unit_test (events_tell_what_is_evacuated),
+    cmocka_unit_test (lasting_troubles_are_logged_once),
     cmocka_unit_test (paused_instance_asks_before_it_places_flows)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
