Evacuations: a response from before a pause confirms nothing

A request that was a retry is not renewed after a pause of the process, and its response may have been sent before the pause.

--- a/src/gooseberrydrum/cookie_evacuations.c
+++ b/src/gooseberrydrum/cookie_evacuations.c
@@ -36,6 +36,7 @@
   gbd_time_t unknown_since; /* time since which relays have not known the
                                set; 0: they do */
   gbd_time_t last_tick_at;
+  gbd_time_t resumed_at; /* end of the last pause of the process; 0: none */
   bool is_watch_failing; /* the failure was logged */
   bool is_full;          /* that zones were left out was logged */
 };
@@ -168,11 +169,18 @@
          count, now);
 }
 
-void
-gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve)
+bool
+gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve,
+                                gbd_time_t requested_at)
 {
-  if (serve->evacuations && !serve->evacuations->unknown_since)
+  const gbd_cookie_evacuations_t *state = serve->evacuations;
+  if (!state)
+    return true;
+  if (requested_at < state->resumed_at)
+    return false;
+  if (!state->unknown_since)
     gbd_director_hold_openings (serve->director, 0);
+  return true;
 }
 
 void
@@ -242,6 +250,7 @@
   if (!was_paused)
     return;
   state->confirmed_at = GBD_TIME_NEVER;
+  state->resumed_at = now;
   if (state->watch)
     gbd_platform_watch_refresh (state->watch);
   if (gbd_director_peek_evacuations (serve->director)->is_known)
@@ -273,7 +282,6 @@
 static void
 objects_confirmed (void *data, gbd_time_t requested_at)
 {
-  (void)requested_at;
   gbd_cookie_serve_t *serve = data;
   gbd_cookie_evacuations_t *state = serve->evacuations;
   gbd_time_t now = serve->clock (NULL);
@@ -282,11 +290,17 @@
   state->is_watch_failing = false;
   guint count = 0;
   gpointer *names = g_hash_table_get_keys_as_array (state->names, &count);
-  state->confirmed_at = now;
+  /* A response may have been waiting to be read during a pause. */
+  bool is_current = requested_at >= state->resumed_at;
+  if (is_current)
+    state->confirmed_at = now;
   apply (serve, gbd_platform_watch_get_version (state->watch),
          (const char *const *)names, count, now);
   g_free (names);
-  gbd_director_hold_openings (serve->director, 0);
+  if (is_current)
+    gbd_director_hold_openings (serve->director, 0);
+  else
+    gbd_platform_watch_refresh (state->watch);
 }
 
 static void
--- a/src/gooseberrydrum/cookie_serve.h
+++ b/src/gooseberrydrum/cookie_serve.h
@@ -225,8 +225,12 @@
  *  @param set as in gbd_platform_watch_callbacks_t */
 void gbd_cookie_evacuations_receive (gbd_cookie_serve_t *serve,
                                      const json_t *set);
-/** A relay that can reach the platform has responded with its set. */
-void gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve);
+/** A relay that can reach the platform has responded with its set.
+ *  @param requested_at time of the request
+ *  @return false if the process was paused since; the response may be older
+ *  than the pause */
+bool gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve,
+                                     gbd_time_t requested_at);
 void gbd_cookie_evacuations_add_status (gbd_cookie_serve_t *serve,
                                         json_t *status);
 /** Add the evacuated zones, if there are any, to a decision. */
--- a/src/gooseberrydrum/cookie_servers.c
+++ b/src/gooseberrydrum/cookie_servers.c
@@ -47,7 +47,8 @@
                                       gbd_time_t now);
 static bool start_peer_server (gbd_cookie_serve_t *serve, const char **error);
 static void documents_received (void *data, const json_t *documents);
-static void evacuations_received (void *data, const json_t *set);
+static void evacuations_received (void *data, const json_t *set,
+                                  gbd_time_t requested_at);
 static void fill_listing (void *data);
 static void refresh_watches (gbd_cookie_serve_t *serve);
 static uint32_t find_relays (const gbd_cookie_serve_t *serve,
@@ -317,12 +318,15 @@
 }
 
 static void
-evacuations_received (void *data, const json_t *set)
+evacuations_received (void *data, const json_t *set, gbd_time_t requested_at)
 {
   gbd_cookie_serve_t *serve = data;
   gbd_cookie_evacuations_receive (serve, set);
-  if (!serve->is_list_outdated)
-    gbd_cookie_evacuations_confirm (serve);
+  if (serve->is_list_outdated)
+    return;
+  bool is_current = gbd_cookie_evacuations_confirm (serve, requested_at);
+  if (!is_current && serve->servers_watch)
+    gbd_platform_watch_refresh (serve->servers_watch);
 }
 
 /* The list of an instance that is not a relay may be outdated: only relays
--- a/src/gooseberrydrum/platform_client.h
+++ b/src/gooseberrydrum/platform_client.h
@@ -127,8 +127,9 @@
   /** A relay has sent the set of evacuated zones; called after
    *  relay_metadata.  May be NULL.
    *  @param set [position, [zone name, ...]]; JSON null if the relay does not
-   *  know it */
-  void (*evacuations) (void *data, const json_t *set);
+   *  know it
+   *  @param requested_at as for `confirmed` */
+  void (*evacuations) (void *data, const json_t *set, gbd_time_t requested_at);
   /** The store was restored from an older copy, as the response of a platform
    *  or a relay shows; what the store has now follows, as a listing or as
    *  changes, and then `confirmed`.  May be NULL.
--- a/src/gooseberrydrum/platform_watch.c
+++ b/src/gooseberrydrum/platform_watch.c
@@ -397,7 +397,8 @@
     watch->callbacks.documents (watch->data, documents);
   const json_t *evacuations = json_object_get (result->body, "evacuations");
   if (watch->callbacks.evacuations && evacuations)
-    watch->callbacks.evacuations (watch->data, evacuations);
+    watch->callbacks.evacuations (watch->data, evacuations,
+                                  watch->requested_at);
   if (!watch->is_listed)
     report_page (watch, result, items);
   else
--- a/src/test_gooseberrydrum/test_cookie_evacuations.c
+++ b/src/test_gooseberrydrum/test_cookie_evacuations.c
@@ -637,6 +637,35 @@
   close_group (&group);
 }
 
+/* A response that was sent before the pause, to a request that the pause does
+   not renew, tells nothing of the time since.  Guards against flows to a zone
+   that was evacuated during the pause. */
+static void
+response_from_before_a_pause_confirms_nothing (void **state)
+{
+  (void)state;
+  group_t group;
+  open_evacuating_group (&group);
+  start_relay (&group);
+  gbd_cookie_serve_t *reader = start_reader (&group);
+  run_for (&group, 2 * GBD_SECOND);
+  gbd_packet_t packet = { .kind = GBD_PACKET_OPENING };
+  gbd_address_parse ("100.64.0.7:40001", &packet.flow.caller);
+  gbd_address_parse ("198.18.0.1:80", &packet.flow.service);
+  gbd_time_t requested_at = group.fixture.now;
+  gbd_time_t resumed_at = requested_at + 10 * GBD_SECOND;
+  gbd_director_tick (reader->director, resumed_at);
+  gbd_cookie_evacuations_tick (reader, resumed_at);
+  gbd_director_decision_t decision;
+  assert_false (gbd_cookie_evacuations_confirm (reader, requested_at));
+  gbd_director_route (reader->director, &packet, resumed_at, &decision);
+  assert_int_equal (decision.kind, GBD_ACTION_DROP);
+  assert_true (gbd_cookie_evacuations_confirm (reader, resumed_at));
+  gbd_director_route (reader->director, &packet, resumed_at, &decision);
+  assert_int_equal (decision.kind, GBD_ACTION_BACKEND);
+  close_group (&group);
+}
+
 int
 main (void)
 {
@@ -657,7 +686,8 @@
     cmocka_unit_test (object_without_spec_exists),
     cmocka_unit_test (events_tell_what_is_evacuated),
     cmocka_unit_test (lasting_troubles_are_logged_once),
-    cmocka_unit_test (paused_instance_asks_before_it_places_flows)
+    cmocka_unit_test (paused_instance_asks_before_it_places_flows),
+    cmocka_unit_test (response_from_before_a_pause_confirms_nothing)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
