--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -5,10 +5,9 @@
 #include <string.h>
 
 #include "admin_response.h"
-#include "gooseberrydrum/sources.h"
 #include "relay_api.h"
-#include "relay_codec.h"
 #include "relay_members.h"
+#include "relay_private.h"
 
 /* More than any argument of a reader with its name and the NUL: an argument
    that does not fit hides those that follow it (lws_get_urlarg_by_name() ends
@@ -16,52 +15,10 @@
 #define ARGUMENT_SIZE (sizeof "evacuations=" + GBD_NAME_MAX)
 #define HOLDERS_PATH GBD_RELAY_PREFIX GBD_RELAY_HOLDERS_KIND "/"
 #define MEMBERS_PATH GBD_RELAY_PREFIX GBD_RELAY_MEMBERS_KIND
-#define HOLDERS_MAX 8 /* the latest; a few of them suffice */
 #define WAIT_MS_MAX 10000
 #define DECIMAL_BASE 10
 #define KEEPALIVE_S 5 /* time-out of an idle connection */
 
-/** An object, or a retained deletion. */
-typedef struct
-{
-  GBytes *value;              /* as msgpack; NULL: deleted */
-  uint64_t version;           /* of the object */
-  uint64_t published_version; /* version of the relay's list at which the
-                                 change was published; a reader that has an
-                                 older version is sent the object; 0: not
-                                 published */
-  gbd_time_t deleted_at; /* time of publication; used only for deletions */
-  bool is_in_list;       /* reported since the current listing began */
-} object_t;
-
-/** Body of the latest response.  Many readers have the same version, so most
-    responses are the same. */
-typedef struct
-{
-  GByteArray *body;
-  unsigned status;
-  bool is_valid; /* nothing that it contains has changed */
-  bool has_since;
-  bool with_documents;
-  uint64_t since;
-  guint shared_length; /* bytes before the view of the reader */
-} cached_response_t;
-
-/** A document, encoded both as a response of its own and as a part of a
-    listing. */
-typedef struct
-{
-  GBytes *message;
-  GBytes *entry;
-} document_t;
-
-/** An instance that serves listings. */
-typedef struct
-{
-  gbd_address_t address;
-  gbd_time_t seen_at;
-} holder_t;
-
 /** Connection of a reader. */
 typedef struct
 {
@@ -76,46 +33,12 @@
 } reader_t;
 
 /** User data of the vhost, which outlives the relay. */
-typedef struct
+struct gbd_relay_vhost_user
 {
   gbd_relay_t *relay; /* NULL after the relay was deleted */
   char host[GBD_ADDRESS_TEXT_MAX];
-} vhost_user_t;
-
-struct gbd_relay
-{
-  vhost_user_t *vhost_user;
-  struct lws_vhost *vhost;
-  const char *kind;
-  GHashTable *objects;        /* name -> object_t */
-  GHashTable *documents;      /* "KIND/NAME" -> document_t */
-  GPtrArray *waiting_readers; /* elements are reader_t */
-  uint64_t version;
-  uint64_t compacted_version; /* deletions up to this version were discarded */
-  uint32_t removal_grace_ms;
-  uint64_t hint;
-  bool is_connected; /* the platform is reachable */
-  bool has_failed;   /* the platform was unreachable at least once */
-  bool is_listing;
-  uint32_t reader_count; /* waiting readers at the last publication */
-  gbd_newer_readers_t newer_readers;
-  bool sends_evacuations; /* responses contain the evacuated zones */
-  gbd_evacuations_t evacuations;
-  uint64_t evacuations_change; /* position at the last change of the zones */
-  cached_response_t cached_response;
-  gbd_relay_fill_t fill; /* NULL: the objects are stored */
-  void *fill_data;
-  gbd_relay_holder_callback_t holder_callback; /* may be NULL */
-  void *holder_data;
-  gbd_members_t *members; /* NULL: not counted */
-  holder_t holders[HOLDERS_MAX];
-  uint32_t next_holder;
-  uint64_t response_count;
-  uint64_t change_count;
-  gbd_time_t now; /* time of the last tick */
 };
 
-static GBytes *pack_value (const json_t *value);
 static void publish_objects (gbd_relay_t *relay, uint64_t version,
                              gbd_time_t now);
 static int handle_callback (struct lws *wsi, enum lws_callback_reasons reason,
@@ -139,19 +62,6 @@
 static int send_response (gbd_relay_t *relay, reader_t *reader);
 static void stop_waiting (gbd_relay_t *relay, reader_t *reader);
 static void respond_to_waiting_readers (gbd_relay_t *relay, bool is_forced);
-static unsigned find_status (const gbd_relay_t *relay, const uint64_t *since);
-static void pack_objects (const gbd_relay_t *relay, const uint64_t *since,
-                          bool with_documents, msgpack_sbuffer *buffer);
-static void append_view (gbd_relay_t *relay, const gbd_address_t *address);
-static void pack_documents (const gbd_relay_t *relay, bool with_documents,
-                            msgpack_sbuffer *buffer);
-static size_t count_optional_entries (const gbd_relay_t *relay);
-static void pack_evacuations (const gbd_relay_t *relay,
-                              msgpack_packer *packer);
-static void pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer);
-static bool is_included (const object_t *object, const uint64_t *since);
-static void pack_text (msgpack_packer *packer, const char *text);
-static GBytes *take_bytes (msgpack_sbuffer *buffer);
 static void expire_deletions (gbd_relay_t *relay, gbd_time_t now);
 static void free_object (gpointer data);
 static void free_document (gpointer data);
@@ -168,7 +78,7 @@
                const char *kind, const char **error)
 {
   gbd_relay_t *relay = g_new0 (gbd_relay_t, 1);
-  vhost_user_t *vhost_user = calloc (1, sizeof *vhost_user);
+  gbd_relay_vhost_user_t *vhost_user = calloc (1, sizeof *vhost_user);
   relay->kind = kind;
   relay->objects
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, free_object);
@@ -235,23 +145,23 @@
   relay->is_listing = true;
   g_hash_table_iter_init (&iterator, relay->objects);
   while (g_hash_table_iter_next (&iterator, NULL, &object))
-    ((object_t *)object)->is_in_list = false;
+    ((gbd_relay_object_t *)object)->is_in_list = false;
 }
 
 void
 gbd_relay_apply (gbd_relay_t *relay, const char *name, uint64_t version,
                  const json_t *value)
 {
-  object_t *current = g_hash_table_lookup (relay->objects, name);
+  gbd_relay_object_t *current = g_hash_table_lookup (relay->objects, name);
   if (current && current->value && value && current->version == version)
     {
       /* A new listing repeats an object that readers already have. */
       current->is_in_list = true;
       return;
     }
-  object_t *object = g_new0 (object_t, 1);
+  gbd_relay_object_t *object = g_new0 (gbd_relay_object_t, 1);
   if (value)
-    object->value = pack_value (value);
+    object->value = gbd_relay_pack_value (value);
   object->version = version;
   object->is_in_list = true;
   relay->change_count++;
@@ -261,8 +171,9 @@
 void
 gbd_relay_refresh (gbd_relay_t *relay, const char *name, const json_t *value)
 {
-  object_t *current = g_hash_table_lookup (relay->objects, name);
-  GBytes *bytes = current && current->value ? pack_value (value) : NULL;
+  gbd_relay_object_t *current = g_hash_table_lookup (relay->objects, name);
+  GBytes *bytes
+      = current && current->value ? gbd_relay_pack_value (value) : NULL;
   if (!bytes)
     return;
   g_bytes_unref (current->value);
@@ -328,27 +239,12 @@
 gbd_relay_set_document (gbd_relay_t *relay, const char *kind, const char *name,
                         uint64_t version, const json_t *value)
 {
-  msgpack_sbuffer buffer;
-  msgpack_packer packer;
   char *text = json_dumps (value, JSON_COMPACT | JSON_ENCODE_ANY);
   if (!text)
     return;
   char *path = g_strconcat (kind, "/", name, NULL);
-  document_t *document = g_new0 (document_t, 1);
-  msgpack_sbuffer_init (&buffer);
-  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, GBD_RELAY_DOCUMENT_LENGTH);
-  msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
-  msgpack_pack_int (&packer, GBD_RELAY_DOCUMENT);
-  msgpack_pack_uint64 (&packer, version);
-  pack_text (&packer, text);
-  document->message = take_bytes (&buffer);
-  msgpack_pack_array (&packer, GBD_RELAY_OBJECT_LENGTH);
-  pack_text (&packer, path);
-  msgpack_pack_uint64 (&packer, version);
-  pack_text (&packer, text);
-  document->entry = take_bytes (&buffer);
-  msgpack_sbuffer_destroy (&buffer);
+  gbd_relay_document_t *document
+      = gbd_relay_pack_document (path, version, text);
   free (text);
   g_hash_table_replace (relay->documents, path, document);
   relay->cached_response.is_valid = false;
@@ -374,10 +270,11 @@
 gbd_relay_next_holder (gbd_relay_t *relay, gbd_address_t *holder,
                        gbd_time_t now)
 {
-  for (uint32_t i = 0; i < HOLDERS_MAX; i++)
+  for (uint32_t i = 0; i < GBD_RELAY_HOLDERS_MAX; i++)
     {
-      relay->next_holder = (relay->next_holder + 1) % HOLDERS_MAX;
-      const holder_t *candidate = &relay->holders[relay->next_holder];
+      relay->next_holder = (relay->next_holder + 1) % GBD_RELAY_HOLDERS_MAX;
+      const gbd_relay_holder_t *candidate
+          = &relay->holders[relay->next_holder];
       if (!candidate->address.family
           || now - candidate->seen_at > GBD_RELAY_HOLDER_VALIDITY)
         continue;
@@ -416,41 +313,6 @@
     }
 }
 
-const GByteArray *
-gbd_relay_build_response (gbd_relay_t *relay, const uint64_t *since,
-                          bool with_documents, const gbd_address_t *address,
-                          unsigned *status)
-{
-  cached_response_t *cached = &relay->cached_response;
-  with_documents = with_documents && !relay->is_connected;
-  bool is_cached = cached->is_valid && cached->has_since == (since != NULL)
-                   && cached->with_documents == with_documents
-                   && (!since || cached->since == *since);
-  if (!is_cached)
-    {
-      msgpack_sbuffer buffer;
-      msgpack_sbuffer_init (&buffer);
-      cached->status = find_status (relay, since);
-      if (cached->status == HTTP_STATUS_OK)
-        pack_objects (relay, since, with_documents, &buffer);
-      else
-        pack_rejection (relay, &buffer);
-      g_byte_array_set_size (cached->body, 0);
-      g_byte_array_append (cached->body, (const guint8 *)buffer.data,
-                           (guint)buffer.size);
-      msgpack_sbuffer_destroy (&buffer);
-      cached->shared_length = cached->body->len;
-      cached->has_since = since != NULL;
-      cached->with_documents = with_documents;
-      cached->since = since ? *since : 0;
-      /* Whether a reader with a newer version exists changes with time. */
-      cached->is_valid = cached->status == HTTP_STATUS_OK;
-    }
-  append_view (relay, address);
-  *status = cached->status;
-  return cached->body;
-}
-
 uint64_t
 gbd_relay_get_response_count (const gbd_relay_t *relay)
 {
@@ -465,21 +327,6 @@
 
 /* Makes the applied changes part of the list with a version of the platform.
  */
-/* Returns NULL if the value cannot be packed. */
-static GBytes *
-pack_value (const json_t *value)
-{
-  GBytes *bytes = NULL;
-  msgpack_sbuffer buffer;
-  msgpack_packer packer;
-  msgpack_sbuffer_init (&buffer);
-  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  if (gbd_relay_pack (&packer, value))
-    bytes = take_bytes (&buffer);
-  msgpack_sbuffer_destroy (&buffer);
-  return bytes;
-}
-
 static void
 publish_objects (gbd_relay_t *relay, uint64_t version, gbd_time_t now)
 {
@@ -489,7 +336,7 @@
   g_hash_table_iter_init (&iterator, relay->objects);
   while (g_hash_table_iter_next (&iterator, NULL, &data))
     {
-      object_t *object = data;
+      gbd_relay_object_t *object = data;
       if (relay->is_listing && !object->is_in_list && object->value)
         {
           g_bytes_unref (object->value);
@@ -515,7 +362,8 @@
   (void)length;
   reader_t *reader = user;
   struct lws_vhost *vhost = lws_get_vhost (wsi);
-  const vhost_user_t *vhost_user = vhost ? lws_vhost_user (vhost) : NULL;
+  const gbd_relay_vhost_user_t *vhost_user
+      = vhost ? lws_vhost_user (vhost) : NULL;
   gbd_relay_t *relay = vhost_user ? vhost_user->relay : NULL;
   switch (reason)
     {
@@ -594,7 +442,7 @@
                          reader_t *reader, const char *path)
 {
   size_t prefix = strlen (GBD_RELAY_PREFIX);
-  const document_t *document = NULL;
+  const gbd_relay_document_t *document = NULL;
   if (strncmp (path, GBD_RELAY_PREFIX, prefix) == 0)
     document = g_hash_table_lookup (relay->documents, path + prefix);
   if (document)
@@ -626,14 +474,9 @@
 {
   record_holder (relay, text);
   msgpack_sbuffer buffer;
-  msgpack_packer packer;
   msgpack_sbuffer_init (&buffer);
-  msgpack_packer_init (&packer, &buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, GBD_RELAY_DOCUMENT_LENGTH);
-  msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
-  msgpack_pack_int (&packer, GBD_RELAY_DOCUMENT);
-  msgpack_pack_uint64 (&packer, relay->version);
-  pack_text (&packer, relay->version ? "true" : "false");
+  gbd_relay_pack_document_message (relay->version,
+                                   relay->version ? "true" : "false", &buffer);
   gbd_admin_response_set_bytes (&reader->response, buffer.data, buffer.size);
   msgpack_sbuffer_destroy (&buffer);
   return gbd_admin_response_start (&reader->response, wsi);
@@ -649,10 +492,10 @@
     return;
   if (relay->holder_callback)
     relay->holder_callback (relay->holder_data, &address);
-  holder_t *oldest = &relay->holders[0];
-  for (uint32_t i = 0; i < HOLDERS_MAX; i++)
+  gbd_relay_holder_t *oldest = &relay->holders[0];
+  for (uint32_t i = 0; i < GBD_RELAY_HOLDERS_MAX; i++)
     {
-      holder_t *holder = &relay->holders[i];
+      gbd_relay_holder_t *holder = &relay->holders[i];
       if (gbd_address_is_equal (&holder->address, &address))
         {
           holder->seen_at = relay->now;
@@ -661,7 +504,7 @@
       if (holder->seen_at < oldest->seen_at)
         oldest = holder;
     }
-  *oldest = (holder_t){ .address = address, .seen_at = relay->now };
+  *oldest = (gbd_relay_holder_t){ .address = address, .seen_at = relay->now };
 }
 
 /* @param from address by which the reader names itself; NULL: none */
@@ -756,171 +599,6 @@
     }
 }
 
-static unsigned
-find_status (const gbd_relay_t *relay, const uint64_t *since)
-{
-  if (!since)
-    return relay->version ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE;
-  if (!relay->is_connected)
-    return HTTP_STATUS_SERVICE_UNAVAILABLE;
-  return *since < relay->compacted_version ? HTTP_STATUS_GONE : HTTP_STATUS_OK;
-}
-
-static void
-pack_objects (const gbd_relay_t *relay, const uint64_t *since,
-              bool with_documents, msgpack_sbuffer *buffer)
-{
-  GHashTableIter iterator;
-  gpointer name;
-  gpointer data;
-  size_t count = 0;
-  g_hash_table_iter_init (&iterator, relay->objects);
-  while (g_hash_table_iter_next (&iterator, NULL, &data))
-    count += is_included (data, since);
-
-  msgpack_packer packer;
-  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (
-      &packer, (since ? GBD_RELAY_CHANGES_LENGTH : GBD_RELAY_LISTING_LENGTH)
-                   + count_optional_entries (relay));
-  msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
-  msgpack_pack_int (&packer, since ? GBD_RELAY_CHANGES : GBD_RELAY_LISTING);
-  msgpack_pack_uint64 (&packer,
-                       since ? MAX (*since, relay->version) : relay->version);
-  msgpack_pack_uint32 (&packer, relay->removal_grace_ms);
-  msgpack_pack_uint64 (&packer, relay->hint);
-  gbd_relay_pack (&packer, relay->is_connected ? json_true () : json_false ());
-  msgpack_pack_array (&packer, count);
-  g_hash_table_iter_init (&iterator, relay->objects);
-  while (g_hash_table_iter_next (&iterator, &name, &data))
-    {
-      const object_t *object = data;
-      if (!is_included (object, since))
-        continue;
-      msgpack_pack_array (&packer, GBD_RELAY_OBJECT_LENGTH);
-      pack_text (&packer, name);
-      msgpack_pack_uint64 (&packer, object->version);
-      gsize length = 0;
-      const void *value
-          = object->value ? g_bytes_get_data (object->value, &length) : NULL;
-      if (value)
-        msgpack_sbuffer_write (buffer, value, length);
-      else
-        msgpack_pack_nil (&packer);
-    }
-  if (!since)
-    pack_documents (relay, with_documents, buffer);
-  pack_evacuations (relay, &packer);
-}
-
-/* Appends the view of one reader to the response, of which the rest is the
-   same for all readers of a version. */
-static void
-append_view (gbd_relay_t *relay, const gbd_address_t *address)
-{
-  cached_response_t *cached = &relay->cached_response;
-  const gbd_address_t unknown = { 0 };
-  g_byte_array_set_size (cached->body, cached->shared_length);
-  if (!relay->members)
-    return;
-  msgpack_sbuffer buffer;
-  msgpack_sbuffer_init (&buffer);
-  gbd_relay_pack_view (relay->members, address ? address : &unknown,
-                       relay->now, &buffer);
-  g_byte_array_append (cached->body, (const guint8 *)buffer.data,
-                       (guint)buffer.size);
-  msgpack_sbuffer_destroy (&buffer);
-}
-
-static void
-pack_documents (const gbd_relay_t *relay, bool with_documents,
-                msgpack_sbuffer *buffer)
-{
-  GHashTableIter iterator;
-  gpointer data;
-  msgpack_packer packer;
-  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (
-      &packer, with_documents ? g_hash_table_size (relay->documents) : 0);
-  if (!with_documents)
-    return;
-  g_hash_table_iter_init (&iterator, relay->documents);
-  while (g_hash_table_iter_next (&iterator, NULL, &data))
-    {
-      const document_t *document = data;
-      gsize length;
-      const void *bytes = g_bytes_get_data (document->entry, &length);
-      msgpack_sbuffer_write (buffer, bytes, length);
-    }
-}
-
-/* Returns the number of entries that this relay appends to a message:
-   evacuations, and the view of the group. */
-static size_t
-count_optional_entries (const gbd_relay_t *relay)
-{
-  if (relay->members)
-    return 2;
-  return relay->sends_evacuations ? 1 : 0;
-}
-
-static void
-pack_evacuations (const gbd_relay_t *relay, msgpack_packer *packer)
-{
-  const gbd_evacuations_t *evacuations = &relay->evacuations;
-  if (!relay->sends_evacuations && !relay->members)
-    return;
-  if (!relay->sends_evacuations || !evacuations->is_known)
-    {
-      msgpack_pack_nil (packer);
-      return;
-    }
-  msgpack_pack_array (packer, 2);
-  msgpack_pack_uint64 (packer, evacuations->position);
-  msgpack_pack_array (packer, evacuations->count);
-  for (uint32_t i = 0; i < evacuations->count; i++)
-    pack_text (packer, evacuations->zones[i].name);
-}
-
-static void
-pack_rejection (const gbd_relay_t *relay, msgpack_sbuffer *buffer)
-{
-  msgpack_packer packer;
-  bool has_newer_reader
-      = gbd_newer_readers_are_reported (&relay->newer_readers, relay->now);
-  msgpack_packer_init (&packer, buffer, msgpack_sbuffer_write);
-  msgpack_pack_array (&packer, GBD_RELAY_REJECTION_LENGTH
-                                   + count_optional_entries (relay));
-  msgpack_pack_int (&packer, GBD_RELAY_SCHEMA);
-  msgpack_pack_int (&packer, GBD_RELAY_REJECTION);
-  msgpack_pack_uint32 (&packer, relay->reader_count);
-  gbd_relay_pack (&packer, has_newer_reader ? json_true () : json_false ());
-  pack_evacuations (relay, &packer);
-}
-
-static bool
-is_included (const object_t *object, const uint64_t *since)
-{
-  return since ? object->published_version > *since
-               : object->value && object->published_version;
-}
-
-static void
-pack_text (msgpack_packer *packer, const char *text)
-{
-  msgpack_pack_str_with_body (packer, text, strlen (text));
-}
-
-/* Returns the content of a buffer, which is then empty. */
-static GBytes *
-take_bytes (msgpack_sbuffer *buffer)
-{
-  GBytes *bytes = g_bytes_new (buffer->data, buffer->size);
-  msgpack_sbuffer_destroy (buffer);
-  msgpack_sbuffer_init (buffer);
-  return bytes;
-}
-
 static void
 expire_deletions (gbd_relay_t *relay, gbd_time_t now)
 {
@@ -929,7 +607,7 @@
   g_hash_table_iter_init (&iterator, relay->objects);
   while (g_hash_table_iter_next (&iterator, NULL, &data))
     {
-      const object_t *object = data;
+      const gbd_relay_object_t *object = data;
       if (object->value
           || now - object->deleted_at < GBD_RELAY_DELETION_RETENTION)
         continue;
@@ -942,7 +620,7 @@
 static void
 free_object (gpointer data)
 {
-  object_t *object = data;
+  gbd_relay_object_t *object = data;
   if (object->value)
     g_bytes_unref (object->value);
   g_free (object);
@@ -951,7 +629,7 @@
 static void
 free_document (gpointer data)
 {
-  document_t *document = data;
+  gbd_relay_document_t *document = data;
   g_bytes_unref (document->message);
   g_bytes_unref (document->entry);
   g_free (document);
