--- a/src/gooseberrydrum/relay.c
+++ b/src/gooseberrydrum/relay.c
@@ -288,6 +288,7 @@
 gbd_relay_set_members (gbd_relay_t *relay, gbd_members_t *members)
 {
   relay->members = members;
+  relay->cached_response.is_valid = false;
 }
 
 void
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -15,6 +15,7 @@
 #include "free_address.h"
 #include "gooseberrydrum/relay.h"
 #include "gooseberrydrum/relay_api.h"
+#include "gooseberrydrum/relay_codec.h"
 #include "gooseberrydrum/sources.h"
 
 #define KIND "servers"
@@ -539,6 +540,31 @@
   assert_true (confirmations >= 2);
 }
 
+/* Guards against a message whose number of entries does not fit its content,
+   because it was packed before the members were set. */
+static void
+members_change_a_packed_response (void **state)
+{
+  (void)state;
+  const uint64_t since = 10;
+  gbd_address_t self;
+  unsigned status;
+  gbd_address_parse ("127.0.0.1:7000", &self);
+  gbd_members_t *members = gbd_members_new (&self, "a", 0, now);
+  apply_change ("a", 5, "one");
+  gbd_relay_publish (relay, since, 0, now);
+  gbd_relay_tick (relay, now);
+  gbd_relay_build_response (relay, &since, false, &self, &status);
+  gbd_relay_set_members (relay, members);
+  const GByteArray *body
+      = gbd_relay_build_response (relay, &since, false, &self, &status);
+  json_t *message = gbd_relay_unpack (body->data, body->len);
+  assert_int_equal (json_array_size (message), GBD_RELAY_CHANGES_LENGTH + 2);
+  json_decref (message);
+  gbd_relay_set_members (relay, NULL);
+  gbd_members_delete (members);
+}
+
 int
 main (void)
 {
@@ -570,6 +596,8 @@
                                      tear_down),
     cmocka_unit_test_setup_teardown (
         longest_zone_name_does_not_delay_an_evacuation, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (members_change_a_packed_response, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (document_is_read_by_its_name, set_up,
                                      tear_down),
   };
