Evacuations: after a pause, watch the store if the relays are silent

With three frozen relays, an instance reached the store 3 s after its pause, while the hold of opening packets ended after 1 s: it sent flows to a zone that was evacuated meanwhile. It now watches the store after 1 s, and the hold lasts up to 2 s.

--- a/src/gooseberrydrum/cookie_evacuations.c
+++ b/src/gooseberrydrum/cookie_evacuations.c
@@ -19,8 +19,10 @@
    themselves: a relay that starts knows it some tenths of a second later. */
 #define UNKNOWN_SET_TIMEOUT GBD_SECOND
 /* Longest time for which opening packets are dropped after a pause of the
-   process, until a source has confirmed the set.  It includes a retry. */
-#define HOLD_TIME GBD_SECOND
+   process, until a source has confirmed the set: if no relay has responded
+   after UNKNOWN_SET_TIMEOUT, the platform is asked.  The rest is for a
+   retry. */
+#define HOLD_TIME (2 * GBD_SECOND)
 
 struct gbd_cookie_evacuations
 {
@@ -34,7 +36,8 @@
                               of the process; GBD_TIME_NEVER: none */
   gbd_time_t received_at;   /* last set of any source; 0: none */
   gbd_time_t unknown_since; /* time since which relays have not known the
-                               set; 0: they do */
+                               set, or have not sent it since a pause of the
+                               process; 0: they have */
   gbd_time_t last_tick_at;
   gbd_time_t resumed_at; /* end of the last pause of the process; 0: none */
   bool is_watch_failing; /* the failure was logged */
@@ -251,6 +254,7 @@
     return;
   state->confirmed_at = GBD_TIME_NEVER;
   state->resumed_at = now;
+  state->unknown_since = now;
   if (state->watch)
     gbd_platform_watch_refresh (state->watch);
   if (gbd_director_peek_evacuations (serve->director)->is_known)
--- a/src/test_gooseberrydrum/test_cookie_evacuations.c
+++ b/src/test_gooseberrydrum/test_cookie_evacuations.c
@@ -15,6 +15,7 @@
    each within a step or two of the simulated clock. */
 #define RELAYED_LIMIT (200 * GBD_MILLISECOND)
 #define LOG_BYTES 65536
+#define FROZEN_RELAYS GBD_ADDRESS_LIST_MAX
 /* Port 1 (tcpmux), on which no process listens. */
 #define UNREACHABLE "127.0.0.1:1"
 
@@ -652,11 +653,16 @@
   gbd_packet_t packet = { .kind = GBD_PACKET_OPENING };
   gbd_address_parse ("100.64.0.7:40001", &packet.flow.caller);
   gbd_address_parse ("198.18.0.1:80", &packet.flow.service);
+  uint64_t position
+      = gbd_director_peek_evacuations (reader->director)->position;
   gbd_time_t requested_at = group.fixture.now;
   gbd_time_t resumed_at = requested_at + 10 * GBD_SECOND;
   gbd_director_tick (reader->director, resumed_at);
   gbd_cookie_evacuations_tick (reader, resumed_at);
   gbd_director_decision_t decision;
+  json_t *set = json_pack ("[I, []]", (json_int_t)position);
+  gbd_cookie_evacuations_receive (reader, set);
+  json_decref (set);
   assert_false (gbd_cookie_evacuations_confirm (reader, requested_at));
   gbd_director_route (reader->director, &packet, resumed_at, &decision);
   assert_int_equal (decision.kind, GBD_ACTION_DROP);
@@ -666,6 +672,77 @@
   close_group (&group);
 }
 
+/* Runs two event loops, one of which can stop, as in a frozen process. */
+static void
+run_with (group_t *group, struct lws_context *other, gbd_time_t time)
+{
+  gbd_time_t end = group->fixture.now + time;
+  while (group->fixture.now < end)
+    {
+      for (int i = 0; i < LOOP_COUNT; i++)
+        {
+          lws_cancel_service (other);
+          lws_service (other, 0);
+          lws_cancel_service (group->fixture.context);
+          lws_service (group->fixture.context, 0);
+        }
+      step (group);
+    }
+}
+
+/* An instance was paused, and its three relays are frozen.  Guards against
+   flows to a zone that was evacuated meanwhile, until the instance has given
+   up all relays and asks the store. */
+static void
+paused_instance_with_frozen_relays_asks_the_store (void **state)
+{
+  (void)state;
+  group_t group;
+  open_evacuating_group (&group);
+  struct lws_context_creation_info info
+      = { .port = CONTEXT_PORT_NO_LISTEN,
+          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS };
+  struct lws_context *other = lws_create_context (&info);
+  struct lws_context *own = group.fixture.context;
+  gbd_address_list_t relays = { .count = FROZEN_RELAYS };
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    relays.addresses[i] = choose_free_address ();
+  group.fixture.context = other;
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    start_instance (&group, &relays, &relays.addresses[i]);
+  group.fixture.context = own;
+  run_with (&group, other, 2 * GBD_SECOND);
+  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
+  run_with (&group, other, 3 * GBD_SECOND);
+  gbd_packet_t packet = { .kind = GBD_PACKET_OPENING };
+  gbd_address_parse ("100.64.0.7:40001", &packet.flow.caller);
+  gbd_address_parse ("198.18.0.1:80", &packet.flow.service);
+  gbd_director_decision_t decision;
+  gbd_director_route (reader->director, &packet, group.fixture.now, &decision);
+  assert_int_equal (decision.kind, GBD_ACTION_BACKEND);
+  assert_false (gbd_cookie_servers_use_platform (reader));
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    group.instances[i].serve.is_done = true;
+  evacuate (&group, "a");
+  group.fixture.now += 10 * GBD_SECOND;
+  gbd_time_t resumed = group.fixture.now;
+  do
+    {
+      gbd_director_route (reader->director, &packet, group.fixture.now,
+                          &decision);
+      assert_int_not_equal (decision.kind, GBD_ACTION_BACKEND);
+      step (&group);
+    }
+  while (decision.kind == GBD_ACTION_DROP);
+  print_message ("zone known after %d ms\n",
+                 (int)((group.fixture.now - resumed) / GBD_MILLISECOND));
+  assert_int_equal (decision.rule, GBD_DIRECTOR_RULE_EVACUATED);
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    group.instances[i].serve.is_done = false;
+  close_group (&group);
+  lws_context_destroy (other);
+}
+
 int
 main (void)
 {
@@ -687,6 +764,7 @@
     cmocka_unit_test (events_tell_what_is_evacuated),
     cmocka_unit_test (lasting_troubles_are_logged_once),
     cmocka_unit_test (paused_instance_asks_before_it_places_flows),
+    cmocka_unit_test (paused_instance_with_frozen_relays_asks_the_store),
     cmocka_unit_test (response_from_before_a_pause_confirms_nothing)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
