--- a/src/gooseberrydrum/cookie_evacuations.c
+++ b/src/gooseberrydrum/cookie_evacuations.c
@@ -19,8 +19,10 @@
    themselves: a relay that starts knows it some tenths of a second later. */
 #define UNKNOWN_SET_TIMEOUT GBD_SECOND
 /* Longest time for which opening packets are dropped after a pause of the
-   process, until a source has confirmed the set.  It includes a retry. */
-#define HOLD_TIME GBD_SECOND
+   process, until a source has confirmed the set: if no relay has responded
+   after UNKNOWN_SET_TIMEOUT, the platform is asked.  The rest is for a
+   retry. */
+#define HOLD_TIME (2 * GBD_SECOND)
 
 struct gbd_cookie_evacuations
 {
@@ -34,8 +36,12 @@
                               of the process; GBD_TIME_NEVER: none */
   gbd_time_t received_at;   /* last set of any source; 0: none */
   gbd_time_t unknown_since; /* time since which relays have not known the
-                               set; 0: they do */
+                               set, or have not sent it since a pause of the
+                               process; 0: they have */
   gbd_time_t last_tick_at;
+  gbd_time_t resumed_at; /* end of the last pause of the process; 0: none */
+  bool is_watch_failing; /* the failure was logged */
+  bool is_full;          /* that zones were left out was logged */
 };
 
 static bool is_watch_needed (const gbd_cookie_serve_t *serve, gbd_time_t now);
@@ -130,6 +136,7 @@
     {
       gbd_platform_watch_delete (state->watch);
       state->watch = NULL;
+      state->is_watch_failing = false;
     }
   gbd_platform_tick (state->platform, now);
   gbd_evacuations_tick (gbd_director_get_evacuations (serve->director), now);
@@ -165,11 +172,18 @@
          count, now);
 }
 
-void
-gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve)
+bool
+gbd_cookie_evacuations_confirm (gbd_cookie_serve_t *serve,
+                                gbd_time_t requested_at)
 {
-  if (serve->evacuations && !serve->evacuations->unknown_since)
+  const gbd_cookie_evacuations_t *state = serve->evacuations;
+  if (!state)
+    return true;
+  if (requested_at < state->resumed_at)
+    return false;
+  if (!state->unknown_since)
     gbd_director_hold_openings (serve->director, 0);
+  return true;
 }
 
 void
@@ -239,6 +253,8 @@
   if (!was_paused)
     return;
   state->confirmed_at = GBD_TIME_NEVER;
+  state->resumed_at = now;
+  state->unknown_since = now;
   if (state->watch)
     gbd_platform_watch_refresh (state->watch);
   if (gbd_director_peek_evacuations (serve->director)->is_known)
@@ -270,25 +286,34 @@
 static void
 objects_confirmed (void *data, gbd_time_t requested_at)
 {
-  (void)requested_at;
   gbd_cookie_serve_t *serve = data;
   gbd_cookie_evacuations_t *state = serve->evacuations;
   gbd_time_t now = serve->clock (NULL);
   if (!state->watch)
     return;
+  state->is_watch_failing = false;
   guint count = 0;
   gpointer *names = g_hash_table_get_keys_as_array (state->names, &count);
-  state->confirmed_at = now;
+  /* A response may have been waiting to be read during a pause. */
+  bool is_current = requested_at >= state->resumed_at;
+  if (is_current)
+    state->confirmed_at = now;
   apply (serve, gbd_platform_watch_get_version (state->watch),
          (const char *const *)names, count, now);
   g_free (names);
-  gbd_director_hold_openings (serve->director, 0);
+  if (is_current)
+    gbd_director_hold_openings (serve->director, 0);
+  else
+    gbd_platform_watch_refresh (state->watch);
 }
 
 static void
 objects_failed (void *data, gbd_time_t now)
 {
   gbd_cookie_serve_t *serve = data;
+  if (serve->evacuations->is_watch_failing)
+    return;
+  serve->evacuations->is_watch_failing = true;
   gbd_event_log_emit (serve->event_log, GBD_EVENT_PLATFORM_LOST, now,
                       json_pack ("{s:s, s:s}", "watch",
                                  serve->platform_api->evacuations_kind,
@@ -324,7 +349,10 @@
   if (status != GBD_ERROR_STALE)
     serve->evacuations->received_at = now;
   gbd_cookie_set_relay_argument (serve);
-  if (status == GBD_ERROR_MEMORY)
+  bool was_full = serve->evacuations->is_full;
+  if (status != GBD_ERROR_STALE)
+    serve->evacuations->is_full = status == GBD_ERROR_MEMORY;
+  if (serve->evacuations->is_full && !was_full)
     gbd_cookie_log_bad_object (serve, serve->platform_api->evacuations_kind,
                                "", position, gbd_status_strings[status], now);
   report_changes (serve, now);
--- a/src/test_gooseberrydrum/test_cookie_evacuations.c
+++ b/src/test_gooseberrydrum/test_cookie_evacuations.c
@@ -15,6 +15,7 @@
    each within a step or two of the simulated clock. */
 #define RELAYED_LIMIT (200 * GBD_MILLISECOND)
 #define LOG_BYTES 65536
+#define FROZEN_RELAYS GBD_ADDRESS_LIST_MAX
 /* Port 1 (tcpmux), on which no process listens. */
 #define UNREACHABLE "127.0.0.1:1"
 
@@ -551,6 +552,47 @@
   close (ends[1]);
 }
 
+/* Guards against a log that is filled by the tries of the watch, or by the
+   responses that repeat a set with too many zones. */
+static void
+lasting_troubles_are_logged_once (void **state)
+{
+  (void)state;
+  group_t group;
+  int ends[2];
+  static char log[LOG_BYTES];
+  memset (log, 0, sizeof log);
+  assert_int_equal (pipe (ends), 0);
+  open_evacuating_group (&group);
+  group.log_fd = ends[1];
+  gbd_cookie_serve_t *relay = start_relay (&group);
+  for (int i = 0; i <= GBD_EVACUATIONS_MAX; i++)
+    {
+      char zone[GBD_NAME_MAX + 1];
+      g_snprintf (zone, sizeof zone, "zone-%d", i);
+      evacuate (&group, zone);
+    }
+  run_for (&group, 5 * GBD_SECOND);
+  gbd_event_log_flush (relay->event_log);
+  for (int outage = 0; outage < 2; outage++)
+    {
+      fixture_set_switches (&group.fixture, "{\"down\":true}");
+      run_for (&group, 10 * GBD_SECOND);
+      fixture_set_switches (&group.fixture, "{\"down\":false}");
+      run_for (&group, 5 * GBD_SECOND);
+    }
+  gbd_event_log_flush (relay->event_log);
+  assert_true (read (ends[0], log, sizeof log - 1) > 0);
+  int lost = count_lines (log, "\"PLATFORM_LOST\"", "\"" KIND "\"");
+  int too_many = count_lines (log, "\"BAD_OBJECT\"", "\"" KIND "\"");
+  print_message ("%d losses, %d times too many zones\n", lost, too_many);
+  assert_int_equal (lost, 2);
+  assert_int_equal (too_many, 1);
+  close_group (&group);
+  close (ends[0]);
+  close (ends[1]);
+}
+
 /* A process that was paused for 10 s applies what changed meanwhile before it
    sends an opening packet.  Guards against the old set after the pause, and
    against openings that stay held back when the sources respond. */
@@ -596,6 +638,111 @@
   close_group (&group);
 }
 
+/* A response that was sent before the pause, to a request that the pause does
+   not renew, tells nothing of the time since.  Guards against flows to a zone
+   that was evacuated during the pause. */
+static void
+response_from_before_a_pause_confirms_nothing (void **state)
+{
+  (void)state;
+  group_t group;
+  open_evacuating_group (&group);
+  start_relay (&group);
+  gbd_cookie_serve_t *reader = start_reader (&group);
+  run_for (&group, 2 * GBD_SECOND);
+  gbd_packet_t packet = { .kind = GBD_PACKET_OPENING };
+  gbd_address_parse ("100.64.0.7:40001", &packet.flow.caller);
+  gbd_address_parse ("198.18.0.1:80", &packet.flow.service);
+  uint64_t position
+      = gbd_director_peek_evacuations (reader->director)->position;
+  gbd_time_t requested_at = group.fixture.now;
+  gbd_time_t resumed_at = requested_at + 10 * GBD_SECOND;
+  gbd_director_tick (reader->director, resumed_at);
+  gbd_cookie_evacuations_tick (reader, resumed_at);
+  gbd_director_decision_t decision;
+  json_t *set = json_pack ("[I, []]", (json_int_t)position);
+  gbd_cookie_evacuations_receive (reader, set);
+  json_decref (set);
+  assert_false (gbd_cookie_evacuations_confirm (reader, requested_at));
+  gbd_director_route (reader->director, &packet, resumed_at, &decision);
+  assert_int_equal (decision.kind, GBD_ACTION_DROP);
+  assert_true (gbd_cookie_evacuations_confirm (reader, resumed_at));
+  gbd_director_route (reader->director, &packet, resumed_at, &decision);
+  assert_int_equal (decision.kind, GBD_ACTION_BACKEND);
+  close_group (&group);
+}
+
+/* Runs two event loops, one of which can stop, as in a frozen process. */
+static void
+run_with (group_t *group, struct lws_context *other, gbd_time_t time)
+{
+  gbd_time_t end = group->fixture.now + time;
+  while (group->fixture.now < end)
+    {
+      for (int i = 0; i < LOOP_COUNT; i++)
+        {
+          lws_cancel_service (other);
+          lws_service (other, 0);
+          lws_cancel_service (group->fixture.context);
+          lws_service (group->fixture.context, 0);
+        }
+      step (group);
+    }
+}
+
+/* An instance was paused, and its three relays are frozen.  Guards against
+   flows to a zone that was evacuated meanwhile, until the instance has given
+   up all relays and asks the store. */
+static void
+paused_instance_with_frozen_relays_asks_the_store (void **state)
+{
+  (void)state;
+  group_t group;
+  open_evacuating_group (&group);
+  struct lws_context_creation_info info
+      = { .port = CONTEXT_PORT_NO_LISTEN,
+          .options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS };
+  struct lws_context *other = lws_create_context (&info);
+  struct lws_context *own = group.fixture.context;
+  gbd_address_list_t relays = { .count = FROZEN_RELAYS };
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    relays.addresses[i] = choose_free_address ();
+  group.fixture.context = other;
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    start_instance (&group, &relays, &relays.addresses[i]);
+  group.fixture.context = own;
+  run_with (&group, other, 2 * GBD_SECOND);
+  gbd_cookie_serve_t *reader = start_instance (&group, &relays, NULL);
+  run_with (&group, other, 3 * GBD_SECOND);
+  gbd_packet_t packet = { .kind = GBD_PACKET_OPENING };
+  gbd_address_parse ("100.64.0.7:40001", &packet.flow.caller);
+  gbd_address_parse ("198.18.0.1:80", &packet.flow.service);
+  gbd_director_decision_t decision;
+  gbd_director_route (reader->director, &packet, group.fixture.now, &decision);
+  assert_int_equal (decision.kind, GBD_ACTION_BACKEND);
+  assert_false (gbd_cookie_servers_use_platform (reader));
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    group.instances[i].serve.is_done = true;
+  evacuate (&group, "a");
+  group.fixture.now += 10 * GBD_SECOND;
+  gbd_time_t resumed = group.fixture.now;
+  do
+    {
+      gbd_director_route (reader->director, &packet, group.fixture.now,
+                          &decision);
+      assert_int_not_equal (decision.kind, GBD_ACTION_BACKEND);
+      step (&group);
+    }
+  while (decision.kind == GBD_ACTION_DROP);
+  print_message ("zone known after %d ms\n",
+                 (int)((group.fixture.now - resumed) / GBD_MILLISECOND));
+  assert_int_equal (decision.rule, GBD_DIRECTOR_RULE_EVACUATED);
+  for (uint32_t i = 0; i < FROZEN_RELAYS; i++)
+    group.instances[i].serve.is_done = false;
+  close_group (&group);
+  lws_context_destroy (other);
+}
+
 int
 main (void)
 {
@@ -615,7 +762,10 @@
     cmocka_unit_test (bad_values_neither_end_nor_prevent_an_evacuation),
     cmocka_unit_test (object_without_spec_exists),
     cmocka_unit_test (events_tell_what_is_evacuated),
-    cmocka_unit_test (paused_instance_asks_before_it_places_flows)
+    cmocka_unit_test (lasting_troubles_are_logged_once),
+    cmocka_unit_test (paused_instance_asks_before_it_places_flows),
+    cmocka_unit_test (paused_instance_with_frozen_relays_asks_the_store),
+    cmocka_unit_test (response_from_before_a_pause_confirms_nothing)
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/src/test_gooseberrydrum/test_relay.c
+++ b/src/test_gooseberrydrum/test_relay.c
@@ -15,6 +15,7 @@
 #include "free_address.h"
 #include "gooseberrydrum/relay.h"
 #include "gooseberrydrum/relay_api.h"
+#include "gooseberrydrum/relay_codec.h"
 #include "gooseberrydrum/sources.h"
 
 #define KIND "servers"
@@ -486,6 +487,84 @@
   json_decref (value);
 }
 
+/* Lists from the relay and waits there, with further arguments. */
+static void
+wait_with_argument (const char *argument)
+{
+  gbd_platform_settings_t settings = reader->settings;
+  settings.watch_argument = argument;
+  apply_change ("a", 5, "one");
+  gbd_relay_publish (relay, 10, 0, now);
+  gbd_relay_tick (relay, now);
+  second_client = gbd_platform_new (context, &settings);
+  gbd_platform_watch_new (second_client, KIND, "", now, &callbacks, NULL);
+  run_until_count (&confirmations, 1);
+  run_loop_during_long_poll ();
+  gbd_platform_delete (second_client);
+  second_client = NULL;
+}
+
+/* Guards against a relay that starts without the platform and finds none of
+   the readers that have the list, since it does not understand the address by
+   which they name themselves. */
+static void
+waiting_reader_is_a_holder (void **state)
+{
+  (void)state;
+  gbd_address_t holder;
+  char text[GBD_ADDRESS_TEXT_MAX];
+  assert_false (gbd_relay_next_holder (relay, &holder, now));
+  wait_with_argument ("from=[2001:db8::7]:7000&zone=a");
+  assert_true (gbd_relay_next_holder (relay, &holder, now));
+  gbd_address_format (&holder, text);
+  assert_string_equal (text, "[2001:db8::7]:7000");
+}
+
+/* Guards against a reader that learns of an evacuation with its next response
+   only: an argument longer than the buffer hides those that follow it. */
+static void
+longest_zone_name_does_not_delay_an_evacuation (void **state)
+{
+  (void)state;
+  gbd_evacuations_t set = { 0 };
+  const char *zones[] = { "b" };
+  gbd_evacuations_update (&set, 7, zones, 1, now);
+  gbd_relay_set_evacuations (relay, &set);
+  char zone[GBD_NAME_MAX + 1];
+  memset (zone, 'z', GBD_NAME_MAX);
+  zone[GBD_NAME_MAX] = '\0';
+  char *argument
+      = g_strdup_printf ("from=127.0.0.1:7000&zone=%s&evacuations=6", zone);
+  wait_with_argument (argument);
+  g_free (argument);
+  assert_true (confirmations >= 2);
+}
+
+/* Guards against a message whose number of entries does not fit its content,
+   because it was packed before the members were set. */
+static void
+members_change_a_packed_response (void **state)
+{
+  (void)state;
+  const uint64_t since = 10;
+  gbd_address_t self;
+  unsigned status;
+  gbd_address_parse ("127.0.0.1:7000", &self);
+  gbd_members_t *members = gbd_members_new (&self, "a", 0, now);
+  apply_change ("a", 5, "one");
+  gbd_relay_publish (relay, since, 0, now);
+  gbd_relay_tick (relay, now);
+  gbd_relay_build_response (relay, &since, false, &self, &status);
+  gbd_relay_set_members (relay, members);
+  const GByteArray *body
+      = gbd_relay_build_response (relay, &since, false, &self, &status);
+  json_t *message = gbd_relay_unpack (body->data, body->len);
+  assert_int_equal (json_array_size (message), GBD_RELAY_CHANGES_LENGTH + 2);
+  json_decref (message);
+  gbd_relay_set_members (relay, NULL);
+  gbd_members_delete (members);
+}
+
 int
 main (void)
 {
@@ -513,6 +592,12 @@
         listing_is_sent_while_the_platform_is_unreachable, set_up, tear_down),
     cmocka_unit_test_setup_teardown (
         rejection_reports_a_reader_with_a_newer_version, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (waiting_reader_is_a_holder, set_up,
+                                     tear_down),
+    cmocka_unit_test_setup_teardown (
+        longest_zone_name_does_not_delay_an_evacuation, set_up, tear_down),
+    cmocka_unit_test_setup_teardown (members_change_a_packed_response, set_up,
+                                     tear_down),
     cmocka_unit_test_setup_teardown (document_is_read_by_its_name, set_up,
                                      tear_down),
   };
