--- a/src/standins/world.c
+++ b/src/standins/world.c
@@ -8,9 +8,10 @@
 #define DELAY_SPREAD_US 4000
 
 const char *const world_violation_strings[WORLD_VIOLATION_COUNT]
-    = { "wrong_service", "changed_packet", "living_flow_reset",
-        "opening_reset", "ran_twice",      "new_work_at_draining",
-        "older_routes",  "not_recovered",  "planned_loss" };
+    = { "wrong_service",        "changed_packet", "living_flow_reset",
+        "opening_reset",        "ran_twice",      "new_work_at_draining",
+        "older_routes",         "not_recovered",  "planned_loss",
+        "opening_at_evacuated", "cold_budget" };
 
 void
 world_poll (world_t *world, int fd, uint32_t index,
--- a/src/standins/world_object_format.h
+++ b/src/standins/world_object_format.h
@@ -26,8 +26,18 @@
   uint16_t port;
   const char *service;
   bool is_idempotent;
+  uint32_t priority; /**< 0 if not stated */
 } world_route_description_t;
 
+/** What is stated for each service. */
+typedef struct
+{
+  const char *const *names;
+  uint32_t count; /**< number of services; 0 if nothing is stated */
+  uint32_t warm_up_s;
+  uint32_t warm_up_rate; /**< requests per second that a cold server bears */
+} world_services_description_t;
+
 typedef struct
 {
   const char *name; /**< value of the setting platform-form */
@@ -42,6 +52,10 @@
   json_t *(*describe_routes) (uint64_t version,
                               const world_route_description_t *routes,
                               uint32_t count);
+  /** Adds what is stated for each service to the value of the routes; NULL if
+   *  the format has nothing of it. */
+  void (*add_services) (json_t *routes,
+                        const world_services_description_t *services);
 } world_object_format_t;
 
 /** Format of the product's native API. */
