--- a/src/standins/world_object_format.h
+++ b/src/standins/world_object_format.h
@@ -23,7 +23,7 @@
 typedef struct
 {
   const char *ip;
-  uint16_t port;
+  uint32_t port;
   const char *service;
   bool is_idempotent;
   uint32_t priority; /**< 0 if not stated */
--- a/src/standins/world_servers.c
+++ b/src/standins/world_servers.c
@@ -180,7 +180,7 @@
         continue;
       routes[count++]
           = (world_route_description_t){ .ip = "198.18.0.1",
-                                         .port = (uint16_t)(1000 + i),
+                                         .port = 1000 + (uint32_t)i,
                                          .service = service_names[service],
                                          .is_idempotent
                                          = i != WORLD_NON_IDEMPOTENT_ROUTE
