Flow tracker, director: no size from returning flows, no reset of stale packets

A flow that returns after packets went through another instance acknowledges several responses at once; their sum became the usual size of the route, and normal responses then counted as refusals of full servers. A first opening packet that waited in the socket of a paused instance was reset although its copy had opened the flow elsewhere.

--- a/include/gooseberrydrum/director.h
+++ b/include/gooseberrydrum/director.h
@@ -52,6 +52,13 @@
  *  process was paused. */
 #define GBD_DIRECTOR_PAUSE_MIN GBD_SECOND
 
+/** Delay of a tick after which opening packets may have waited in the socket
+ *  for longer than callers wait for their first copy (platform contract).  The
+ *  copy may have opened the flow at another instance, so such a packet is
+ *  dropped instead of reset; also for this time after the late tick, in which
+ *  the socket is emptied. */
+#define GBD_DIRECTOR_STALE_DELAY (200 * GBD_MILLISECOND)
+
 /** Rule that led to a decision; shown in log events and by `explain`. */
 typedef enum
 {
--- a/include/gooseberrydrum/flow_tracker.h
+++ b/include/gooseberrydrum/flow_tracker.h
@@ -54,6 +54,7 @@
                                     server, or when the flow was first seen */
   uint32_t sequence;           /**< sequence number of the packet sent at
                                     sent_at */
+  uint32_t next_sequence;      /**< sequence number after the last packet */
   uint32_t acknowledgment;     /**< highest acknowledgment number sent by the
                                     caller */
   gbd_pool_handle_t server;
--- a/src/libgooseberrydrum/director.c
+++ b/src/libgooseberrydrum/director.c
@@ -266,6 +266,9 @@
 void
 gbd_director_tick (gbd_director_t *director, gbd_time_t now)
 {
+  if (director->ticked_at
+      && now - director->ticked_at > GBD_DIRECTOR_STALE_DELAY)
+    director->stale_until = now + GBD_DIRECTOR_STALE_DELAY;
   director->ticked_at = now;
   gbd_warm_up_group_update (&director->warm_up_group, director->group.total,
                             now);
--- a/src/libgooseberrydrum/director_opening.c
+++ b/src/libgooseberrydrum/director_opening.c
@@ -15,6 +15,7 @@
                                  const gbd_tracked_flow_t *flow,
                                  gbd_time_t now,
                                  gbd_director_decision_t *decision);
+static bool may_be_stale (const gbd_director_t *director, gbd_time_t now);
 static bool is_held (const gbd_director_t *director, gbd_time_t now);
 static bool is_evacuated (const gbd_director_t *director,
                           gbd_pool_handle_t server);
@@ -71,7 +72,11 @@
                              &packet->flow.caller, now))
     {
       decision->server = GBD_POOL_NONE;
-      gbd_director_decide_reset (decision, GBD_DIRECTOR_RULE_NO_ROOM);
+      if (may_be_stale (director, now))
+        gbd_director_decide_drop (decision, GBD_DIRECTOR_RULE_NO_ROOM,
+                                  GBD_DROP_UNCERTAIN);
+      else
+        gbd_director_decide_reset (decision, GBD_DIRECTOR_RULE_NO_ROOM);
       return;
     }
   const gbd_pool_server_t *server
@@ -179,6 +184,16 @@
   decision->is_limited = true;
 }
 
+/* Whether opening packets may have waited for so long that a copy has opened
+   their flow elsewhere. */
+static bool
+may_be_stale (const gbd_director_t *director, gbd_time_t now)
+{
+  return director->ticked_at
+         && (now < director->stale_until
+             || now - director->ticked_at > GBD_DIRECTOR_STALE_DELAY);
+}
+
 /* Whether the evacuated zones may have changed while the process was
    paused. */
 static bool
@@ -232,7 +247,8 @@
 {
   gbd_placement_t unrestricted = *placement;
   unrestricted.evacuations = NULL;
-  bool may_be_forwarded = is_tracked || packet->acknowledgment > 0;
+  bool may_be_forwarded = is_tracked || packet->acknowledgment > 0
+                          || may_be_stale (director, now);
   bool is_evacuated_only
       = placement->evacuations->count > 0
         && gbd_placement_choose (director->pool, &unrestricted, now)
--- a/src/libgooseberrydrum/director_private.h
+++ b/src/libgooseberrydrum/director_private.h
@@ -16,7 +16,8 @@
   gbd_evacuations_t evacuations;
   bool detects_pauses;
   gbd_time_t ticked_at;
-  gbd_time_t hold_end; /* opening packets are dropped before this time */
+  gbd_time_t stale_until; /* packets may have waited in the socket */
+  gbd_time_t hold_end;    /* opening packets are dropped before this time */
   uint64_t evacuation_resets;
   gbd_warm_up_group_t warm_up_group;
   gbd_time_t
--- a/src/libgooseberrydrum/flow_tracker.c
+++ b/src/libgooseberrydrum/flow_tracker.c
@@ -109,6 +109,7 @@
       flow->server = server;
       flow->route = GBD_ROOM_ROUTE_NONE;
       flow->sequence = packet->sequence;
+      flow->next_sequence = packet->sequence + packet->payload_length;
       flow->acknowledgment = packet->acknowledgment;
       flow->sent_at = now;
       flow->last_response_at = now;
@@ -342,14 +343,18 @@
       if (!is_established_now && flow->is_waiting)
         {
           gbd_time_t duration = now - flow->sent_at;
-          gbd_room_record_response (tracker->room, flow->route, advance,
-                                    duration, now);
+          /* If packets passed through another instance, the acknowledgment
+             covers the responses to their requests as well. */
+          if (packet->sequence == flow->next_sequence)
+            gbd_room_record_response (tracker->room, flow->route, advance,
+                                      duration, now);
           gbd_response_time_add (&server->load.response_time, duration, now);
           gbd_response_time_add (&tracker->response_time, duration, now);
         }
       if (!is_established_now)
         set_waiting (tracker, flow, false);
     }
+  flow->next_sequence = packet->sequence + packet->payload_length;
   if (packet->payload_length == 0)
     return;
   bool is_retransmission
--- a/src/test_libgooseberrydrum/test_director_admission.c
+++ b/src/test_libgooseberrydrum/test_director_admission.c
@@ -220,6 +220,33 @@
   gbd_director_delete (director);
 }
 
+/* Guards against the reset of a flow that is open: an opening packet waited in
+   the socket of a paused instance while its copy opened the flow elsewhere. */
+static void
+opening_packets_from_before_a_pause_are_not_reset (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_overloaded_director (2);
+  traffic_t traffic = { .now = START };
+  run_traffic (director, &traffic, 0, GBD_SECOND);
+  run_traffic (director, &traffic, 2, 4 * GBD_SECOND);
+  gbd_time_t resumed_at = traffic.now + 850 * MS;
+  uint32_t dropped = 0;
+  for (uint32_t i = 0; i < 200; i++)
+    {
+      /* The first half is read before the late tick. */
+      if (i == 100)
+        gbd_director_tick (director, resumed_at);
+      gbd_packet_t packet = make_opening (200000 + i, 2000, STREAMS);
+      gbd_director_decision_t decision
+          = route_packet (director, &packet, resumed_at + i * MS / 2);
+      assert_true (decision.kind != GBD_ACTION_RESET);
+      dropped += decision.rule == GBD_DIRECTOR_RULE_NO_ROOM;
+    }
+  assert_true (dropped > 100);
+  gbd_director_delete (director);
+}
+
 int
 main (void)
 {
@@ -228,6 +255,7 @@
         less_urgent_flows_are_turned_away_while_servers_are_full),
     cmocka_unit_test (equal_routes_are_placed_as_before),
     cmocka_unit_test (copies_and_duplicates_are_never_turned_away),
+    cmocka_unit_test (opening_packets_from_before_a_pause_are_not_reset),
     cmocka_unit_test (duplicate_on_an_open_flow_is_not_reset),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/src/test_libgooseberrydrum/test_room.c
+++ b/src/test_libgooseberrydrum/test_room.c
@@ -411,6 +411,36 @@
   gbd_director_delete (director);
 }
 
+/* Requests of a flow pass through another instance for a time; the next
+   acknowledgment that this instance sees covers all their responses.  Guards
+   against this sum as the usual size, by which later responses are short. */
+static void
+returning_flow_gives_no_size (void **state)
+{
+  (void)state;
+  gbd_director_t *director = make_ready_director ();
+  gbd_time_t now = START;
+  gbd_director_decision_t opening = open_flow (director, 1, now);
+  gbd_packet_t packet = make_data (&opening, 1);
+  for (int i = 0; i < 3; i++)
+    complete_request (director, &packet, 100, now += 100 * MS);
+  const gbd_room_t *room = gbd_director_peek_room (director);
+  assert_int_equal (gbd_room_get_usual_bytes (room, find_route (room)), 100);
+  route_packet (director, &packet, now += 100 * MS);
+  packet.sequence += 10 * packet.payload_length;
+  packet.acknowledgment += 10 * 100;
+  gbd_packet_t response = packet;
+  response.payload_length = 0;
+  route_packet (director, &response, now += 20 * MS);
+  assert_int_equal (gbd_room_get_usual_bytes (room, find_route (room)), 100);
+  for (int i = 0; i < 3; i++)
+    complete_request (director, &packet, 100, now += 100 * MS);
+  const gbd_room_service_t *service = gbd_room_get_service (room, 0);
+  assert_int_equal (service->classes[0].responses, 6);
+  assert_int_equal (service->classes[0].short_responses, 0);
+  gbd_director_delete (director);
+}
+
 /* Installs a route of "web", at another address than that of the fixture's
    flows, or at theirs. */
 static void
@@ -525,6 +555,7 @@
     cmocka_unit_test (handles_are_not_reused_at_once),
     cmocka_unit_test (too_many_services_are_left_out),
     cmocka_unit_test (flow_tracker_reports_full_servers),
+    cmocka_unit_test (returning_flow_gives_no_size),
     cmocka_unit_test (flow_follows_its_route),
     cmocka_unit_test (flows_reset_at_the_connection_limit_show_a_shortage),
   };
