--- a/src/gooseberrydrum/cookie_report.c
+++ b/src/gooseberrydrum/cookie_report.c
@@ -28,10 +28,6 @@
 static const char *get_server_name (const gbd_cookie_serve_t *serve,
                                     gbd_pool_handle_t handle);
 static char *format_counters (void *data);
-static void add_counter (gbd_counters_t *counters, const char *name,
-                         const char *help, gbd_counter_kind_t kind,
-                         const char *label, const char *value,
-                         uint64_t number);
 static void add_datapath_counters (gbd_counters_t *counters,
                                    const gbd_cookie_datapath_t *datapath);
 static void add_decision_counters (gbd_counters_t *counters,
@@ -294,40 +290,31 @@
   return text;
 }
 
-static void
-add_counter (gbd_counters_t *counters, const char *name, const char *help,
-             gbd_counter_kind_t kind, const char *label, const char *value,
-             uint64_t number)
-{
-  const gbd_counter_info_t info = { name, help, kind, label, value };
-  gbd_counters_set (counters, gbd_counters_add (counters, &info), number);
-}
-
 static void
 add_datapath_counters (gbd_counters_t *counters,
                        const gbd_cookie_datapath_t *datapath)
 {
   gbd_cookie_datapath_stats_t stats;
   gbd_cookie_datapath_get_stats (datapath, &stats);
-  add_counter (counters, "gooseberrydrum_fabric_packets_total",
-               "Packets received from the fabric.", GBD_COUNTER_MONOTONIC,
-               NULL, NULL, stats.packets);
-  add_counter (counters, "gooseberrydrum_fabric_bytes_total",
-               "Bytes received from the fabric.", GBD_COUNTER_MONOTONIC, NULL,
-               NULL, stats.bytes);
-  add_counter (counters, "gooseberrydrum_backend_packets_total",
-               "Packets sent to backend servers.", GBD_COUNTER_MONOTONIC, NULL,
-               NULL, stats.to_backend_packets);
-  add_counter (counters, "gooseberrydrum_backend_bytes_total",
-               "Bytes sent to backend servers.", GBD_COUNTER_MONOTONIC, NULL,
-               NULL, stats.to_backend_bytes);
-  add_counter (counters, "gooseberrydrum_resets_total",
-               "Packets answered with a reset.", GBD_COUNTER_MONOTONIC, NULL,
-               NULL, stats.resets);
+  gbd_counters_put (counters, "gooseberrydrum_fabric_packets_total",
+                    "Packets received from the fabric.", GBD_COUNTER_MONOTONIC,
+                    NULL, NULL, stats.packets);
+  gbd_counters_put (counters, "gooseberrydrum_fabric_bytes_total",
+                    "Bytes received from the fabric.", GBD_COUNTER_MONOTONIC,
+                    NULL, NULL, stats.bytes);
+  gbd_counters_put (counters, "gooseberrydrum_backend_packets_total",
+                    "Packets sent to backend servers.", GBD_COUNTER_MONOTONIC,
+                    NULL, NULL, stats.to_backend_packets);
+  gbd_counters_put (counters, "gooseberrydrum_backend_bytes_total",
+                    "Bytes sent to backend servers.", GBD_COUNTER_MONOTONIC,
+                    NULL, NULL, stats.to_backend_bytes);
+  gbd_counters_put (counters, "gooseberrydrum_resets_total",
+                    "Packets answered with a reset.", GBD_COUNTER_MONOTONIC,
+                    NULL, NULL, stats.resets);
   for (int i = GBD_DROP_NONE + 1; i < GBD_DROP_COUNT; i++)
-    add_counter (counters, "gooseberrydrum_drops_total",
-                 "Dropped packets by cause.", GBD_COUNTER_MONOTONIC, "cause",
-                 gbd_drop_strings[i], stats.drops[i]);
+    gbd_counters_put (counters, "gooseberrydrum_drops_total",
+                      "Dropped packets by cause.", GBD_COUNTER_MONOTONIC,
+                      "cause", gbd_drop_strings[i], stats.drops[i]);
 }
 
 static void
@@ -337,38 +324,44 @@
   gbd_director_stats_t stats;
   gbd_director_get_stats (serve->director, &stats);
   for (int i = 0; i < GBD_DIRECTOR_RULE_COUNT; i++)
-    add_counter (counters, "gooseberrydrum_decisions_total",
-                 "Routing decisions by rule.", GBD_COUNTER_MONOTONIC, "rule",
-                 gbd_director_rule_strings[i], stats.rules[i]);
+    gbd_counters_put (counters, "gooseberrydrum_decisions_total",
+                      "Routing decisions by rule.", GBD_COUNTER_MONOTONIC,
+                      "rule", gbd_director_rule_strings[i], stats.rules[i]);
   if (serve->evacuations)
     {
-      add_counter (counters, "gooseberrydrum_evacuation_resets_total",
-                   "Opening packets answered with a reset because of "
-                   "evacuated zones.",
-                   GBD_COUNTER_MONOTONIC, NULL, NULL, stats.evacuation_resets);
-      add_counter (counters, "gooseberrydrum_evacuated_zones",
-                   "Evacuated zones.", GBD_COUNTER_GAUGE, NULL, NULL,
-                   gbd_director_peek_evacuations (serve->director)->count);
+      gbd_counters_put (counters, "gooseberrydrum_evacuation_resets_total",
+                        "Opening packets answered with a reset because of "
+                        "evacuated zones.",
+                        GBD_COUNTER_MONOTONIC, NULL, NULL,
+                        stats.evacuation_resets);
+      gbd_counters_put (
+          counters, "gooseberrydrum_evacuated_zones", "Evacuated zones.",
+          GBD_COUNTER_GAUGE, NULL, NULL,
+          gbd_director_peek_evacuations (serve->director)->count);
     }
-  add_counter (counters, "gooseberrydrum_cold_packets_total",
-               "Opening packets sent to cold backend servers with a limit.",
-               GBD_COUNTER_MONOTONIC, NULL, NULL, stats.cold_packets);
-  add_counter (counters, "gooseberrydrum_cold_refusals_total",
-               "Opening packets without a backend server while a limit for "
-               "cold ones applies, by action.",
-               GBD_COUNTER_MONOTONIC, "action", "reset", stats.cold_resets);
-  add_counter (counters, "gooseberrydrum_cold_refusals_total",
-               "Opening packets without a backend server while a limit for "
-               "cold ones applies, by action.",
-               GBD_COUNTER_MONOTONIC, "action", "drop", stats.cold_drops);
+  gbd_counters_put (
+      counters, "gooseberrydrum_cold_packets_total",
+      "Opening packets sent to cold backend servers with a limit.",
+      GBD_COUNTER_MONOTONIC, NULL, NULL, stats.cold_packets);
+  gbd_counters_put (
+      counters, "gooseberrydrum_cold_refusals_total",
+      "Opening packets without a backend server while a limit for "
+      "cold ones applies, by action.",
+      GBD_COUNTER_MONOTONIC, "action", "reset", stats.cold_resets);
+  gbd_counters_put (
+      counters, "gooseberrydrum_cold_refusals_total",
+      "Opening packets without a backend server while a limit for "
+      "cold ones applies, by action.",
+      GBD_COUNTER_MONOTONIC, "action", "drop", stats.cold_drops);
   for (uint32_t i = 0; i < serve->cold_service_count; i++)
-    add_counter (counters, "gooseberrydrum_cold_servers",
-                 "Cold backend servers of a service with a limit.",
-                 GBD_COUNTER_GAUGE, "service", serve->cold_services[i].name,
-                 serve->cold_services[i].cold_servers);
-  add_counter (counters, "gooseberrydrum_watched_flows",
-               "Flows tracked for responses.", GBD_COUNTER_GAUGE, NULL, NULL,
-               stats.tracked_flows);
+    gbd_counters_put (counters, "gooseberrydrum_cold_servers",
+                      "Cold backend servers of a service with a limit.",
+                      GBD_COUNTER_GAUGE, "service",
+                      serve->cold_services[i].name,
+                      serve->cold_services[i].cold_servers);
+  gbd_counters_put (counters, "gooseberrydrum_watched_flows",
+                    "Flows tracked for responses.", GBD_COUNTER_GAUGE, NULL,
+                    NULL, stats.tracked_flows);
 }
 
 static void
@@ -384,9 +377,10 @@
         snprintf (bound, sizeof bound, "%g", (double)(1u << i) / 1000.0);
       else
         snprintf (bound, sizeof bound, "+Inf");
-      add_counter (counters, "gooseberrydrum_opening_seconds_bucket",
-                   "Time from an opening packet to the caller's next packet.",
-                   GBD_COUNTER_MONOTONIC, "le", bound, sum);
+      gbd_counters_put (
+          counters, "gooseberrydrum_opening_seconds_bucket",
+          "Time from an opening packet to the caller's next packet.",
+          GBD_COUNTER_MONOTONIC, "le", bound, sum);
     }
 }
 
@@ -402,46 +396,46 @@
   gbd_platform_get_stats (serve->platform, &routes_calls);
   gbd_platform_get_stats (serve->servers_platform, &servers_calls);
   gbd_cookie_evacuations_get_calls (serve, &evacuations_calls);
-  add_counter (counters, "gooseberrydrum_routes_version",
-               "Version of the installed routes.", GBD_COUNTER_GAUGE, NULL,
-               NULL, routes ? gbd_routes_get_version (routes) : 0);
-  add_counter (counters, "gooseberrydrum_routes_age_seconds",
-               "Time since the installed routes were read.", GBD_COUNTER_GAUGE,
-               NULL, NULL,
-               routes ? (uint64_t)((now - serve->routes_read_at) / GBD_SECOND)
-                      : 0);
-  add_counter (counters, "gooseberrydrum_backend_servers",
-               "Backend servers that the platform lists.", GBD_COUNTER_GAUGE,
-               NULL, NULL, gbd_pool_get_count (pool));
-  add_counter (counters, "gooseberrydrum_platform_away",
-               "1 while the platform is unreachable.", GBD_COUNTER_GAUGE, NULL,
-               NULL, gbd_pool_is_platform_unreachable (pool));
-  add_counter (counters, "gooseberrydrum_platform_calls_total",
-               "Calls to the platform.", GBD_COUNTER_MONOTONIC, NULL, NULL,
-               routes_calls.calls + servers_calls.calls
-                   + evacuations_calls.calls);
-  add_counter (counters, "gooseberrydrum_platform_failures_total",
-               "Calls to the platform that failed.", GBD_COUNTER_MONOTONIC,
-               NULL, NULL,
-               routes_calls.failures + servers_calls.failures
-                   + evacuations_calls.failures);
-  add_counter (counters, "gooseberrydrum_log_suppressed_total",
-               "Log events suppressed by rate limiting.",
-               GBD_COUNTER_MONOTONIC, NULL, NULL,
-               gbd_event_log_get_suppressed (serve->event_log));
+  gbd_counters_put (counters, "gooseberrydrum_routes_version",
+                    "Version of the installed routes.", GBD_COUNTER_GAUGE,
+                    NULL, NULL, routes ? gbd_routes_get_version (routes) : 0);
+  gbd_counters_put (
+      counters, "gooseberrydrum_routes_age_seconds",
+      "Time since the installed routes were read.", GBD_COUNTER_GAUGE, NULL,
+      NULL,
+      routes ? (uint64_t)((now - serve->routes_read_at) / GBD_SECOND) : 0);
+  gbd_counters_put (counters, "gooseberrydrum_backend_servers",
+                    "Backend servers that the platform lists.",
+                    GBD_COUNTER_GAUGE, NULL, NULL, gbd_pool_get_count (pool));
+  gbd_counters_put (counters, "gooseberrydrum_platform_away",
+                    "1 while the platform is unreachable.", GBD_COUNTER_GAUGE,
+                    NULL, NULL, gbd_pool_is_platform_unreachable (pool));
+  gbd_counters_put (
+      counters, "gooseberrydrum_platform_calls_total",
+      "Calls to the platform.", GBD_COUNTER_MONOTONIC, NULL, NULL,
+      routes_calls.calls + servers_calls.calls + evacuations_calls.calls);
+  gbd_counters_put (counters, "gooseberrydrum_platform_failures_total",
+                    "Calls to the platform that failed.",
+                    GBD_COUNTER_MONOTONIC, NULL, NULL,
+                    routes_calls.failures + servers_calls.failures
+                        + evacuations_calls.failures);
+  gbd_counters_put (counters, "gooseberrydrum_log_suppressed_total",
+                    "Log events suppressed by rate limiting.",
+                    GBD_COUNTER_MONOTONIC, NULL, NULL,
+                    gbd_event_log_get_suppressed (serve->event_log));
   gbd_prober_stats_t probes;
   if (serve->prober)
     gbd_prober_get_stats (serve->prober, &probes);
   for (int i = 0; serve->prober && i < GBD_PROBE_COUNT; i++)
-    add_counter (counters, "gooseberrydrum_probes_total",
-                 "Probes of suspected backend servers by result.",
-                 GBD_COUNTER_MONOTONIC, "result", gbd_probe_strings[i],
-                 probes.results[i]);
+    gbd_counters_put (counters, "gooseberrydrum_probes_total",
+                      "Probes of suspected backend servers by result.",
+                      GBD_COUNTER_MONOTONIC, "result", gbd_probe_strings[i],
+                      probes.results[i]);
   if (serve->relay)
-    add_counter (counters, "gooseberrydrum_relay_answers_total",
-                 "Responses to instances that read from this relay.",
-                 GBD_COUNTER_MONOTONIC, NULL, NULL,
-                 gbd_relay_get_response_count (serve->relay));
+    gbd_counters_put (counters, "gooseberrydrum_relay_answers_total",
+                      "Responses to instances that read from this relay.",
+                      GBD_COUNTER_MONOTONIC, NULL, NULL,
+                      gbd_relay_get_response_count (serve->relay));
   if (serve->members)
     add_group_counters (counters, serve, now);
   uint32_t capacity = gbd_pool_get_capacity (pool);
@@ -451,11 +445,12 @@
           = gbd_pool_peek (pool, (gbd_pool_handle_t)i);
       if (server->is_used
           && gbd_suspicion_is_suspected (&server->load.suspicion))
-        add_counter (counters, "gooseberrydrum_suspected",
-                     "Missing responses of a backend server since its last "
-                     "response.",
-                     GBD_COUNTER_GAUGE, "server", server->entry.name,
-                     server->load.suspicion.unanswered);
+        gbd_counters_put (
+            counters, "gooseberrydrum_suspected",
+            "Missing responses of a backend server since its last "
+            "response.",
+            GBD_COUNTER_GAUGE, "server", server->entry.name,
+            server->load.suspicion.unanswered);
     }
 }
 
@@ -465,23 +460,24 @@
 {
   gbd_cookie_members_stats_t stats;
   gbd_cookie_members_get_stats (serve, &stats, now);
-  add_counter (counters, "gooseberrydrum_group_instances",
-               "Instances of the group; 0 if unknown.", GBD_COUNTER_GAUGE,
-               NULL, NULL, stats.view.total);
-  add_counter (counters, "gooseberrydrum_group_zone_instances",
-               "Instances of the group in the zone of this instance; 0 if "
-               "unknown.",
-               GBD_COUNTER_GAUGE, NULL, NULL, stats.view.zone_count);
-  add_counter (counters, "gooseberrydrum_group_zone_rank",
-               "Position of this instance among those of its zone.",
-               GBD_COUNTER_GAUGE, NULL, NULL, stats.view.zone_rank);
-  add_counter (counters, "gooseberrydrum_group_age_seconds",
-               "Time since the view of the group was received.",
-               GBD_COUNTER_GAUGE, NULL, NULL,
-               (uint64_t)(stats.age / GBD_SECOND));
-  add_counter (counters, "gooseberrydrum_group_requests_total",
-               "Requests of this relay for the members at other relays.",
-               GBD_COUNTER_MONOTONIC, NULL, NULL, stats.requests);
+  gbd_counters_put (counters, "gooseberrydrum_group_instances",
+                    "Instances of the group; 0 if unknown.", GBD_COUNTER_GAUGE,
+                    NULL, NULL, stats.view.total);
+  gbd_counters_put (
+      counters, "gooseberrydrum_group_zone_instances",
+      "Instances of the group in the zone of this instance; 0 if "
+      "unknown.",
+      GBD_COUNTER_GAUGE, NULL, NULL, stats.view.zone_count);
+  gbd_counters_put (counters, "gooseberrydrum_group_zone_rank",
+                    "Position of this instance among those of its zone.",
+                    GBD_COUNTER_GAUGE, NULL, NULL, stats.view.zone_rank);
+  gbd_counters_put (counters, "gooseberrydrum_group_age_seconds",
+                    "Time since the view of the group was received.",
+                    GBD_COUNTER_GAUGE, NULL, NULL,
+                    (uint64_t)(stats.age / GBD_SECOND));
+  gbd_counters_put (counters, "gooseberrydrum_group_requests_total",
+                    "Requests of this relay for the members at other relays.",
+                    GBD_COUNTER_MONOTONIC, NULL, NULL, stats.requests);
 }
 
 static json_t *
--- a/src/gooseberrydrum/cookie_room.c
+++ b/src/gooseberrydrum/cookie_room.c
@@ -14,10 +14,6 @@
 static void log_change (gbd_cookie_room_service_t *reported, uint32_t index,
                         const gbd_director_t *director,
                         gbd_event_log_t *event_log, gbd_time_t now);
-static void add_counter (gbd_counters_t *counters, const char *name,
-                         const char *help, gbd_counter_kind_t kind,
-                         const char *label, const char *value,
-                         uint64_t number);
 static json_int_t to_ms (gbd_time_t time);
 static json_int_t to_percent (double share);
 
@@ -115,35 +111,36 @@
           short_responses += service->classes[j].short_responses;
         }
       format_name (director, service->id, value);
-      add_counter (counters, "gooseberrydrum_responses_total",
-                   "Responses seen of backend servers.", GBD_COUNTER_MONOTONIC,
-                   "service", value, responses);
-      add_counter (counters, "gooseberrydrum_short_responses_total",
-                   "Responses seen of backend servers that were full.",
-                   GBD_COUNTER_MONOTONIC, "service", value, short_responses);
-      add_counter (counters, "gooseberrydrum_room_short",
-                   "1 while a service is short of room.", GBD_COUNTER_GAUGE,
-                   "service", value,
-                   gbd_room_is_short (room, service->id, now));
+      gbd_counters_put (counters, "gooseberrydrum_responses_total",
+                        "Responses seen of backend servers.",
+                        GBD_COUNTER_MONOTONIC, "service", value, responses);
+      gbd_counters_put (counters, "gooseberrydrum_short_responses_total",
+                        "Responses seen of backend servers that were full.",
+                        GBD_COUNTER_MONOTONIC, "service", value,
+                        short_responses);
+      gbd_counters_put (counters, "gooseberrydrum_room_short",
+                        "1 while a service is short of room.",
+                        GBD_COUNTER_GAUGE, "service", value,
+                        gbd_room_is_short (room, service->id, now));
       double least = 1;
       for (uint32_t j = 0; j < service->class_count; j++)
         least = fmin (
             least, gbd_admission_get_service (admission, i)->classes[j].share);
-      add_counter (counters, "gooseberrydrum_admitted_percent",
-                   "Admitted share of the least urgent new flows.",
-                   GBD_COUNTER_GAUGE, "service", value,
-                   (uint64_t)to_percent (least));
+      gbd_counters_put (counters, "gooseberrydrum_admitted_percent",
+                        "Admitted share of the least urgent new flows.",
+                        GBD_COUNTER_GAUGE, "service", value,
+                        (uint64_t)to_percent (least));
     }
   gbd_admission_count_t counts[GBD_ADMISSION_PRIORITIES_MAX];
   uint32_t count_count = gbd_admission_get_counts (admission, counts);
   for (uint32_t i = 0; i < count_count; i++)
     {
       snprintf (value, sizeof value, "%u", counts[i].priority);
-      add_counter (counters, "gooseberrydrum_turned_away_total",
-                   "New flows turned away because their service was short of "
-                   "room, by priority.",
-                   GBD_COUNTER_MONOTONIC, "priority", value,
-                   counts[i].turned_away);
+      gbd_counters_put (
+          counters, "gooseberrydrum_turned_away_total",
+          "New flows turned away because their service was short of "
+          "room, by priority.",
+          GBD_COUNTER_MONOTONIC, "priority", value, counts[i].turned_away);
     }
 }
 
@@ -247,15 +244,6 @@
                  make_classes (director, index, reported->least_shares)));
 }
 
-static void
-add_counter (gbd_counters_t *counters, const char *name, const char *help,
-             gbd_counter_kind_t kind, const char *label, const char *value,
-             uint64_t number)
-{
-  const gbd_counter_info_t info = { name, help, kind, label, value };
-  gbd_counters_set (counters, gbd_counters_add (counters, &info), number);
-}
-
 static json_int_t
 to_ms (gbd_time_t time)
 {
--- a/src/gooseberrydrum/counters.c
+++ b/src/gooseberrydrum/counters.c
@@ -71,6 +71,15 @@
     counters->entries[counter].count = value;
 }
 
+void
+gbd_counters_put (gbd_counters_t *counters, const char *name, const char *help,
+                  gbd_counter_kind_t kind, const char *label,
+                  const char *value, uint64_t number)
+{
+  const gbd_counter_info_t info = { name, help, kind, label, value };
+  gbd_counters_set (counters, gbd_counters_add (counters, &info), number);
+}
+
 uint64_t
 gbd_counters_get (const gbd_counters_t *counters, gbd_counter_t counter)
 {
--- a/src/gooseberrydrum/counters.h
+++ b/src/gooseberrydrum/counters.h
@@ -49,6 +49,12 @@
 void gbd_counters_set (gbd_counters_t *counters, gbd_counter_t counter,
                        uint64_t value);
 
+/** Add a metric, or find it, and set its value.
+ *  @param label NULL for a metric without a label */
+void gbd_counters_put (gbd_counters_t *counters, const char *name,
+                       const char *help, gbd_counter_kind_t kind,
+                       const char *label, const char *value, uint64_t number);
+
 uint64_t gbd_counters_get (const gbd_counters_t *counters,
                            gbd_counter_t counter);
 
