--- a/src/test_gooseberrydrum/test_cookie_evacuations.c
+++ b/src/test_gooseberrydrum/test_cookie_evacuations.c
@@ -112,7 +112,7 @@
 
 /* Guards against a set that ends with the relay that gave it. */
 static void
-next_relay_gives_the_set_when_one_dies (void **state)
+next_relay_sends_the_set_when_one_fails (void **state)
 {
   (void)state;
   group_t group;
@@ -295,7 +295,7 @@
 /* The relay can read the servers, but its requests for the evacuations fail.
    Guards against readers that take its outdated set for the present one. */
 static void
-relay_whose_watch_fails_does_not_vouch_for_its_set (void **state)
+relay_whose_watch_fails_sends_no_set (void **state)
 {
   (void)state;
   group_t group;
@@ -748,13 +748,13 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (relay_passes_a_change_on_at_once),
-    cmocka_unit_test (next_relay_gives_the_set_when_one_dies),
+    cmocka_unit_test (next_relay_sends_the_set_when_one_fails),
     cmocka_unit_test (reader_watches_the_store_while_no_relay_responds),
     cmocka_unit_test (evacuation_applies_despite_faults_of_the_store),
     cmocka_unit_test (hung_watch_on_the_servers_does_not_hold_the_set_up),
     cmocka_unit_test (rejection_of_a_relay_contains_the_set),
     cmocka_unit_test (reader_of_a_relay_without_the_set_watches_the_store),
-    cmocka_unit_test (relay_whose_watch_fails_does_not_vouch_for_its_set),
+    cmocka_unit_test (relay_whose_watch_fails_sends_no_set),
     cmocka_unit_test (restored_store_does_not_end_an_evacuation_at_once),
     cmocka_unit_test (instances_that_start_in_an_outage_get_the_set),
     cmocka_unit_test (readers_spare_the_store_in_an_outage),
