--- a/src/standins/world.h
+++ b/src/standins/world.h
@@ -51,7 +51,7 @@
 #define WORLD_RETRIES 2       /**< further attempts after a refused flow */
 #define WORLD_POLLED_MAX 2048 /**< descriptors in one poll */
 
-/* Limits that are checked, from the site specifications. */
+/* Limits that are checked, from the platform contract. */
 
 /** Longest time from the draining entry of a backend server to its last new
  *  flow. */
