--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -eu
 cd "$(dirname "$0")"
 mkdir -p build
-for case in 1 2 4 5; do
+for case in 1 2 3; do
   cc -std=gnu11 -O2 -Wall -Wextra -pthread -I standin \
     -o "build/case-$case" standin/world.c "$case/case.c"
 done
--- a/review/standin/world.h
+++ b/review/standin/world.h
@@ -9,7 +9,7 @@
 #include <stdint.h>
 
 #define INSTANCES_MAX 9
-#define ENDPOINTS_MAX 32
+#define ENDPOINTS_MAX 64
 #define ROUTES_MAX 32
 
 /* Milliseconds since the start of the process. */
