--- a/review/standin-2/stand.c
+++ b/review/standin-2/stand.c
@@ -239,12 +239,8 @@
 typedef struct
 {
   char kind[STAND_NAME];
-  char name[STAND_NAME];
   char *text;
-  char *object;
-  bool is_deleted;
   uint64_t revision;
-  int64_t at_ms;
 } event_t;
 
 typedef struct
@@ -317,10 +313,6 @@
   event_t *event = &events[event_count++];
   char *text = describe_object (object);
   snprintf (event->kind, STAND_NAME, "%s", object->kind);
-  snprintf (event->name, STAND_NAME, "%s", object->name);
-  event->object = strdup (text);
-  event->is_deleted = is_deleted;
-  event->at_ms = stand_now ();
   event->revision = revision;
   if (asprintf (&event->text, "{\"deleted\":%s,\"object\":%s}",
                 is_deleted ? "true" : "false", text)
@@ -436,72 +428,9 @@
   return found ? atoll (found + strlen (pattern)) : default_value;
 }
 
-static int replica_lag_ms;
-
-void
-store_set_replica_lag (int ms)
-{
-  replica_lag_ms = ms;
-}
-
-/* Returns the number of events that a replica has. */
-static int
-count_replicated (const char *query)
-{
-  int count = event_count;
-  if (!replica_lag_ms || !query || !strstr (query, "stale_ok=1"))
-    return count;
-  while (count > 0 && events[count - 1].at_ms > stand_now () - replica_lag_ms)
-    count--;
-  return count;
-}
-
-static uint64_t
-get_replica_revision (int count)
-{
-  return count == event_count ? revision
-         : count > 0          ? events[count - 1].revision
-                              : 500;
-}
-
-/* A list as a replica has it. */
-static void
-answer_replica_list (int fd, const char *kind, int count)
-{
-  char *body = NULL;
-  int items = 0;
-  append (&body, "{\"items\":[");
-  stand_lock ();
-  for (int i = 0; i < count; i++)
-    {
-      bool is_latest = !events[i].is_deleted;
-      for (int j = i + 1; j < count; j++)
-        is_latest &= strcmp (events[i].kind, events[j].kind) != 0
-                     || strcmp (events[i].name, events[j].name) != 0;
-      if (!is_latest || strcmp (events[i].kind, kind) != 0)
-        continue;
-      if (items++ > 0)
-        append (&body, ",");
-      append (&body, events[i].object);
-    }
-  char tail[128];
-  snprintf (tail, sizeof tail, "],\"has_more\":false,\"at_revision\":%llu}",
-            (unsigned long long)get_replica_revision (count));
-  stand_unlock ();
-  append (&body, tail);
-  answer (fd, 200, body);
-  free (body);
-}
-
 static void
 answer_list (int fd, const char *kind, const char *query)
 {
-  int replicated = count_replicated (query);
-  if (replicated < event_count)
-    {
-      answer_replica_list (fd, kind, replicated);
-      return;
-    }
   char after[STAND_NAME] = "";
   const char *found = query ? strstr (query, "after=") : NULL;
   if (found)
@@ -543,7 +472,6 @@
 {
   uint64_t since = (uint64_t)get_argument (query, "watch", 0);
   long long wait_ms = get_argument (query, "wait_ms", 0);
-  int replicated = 0;
   struct timespec end;
   clock_gettime (CLOCK_REALTIME, &end);
   end.tv_sec += wait_ms / 1000;
@@ -557,26 +485,11 @@
   for (;;)
     {
       bool has_event = false;
-      replicated = count_replicated (query);
-      for (int i = replicated; i-- > 0 && events[i].revision > since;)
+      for (int i = event_count; i-- > 0 && events[i].revision > since;)
         has_event |= strcmp (events[i].kind, kind) == 0;
-      struct timespec now;
-      struct timespec next;
-      clock_gettime (CLOCK_REALTIME, &now);
-      bool is_over
-          = now.tv_sec > end.tv_sec
-            || (now.tv_sec == end.tv_sec && now.tv_nsec >= end.tv_nsec);
-      if (has_event || is_over || modes[connection->instance] != STORE_SERVES)
+      if (has_event || modes[connection->instance] != STORE_SERVES
+          || pthread_cond_timedwait (&changed, &mutex, &end) != 0)
         break;
-      next = now;
-      next.tv_nsec += 20000000;
-      if (next.tv_nsec >= 1000000000)
-        {
-          next.tv_sec++;
-          next.tv_nsec -= 1000000000;
-        }
-      bool is_lagging = replicated < event_count;
-      pthread_cond_timedwait (&changed, &mutex, is_lagging ? &next : &end);
     }
   if (modes[connection->instance] != STORE_SERVES)
     {
@@ -586,7 +499,7 @@
   char *body = NULL;
   int count = 0;
   append (&body, "{\"events\":[");
-  for (int i = 0; i < replicated; i++)
+  for (int i = 0; i < event_count; i++)
     {
       if (events[i].revision <= since || strcmp (events[i].kind, kind) != 0)
         continue;
@@ -596,7 +509,7 @@
     }
   char tail[128];
   snprintf (tail, sizeof tail, "],\"at_revision\":%llu}",
-            (unsigned long long)get_replica_revision (replicated));
+            (unsigned long long)revision);
   stand_unlock ();
   append (&body, tail);
   answer (connection->fd, 200, body);
@@ -799,6 +712,16 @@
     }
 }
 
+static const char *zone_settings = "zone-evacuation=no\nwarmup-overshoot=\n"
+                                   "warmup-slack=\n";
+
+void
+instances_set_zone_bounds (void)
+{
+  zone_settings
+      = "zone-evacuation=yes\nwarmup-overshoot=1.5\nwarmup-slack=5\n";
+}
+
 /* The file that the platform makes of platform/settings.template. */
 static void
 write_settings (const instance_t *instance, const char *path, bool is_first)
@@ -815,11 +738,10 @@
     fprintf (file, "%s%s:%d", i ? "," : "", instances[i].ip, CONTROL_PORT);
   fprintf (file,
            "\nfirst-start=%s\ngroup-view=yes\nreports-listen=%s:%d\n"
-           "stop-forward-ms=4500\nprobe-servers=yes\nzone-evacuation=no\n"
-           "warmup-overshoot=\nwarmup-slack=\n"
+           "stop-forward-ms=4500\nprobe-servers=yes\n%s"
            /* All machines share one loopback address of operators. */
            "admin-listen=off\n",
-           is_first ? "yes" : "no", instance->ip, FREE_PORT);
+           is_first ? "yes" : "no", instance->ip, FREE_PORT, zone_settings);
   fclose (file);
 }
 
@@ -1434,10 +1356,10 @@
   snprintf (text, size,
             "{\"backend\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"%s\","
             "\"version\":\"v1\",\"max_concurrency\":%d,\"state\":\"%s\","
-            "\"warmup_left_ms\":0,\"sequence\":1,\"born\":%lld}",
+            "\"warmup_left_ms\":%d,\"sequence\":1,\"born\":%lld}",
             endpoint->service, endpoint->ip, endpoint->port, endpoint->zone,
             SLOTS, endpoint->is_draining ? "draining" : "ready",
-            (long long)endpoint->born_ms);
+            endpoint->warm_up_left_ms, (long long)endpoint->born_ms);
   return text;
 }
 
@@ -1449,32 +1371,49 @@
              endpoint_spec (endpoint, text, sizeof text));
 }
 
+/* Starts to listen; nothing of before is known. */
+static void
+run (endpoint_t *endpoint)
+{
+  endpoint_state_t *state = calloc (1, sizeof *state);
+  endpoint->born_ms = stand_unix_ms ();
+  endpoint->started_ms = stand_now ();
+  endpoint->state = state;
+  state->fd = open_datagram (endpoint->ip, ENDPOINT_PORT);
+  state->listener = open_listener (endpoint->ip, ENDPOINT_PORT);
+  state->flows = calloc (HELD_MAX, sizeof *state->flows);
+  endpoint->is_stopping = false;
+  endpoint->is_running = true;
+  start_thread (run_endpoint, endpoint);
+}
+
 endpoint_t *
 endpoint_start (const char *name, const char *service, const char *zone,
                 const char *ip, int work_ms)
 {
   endpoint_t *endpoint = calloc (1, sizeof *endpoint);
-  endpoint_state_t *state = calloc (1, sizeof *state);
   snprintf (endpoint->name, STAND_NAME, "%s", name);
   snprintf (endpoint->service, STAND_NAME, "%s", service);
   snprintf (endpoint->zone, STAND_NAME, "%s", zone);
   snprintf (endpoint->ip, STAND_NAME, "%s", ip);
   endpoint->id = strtoull (strchr (name, '-') + 1, NULL, 16);
   endpoint->port = ENDPOINT_PORT;
-  endpoint->born_ms = stand_unix_ms ();
   endpoint->work_ms = work_ms;
-  endpoint->state = state;
-  state->fd = open_datagram (ip, ENDPOINT_PORT);
-  state->listener = open_listener (ip, ENDPOINT_PORT);
-  state->flows = calloc (HELD_MAX, sizeof *state->flows);
-  endpoint->is_running = true;
-  start_thread (run_endpoint, endpoint);
+  run (endpoint);
   endpoint_write_entry (endpoint);
   stand_record ("endpoint %s of %s runs at %s:%d", name, service, ip,
                 ENDPOINT_PORT);
   return endpoint;
 }
 
+void
+endpoint_restart (endpoint_t *endpoint)
+{
+  endpoint_stop (endpoint, false);
+  run (endpoint);
+  stand_record ("endpoint %s has started again", endpoint->name);
+}
+
 int64_t
 endpoint_drain (endpoint_t *endpoint)
 {
--- a/review/standin-2/stand.h
+++ b/review/standin-2/stand.h
@@ -57,7 +57,9 @@
   char ip[STAND_NAME];
   int port;
   int64_t born_ms;
-  int work_ms;
+  int64_t started_ms; /* latest start */
+  volatile int work_ms;
+  int warm_up_left_ms;
   volatile bool is_draining;
   volatile bool is_stopping;
   volatile bool is_running;
@@ -136,11 +138,12 @@
 uint64_t store_revision (void);
 void store_set_mode (int instance, store_mode_t mode);
 int store_calls (int instance);
-/* How far the replicas lag that answer calls with stale_ok. */
-void store_set_replica_lag (int ms);
 
 /* Balancers. */
 void instances_prepare (int count, int relay_count);
+/* The settings of a deployment with bounds for evacuations and cold endpoints;
+   before the first start. */
+void instances_set_zone_bounds (void);
 instance_t *instance_get (int index);
 void instance_start (int index);
 void instance_signal (int index, int signal);
@@ -158,6 +161,8 @@
 void endpoint_write_entry (endpoint_t *endpoint); /* returns after the ack */
 int64_t endpoint_drain (endpoint_t *endpoint);    /* returns the ack */
 void endpoint_stop (endpoint_t *endpoint, bool removes_entry);
+/* Starts again under its id; its entry stays as it is. */
+void endpoint_restart (endpoint_t *endpoint);
 const char *endpoint_spec (const endpoint_t *endpoint, char *text,
                            size_t size);
 
